--- /dev/null
+++ b/internal/backend/quiet.go
@@ -0,0 +1,30 @@
+package backend
+
+import (
+	"net"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+)
+
+// quiet says whether an idle connection is open and has nothing to read. Bytes
+// that come unasked belong to no request.
+func (c *conn) quiet() bool {
+	tcp, ok := c.socket.(*net.TCPConn)
+	if !ok {
+		return c.reader.Buffered() == 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) { quiet = nothingToRead(int(fd)) })
+	return err == nil && quiet
+}
+
+func nothingToRead(fd int) bool {
+	var one [1]byte
+	_, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return errors.Is(err, unix.EAGAIN)
+}
--- /dev/null
+++ b/internal/body/body.go
@@ -0,0 +1,190 @@
+// Package body lets a request's body be sent more than once.
+//
+// # Usage
+//
+//	b := body.New(w, r, limit)      // nil without a body
+//	defer b.Finish()
+//	b.Prepare(deadline)             // what is short is read now
+//	b.Rewind(out)                   // for each attempt
+//	if b.Spent() { ... }            // it can no longer be sent from its start
+//
+// A short body is read whole before anything is sent, so that no attempt waits
+// for the caller. Of a longer one the first part is kept, and the rest streams
+// through; net/http does not allow that a body is read after its handler has
+// returned, which Finish sees to.
+package body
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// maxKept is how much of a request body is kept for another attempt, in bytes.
+// Source: with a thousand requests at once it stays within a quarter of a
+// daemon's 256 MB.
+const maxKept = 64 << 10
+
+// readSlack is how long after the request's deadline a body that streams through
+// may still be read. net/http takes a read that failed for a caller that went away; the deadline
+// itself has to come first.
+const readSlack = time.Second
+
+// ErrTooLong means that the body is longer than its limit.
+var ErrTooLong = errors.New("request body is longer than the route allows")
+
+var errTakenBack = errors.New("request body is being sent elsewhere")
+
+// Body lets each attempt read the caller's body from its start, as long as what
+// was read is still kept. It bounds the body's length. A nil Body is that of a
+// request without one.
+type Body struct {
+	controller *http.ResponseController
+	length     int64 // as the caller announced it; below zero if it did not
+	asks       bool  // the caller sends it once it is asked for it
+
+	mu      sync.Mutex
+	source  io.Reader
+	left    int64
+	kept    []byte
+	ended   bool // the source was read to its end
+	lost    bool // more was read than is kept
+	attempt int  // only the newest attempt may read
+}
+
+// New returns the request's body made ready for attempts; it is nil without one.
+func New(w http.ResponseWriter, r *http.Request, limit int64) *Body {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	return &Body{
+		controller: http.NewResponseController(w),
+		source:     r.Body,
+		length:     r.ContentLength,
+		asks:       r.Header.Get("Expect") != "",
+		left:       limit,
+	}
+}
+
+// Prepare bounds how long the caller may take to send the body, and reads one
+// that is announced as short.
+func (b *Body) Prepare(deadline time.Time) error {
+	if b == nil {
+		return nil
+	}
+	// Both fail only for a connection that is gone, which the reading shows.
+	_ = b.controller.EnableFullDuplex()
+	if b.asks || b.length < 0 || b.length > maxKept {
+		_ = b.controller.SetReadDeadline(deadline.Add(readSlack))
+		return nil
+	}
+	_ = b.controller.SetReadDeadline(deadline)
+	return b.readAll()
+}
+
+func (b *Body) readAll() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	piece := make([]byte, b.length+1)
+	for !b.ended {
+		if _, err := b.read(piece); err != nil && !errors.Is(err, io.EOF) {
+			return errors.Wrap(err, "read request body")
+		}
+	}
+	return nil
+}
+
+// Rewind gives the request a body that starts at the beginning. Readers of
+// earlier attempts fail from now on.
+func (b *Body) Rewind(r *http.Request) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.attempt++
+	r.Body = &attemptBody{body: b, attempt: b.attempt}
+}
+
+// Spent says whether the body can no longer be sent from its start.
+func (b *Body) Spent() bool {
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lost
+}
+
+// Finish ends the reading of what is left of the body, which whoever still sends
+// it does beside the answer. It returns once nobody reads any more.
+func (b *Body) Finish() {
+	if b == nil {
+		return
+	}
+	_ = b.controller.SetReadDeadline(time.Now()) // ends a read that is under way
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.attempt++
+	if b.ended {
+		_ = b.controller.SetReadDeadline(time.Time{}) // the connection is fit for another request
+	}
+}
+
+// readAt reads on at the offset, first from what is kept.
+func (b *Body) readAt(attempt, offset int, p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if attempt != b.attempt {
+		return 0, errTakenBack
+	}
+	if offset < len(b.kept) {
+		return copy(p, b.kept[offset:]), nil
+	}
+	return b.read(p)
+}
+
+// read reads on from the source.
+func (b *Body) read(p []byte) (int, error) {
+	if b.ended {
+		return 0, io.EOF
+	}
+	n, err := b.source.Read(p)
+	b.ended = errors.Is(err, io.EOF)
+	b.left -= int64(n)
+	if b.left < 0 {
+		return 0, ErrTooLong
+	}
+	b.keep(p[:n])
+	return n, err
+}
+
+func (b *Body) keep(piece []byte) {
+	if b.lost || len(b.kept)+len(piece) > maxKept {
+		b.lost = b.lost || len(piece) > 0
+		b.kept = nil
+		return
+	}
+	b.kept = append(b.kept, piece...)
+}
+
+// attemptBody is the body of one attempt.
+type attemptBody struct {
+	body    *Body
+	attempt int
+	offset  int
+}
+
+// Read reads the next piece of the body.
+func (a *attemptBody) Read(p []byte) (int, error) {
+	n, err := a.body.readAt(a.attempt, a.offset, p)
+	a.offset += n
+	return n, err
+}
+
+// Close leaves the caller's body open, since another attempt may need it;
+// net/http closes it when the request has been served.
+func (a *attemptBody) Close() error { return nil }
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime"
@@ -15,8 +16,10 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tideliftd/tidelift/internal/daemon"
+	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/settings"
 	"github.com/tideliftd/tidelift/internal/version"
+	"github.com/tideliftd/tidelift/platform"
 )
 
 const (
@@ -70,7 +73,36 @@
 	debug.SetMemoryLimit(memoryLimit)
 	ctx, force, cleanUp := stopSignals(ctx)
 	defer cleanUp()
-	return daemon.Run(ctx, daemon.Config{Settings: s, Logger: newLogger(c.Root().ErrWriter, s), Force: force})
+	kv, closeStore := platform.NewStore(platform.StoreConfig{Address: s.Platform.Address})
+	defer closeStore()
+	return daemon.Run(ctx, daemon.Config{
+		Settings:     s,
+		Logger:       newLogger(c.Root().Writer, s),
+		Force:        force,
+		Store:        kv,
+		Desired:      newDesired(s.Source),
+		CheckIns:     newCheckIns,
+		ReadyPattern: platform.ReadyPattern,
+	})
+}
+
+// newDesired reads the declaration that the platform's operator writes.
+func newDesired(s settings.Source) daemon.Desired {
+	defaults := platform.Defaults{
+		FloorShare:  s.FloorShare,
+		RetryShare:  s.RetryShare,
+		RetrySlack:  s.RetrySlack,
+		RetryWindow: s.RetryWindow,
+	}
+	return daemon.Desired{
+		Key:    platform.DesiredKey,
+		Number: platform.DesiredVersion,
+		Parse:  func(data []byte) (fleet.Declaration, error) { return platform.ParseDesired(data, defaults) },
+	}
+}
+
+func newCheckIns(c daemon.CheckIns) http.Handler {
+	return platform.NewCheckIns(platform.CheckInsConfig{CheckIn: c.CheckIn, Leave: c.Leave, OnError: c.OnError})
 }
 
 func newLogger(out io.Writer, s settings.Settings) *slog.Logger {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -22,6 +22,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/tideliftd/tidelift/internal/floor"
+	"github.com/tideliftd/tidelift/internal/member"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/revision"
 )
@@ -43,6 +44,8 @@
 	// the peer has, and for its text if it is above the one given.
 	MethodNotice   Method = "declaration.notice"
 	MethodRevision Method = "declaration.revision"
+	// MethodTold tells of hosts.
+	MethodTold Method = "hosts.told"
 	// MethodAsk asks a backend server for a promise to keep serving.
 	MethodAsk Method = "floor.ask"
 	// MethodRelease gives such a promise back.
@@ -80,6 +83,16 @@
 // Above is the parameter of MethodRevision.
 type Above struct {
 	Revision int64 `json:"revision"`
+	// Hosts is the digest of the hosts that the asking daemon knows; nil if it
+	// does not ask for hosts.
+	Hosts []uint64 `json:"hosts,omitempty"`
+}
+
+// Told is the parameter of MethodTold.
+type Told struct {
+	// Host is who tells.
+	Host  string        `json:"host"`
+	Hosts []member.Host `json:"hosts"`
 }
 
 // Held answers MethodRevision.
@@ -89,6 +102,10 @@
 	Revision revision.Revision `json:"revision"`
 	// SilentMs is how long ago the peer knew the platform to answer.
 	SilentMs int64 `json:"silent_ms"`
+	// Hosts are what the asking daemon may not know, and Digest is of all that
+	// the peer knows; both are left out if the asking daemon knows the same.
+	Hosts  []member.Host `json:"hosts,omitempty"`
+	Digest []uint64      `json:"digest,omitempty"`
 }
 
 // Ask is the parameter of MethodAsk.
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -25,6 +25,8 @@
 		return d.callHost(params)
 	case control.MethodNotice:
 		return d.callNotice(params)
+	case control.MethodTold:
+		return d.callTold(params)
 	case control.MethodRevision:
 		return d.callRevision(params)
 	case control.MethodAsk:
@@ -76,12 +78,21 @@
 	return done{}, nil
 }
 
+func (d *daemon) callTold(params json.RawMessage) (any, error) {
+	var told control.Told
+	if err := decode(params, &told); err != nil {
+		return nil, err
+	}
+	d.learn(told.Host, told.Hosts)
+	return done{}, nil
+}
+
 func (d *daemon) callRevision(params json.RawMessage) (any, error) {
 	var above control.Above
 	if err := decode(params, &above); err != nil {
 		return nil, err
 	}
-	return d.held(above.Revision), nil
+	return d.held(above), nil
 }
 
 func (d *daemon) callAsk(params json.RawMessage) (any, error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,25 +17,29 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/google/uuid"
 
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/ingress"
 	"github.com/tideliftd/tidelift/internal/keys"
+	"github.com/tideliftd/tidelift/internal/member"
 	"github.com/tideliftd/tidelift/internal/metric"
 	"github.com/tideliftd/tidelift/internal/operator"
 	"github.com/tideliftd/tidelift/internal/operatorapi"
-	"github.com/tideliftd/tidelift/internal/platform/consul"
+	"github.com/tideliftd/tidelift/internal/registry"
 	"github.com/tideliftd/tidelift/internal/revision"
 	"github.com/tideliftd/tidelift/internal/settings"
 	"github.com/tideliftd/tidelift/internal/sidecar"
 	"github.com/tideliftd/tidelift/internal/spread"
+	"github.com/tideliftd/tidelift/internal/store"
 	"github.com/tideliftd/tidelift/internal/version"
 )
 
@@ -47,6 +51,32 @@
 	Logger *slog.Logger
 	// Force ends a planned stop at once when it is closed; nil never does.
 	Force <-chan struct{}
+	// Store is the platform's key-value store.
+	Store store.Store
+	// Desired reads what the platform's operator writes; it is used if the
+	// settings say that the platform declares.
+	Desired Desired
+	// CheckIns makes the handler for check-ins of this host's backend servers.
+	CheckIns func(CheckIns) http.Handler
+	// ReadyPattern is the pattern under which readiness is asked.
+	ReadyPattern string
+}
+
+// Desired reads a declaration that somebody else keeps in the store.
+type Desired struct {
+	// Key holds it.
+	Key string
+	// Number reads its revision, Parse all of it.
+	Number func(data []byte) (int64, error)
+	Parse  func(data []byte) (fleet.Declaration, error)
+}
+
+// CheckIns takes what backend servers of this host say of themselves. Each
+// returns once that is in force here.
+type CheckIns struct {
+	CheckIn func(registry.CheckIn)
+	Leave   func(name string)
+	OnError func(error)
 }
 
 // daemon holds the parts while they run.
@@ -60,9 +90,12 @@
 	peers    *control.Client
 	started  time.Time
 	stopping atomic.Bool
-	taking   sync.Mutex // serialises take
+	taking   sync.Mutex // serialises take and retake; guards declared
+	declared fleet.Declaration
 	platform atomic.Pointer[platformState]
 	inForce  atomic.Pointer[operator.InForce]
+	source   source
+	members  *members
 	plan     atomic.Pointer[spread.Plan]
 	watching atomic.Bool
 	lastSeen atomic.Int64 // when the platform was last known to answer, in Unix nanoseconds
@@ -96,6 +129,9 @@
 	followCtx, stopFollowing := context.WithCancel(context.Background())
 	defer stopFollowing()
 	go d.follow(followCtx)
+	if d.registers() {
+		go d.join(followCtx)
+	}
 	event.Log(config.Logger, event.DaemonStarted,
 		"data_centre", config.Settings.DataCentre, "callers", config.Settings.Listen.Callers, "version", version.Version)
 	select {
@@ -123,6 +159,7 @@
 	d.ingress, cleanUp = ingress.New(ingress.Config{
 		Host:        s.Name,
 		DataCentre:  s.DataCentre,
+		Service:     s.Service,
 		TLS:         d.clientTLS(),
 		HeaderBytes: s.Limits.HeaderBytes,
 		Logger:      d.config.Logger,
@@ -134,17 +171,22 @@
 }
 
 func (d *daemon) buildLedger() error {
-	store, err := consul.New(consul.Config{Address: d.config.Settings.Platform.Address})
-	if err != nil {
-		return err
-	}
-	d.hosts = newHostList(store, d.config.Settings.Platform.Prefix)
+	s := d.config.Settings
+	d.hosts = newHostList(d.config.Store, s.Platform.Prefix)
 	d.ledger = revision.New(revision.Config{
-		Store:    store,
-		Prefix:   d.config.Settings.Platform.Prefix,
+		Store:    d.config.Store,
+		Prefix:   s.Platform.Prefix,
 		OnError:  d.platformFailed,
 		OnAnswer: d.platformAnswered,
 	})
+	d.source = d.newSource()
+	d.members = newMembers(member.Host{
+		Name:       s.Name,
+		DataCentre: s.DataCentre,
+		Peers:      s.Listen.Peers,
+		Control:    s.Listen.Control,
+		Start:      uuid.NewString(),
+	})
 	return nil
 }
 
@@ -184,24 +226,47 @@
 	if current := d.inForce.Load(); current != nil && current.Revision.Number >= r.Number {
 		return
 	}
-	declaration, err := fleet.Parse("declaration", []byte(r.YAML))
+	declaration, err := d.source.parse(r.YAML)
 	if err != nil {
 		event.Log(d.config.Logger, event.DeclarationRefused, "revision", r.Number, "error", err)
 		return
 	}
-	index := fleet.NewIndex(declaration)
-	d.sidecar.Reconfigure(index)
-	d.ingress.Reconfigure(index)
-	d.inForce.Store(&operator.InForce{Revision: r, Index: index})
-	plan := spread.NewPlan(spread.Config{
+	d.declared = declaration
+	d.putInForce(r)
+	d.notifyPeers(r, d.plan.Load())
+	event.Log(d.config.Logger, event.DeclarationInForce, "revision", r.Number, "change", r.Accepted.ID,
+		"author", r.Accepted.Author, "reason", r.Accepted.Reason)
+}
+
+// retake puts the declaration in force again with the hosts and backend servers
+// that are known now.
+func (d *daemon) retake() {
+	d.taking.Lock()
+	defer d.taking.Unlock()
+	if current := d.inForce.Load(); current != nil {
+		d.putInForce(current.Revision)
+		return
+	}
+	d.planWith(d.members.complete(fleet.Declaration{}).Hosts)
+}
+
+// planWith makes the plan of whom to tell of news.
+func (d *daemon) planWith(hosts []fleet.Host) {
+	d.plan.Store(spread.NewPlan(spread.Config{
 		Host:       d.config.Settings.Name,
 		DataCentre: d.config.Settings.DataCentre,
 		Random:     rand.Uint64,
-	}, declaration.Hosts)
-	d.plan.Store(plan)
-	d.notifyPeers(r, plan)
-	event.Log(d.config.Logger, event.DeclarationInForce, "revision", r.Number, "change", r.Accepted.ID,
-		"author", r.Accepted.Author, "reason", r.Accepted.Reason)
+	}, hosts))
+}
+
+// putInForce makes the index of what is declared and registered, and gives it to
+// every part. The caller holds taking.
+func (d *daemon) putInForce(r revision.Revision) {
+	index := fleet.NewIndex(d.members.complete(d.declared))
+	d.sidecar.Reconfigure(index)
+	d.ingress.Reconfigure(index)
+	d.planWith(index.Declaration.Hosts)
+	d.inForce.Store(&operator.InForce{Revision: r, Index: index})
 }
 
 // publish makes an operator's change the next revision, and puts it in force
--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -9,7 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tideliftd/tidelift/internal/control"
-	"github.com/tideliftd/tidelift/internal/platform"
+	"github.com/tideliftd/tidelift/internal/store"
 	"github.com/tideliftd/tidelift/internal/wait"
 )
 
@@ -21,9 +21,9 @@
 // differ, so it is a function; this one is a key that holds a JSON list of names.
 type hostList func(ctx context.Context) ([]string, error)
 
-func newHostList(store platform.Store, prefix string) hostList {
+func newHostList(kv store.Store, prefix string) hostList {
 	return func(ctx context.Context) ([]string, error) {
-		value, err := store.Get(ctx, prefix+"/leaving-hosts")
+		value, err := kv.Get(ctx, prefix+"/leaving-hosts")
 		if err != nil || value.Data == nil {
 			return nil, err
 		}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -70,12 +70,16 @@
 			MaxHeaderBytes:    s.Limits.HeaderBytes + 2*headerSlack,
 		},
 		operators: &http.Server{Handler: operators, ReadHeaderTimeout: peerHeaderTimeout},
-		failed:    make(chan error, 3),
+		failed:    make(chan error, 5),
 	}
 	sockets, err := openAll(s.Listen.Callers, s.Listen.Peers, s.Listen.Operators, s.Listen.Control)
 	if err != nil {
 		return nil, err
 	}
+	if err := d.listenForHost(l); err != nil {
+		closeAll(sockets)
+		return nil, err
+	}
 	l.sockets = sockets[:2]
 	l.serve(l.callers, framing.Listen(sockets[0]))
 	l.serve(l.peers, d.daemonsOnly(sockets[1]))
@@ -84,6 +88,27 @@
 	return l, nil
 }
 
+// listenForHost opens what only this host's own programs and its platform call.
+func (d *daemon) listenForHost(l *listeners) error {
+	s := d.config.Settings.Listen
+	mux := http.NewServeMux()
+	mux.HandleFunc(d.config.ReadyPattern, d.serveReady)
+	handlers := map[string]http.Handler{s.CheckIns: d.config.CheckIns(d.checkIns()), s.Ready: mux}
+	for address, handler := range handlers {
+		if address == "" {
+			continue
+		}
+		sockets, err := openAll(address)
+		if err != nil {
+			return err
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: peerHeaderTimeout}
+		l.serve(server, sockets[0])
+		d.atEnd(func() { _ = server.Close() })
+	}
+	return nil
+}
+
 func openAll(addresses ...string) ([]net.Listener, error) {
 	var sockets []net.Listener
 	for _, address := range addresses {
@@ -138,7 +163,7 @@
 func (d *daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
 	switch status := d.status(); {
 	case status.Ready:
-		w.WriteHeader(http.StatusNoContent)
+		w.WriteHeader(http.StatusOK)
 	case status.Stopping:
 		result.Write(w, result.New(result.Stopping))
 	default:
--- /dev/null
+++ b/internal/daemon/members.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"sync"
+
+	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/member"
+	"github.com/tideliftd/tidelift/internal/registry"
+)
+
+// members guards what the daemon knows of all hosts and of its own backend
+// servers.
+type members struct {
+	mu       sync.Mutex
+	table    *member.Table
+	registry *registry.Registry
+}
+
+func newMembers(self member.Host) *members {
+	return &members{table: member.NewTable(self), registry: registry.New()}
+}
+
+// with calls the function while nobody else changes anything.
+func (m *members) with(f func(*member.Table, *registry.Registry)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f(m.table, m.registry)
+}
+
+// self returns what is told of the own host.
+func (m *members) self() member.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Self()
+}
+
+// all returns every host that was ever told of.
+func (m *members) all() []member.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Hosts()
+}
+
+// checkIn takes what a backend server says of itself, and says whether that
+// changes what others should know.
+func (m *members) checkIn(c registry.CheckIn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.registry.CheckIn(c) && m.publish()
+}
+
+// leave takes it that a backend server ends.
+func (m *members) leave(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.registry.Leave(name) && m.publish()
+}
+
+// publish puts the backend servers that serve into the table.
+func (m *members) publish() bool {
+	registered := m.registry.Serving()
+	serving := make([]member.Server, 0, len(registered))
+	for _, c := range registered {
+		serving = append(serving, member.Server{Name: c.Name, Service: c.Service, Address: c.Address, Slots: c.Slots})
+	}
+	m.table.SetServers(serving, m.registry.Left())
+	return true
+}
+
+// merge takes what others told and returns what is news. What they remember of
+// backend servers of this host that have left is taken back.
+func (m *members) merge(told []member.Host) []member.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	news := m.table.Merge(told)
+	for _, h := range told {
+		if h.Name == m.table.Self().Name && m.registry.Forbid(h.Left) {
+			m.publish()
+			news = append(news, m.table.Self())
+		}
+	}
+	return news
+}
+
+// complete returns the declaration with the hosts that are not gone and the
+// backend servers that serve there.
+func (m *members) complete(declared fleet.Declaration) fleet.Declaration {
+	if len(declared.Hosts) > 0 {
+		return declared
+	}
+	var hosts []fleet.Host
+	var servers []fleet.Registered
+	for _, h := range m.all() {
+		if h.Gone {
+			continue
+		}
+		hosts = append(hosts, fleet.Host{Name: h.Name, DataCentre: h.DataCentre, Peers: h.Peers, Control: h.Control})
+		if h.Stopping {
+			continue
+		}
+		for _, s := range h.Servers {
+			servers = append(servers, fleet.Registered{
+				Service:       s.Service,
+				BackendServer: fleet.BackendServer{Name: s.Name, Host: h.Name, Address: s.Address, Slots: s.Slots},
+			})
+		}
+	}
+	return declared.With(hosts, servers)
+}
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/member"
+	"github.com/tideliftd/tidelift/internal/registry"
 	"github.com/tideliftd/tidelift/internal/revision"
 	"github.com/tideliftd/tidelift/internal/spread"
 	"github.com/tideliftd/tidelift/internal/wait"
@@ -20,6 +23,8 @@
 	watchEvery = time.Second
 	// recently is how long what others said of the platform counts.
 	recently = 20 * time.Second
+	// pollAnyOneIn is how often any host that was ever told of is asked.
+	pollAnyOneIn = 4
 )
 
 // follow brings revisions here until ctx ends: it watches the platform while
@@ -40,8 +45,10 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	d.watching.Store(true)
-	go d.ledger.Follow(ctx, d.revision(), d.take)
-	go d.followHosts(ctx)
+	go d.source.follow(ctx, d.revision(), d.take)
+	if !d.registers() {
+		go d.followHosts(ctx)
+	}
 	for ctx.Err() == nil && d.watches() {
 		wait.For(ctx, watchEvery)
 	}
@@ -53,7 +60,7 @@
 // declaration, then as the plan says.
 func (d *daemon) watches() bool {
 	plan := d.plan.Load()
-	return plan == nil || plan.Watches(d.platformLastSeen(), time.Now())
+	return plan == nil || d.inForce.Load() == nil || plan.Watches(d.platformLastSeen(), time.Now())
 }
 
 // platformLastSeen returns when the platform was last known to answer, here or
@@ -88,10 +95,8 @@
 // is a declaration it asks the seeds.
 func (d *daemon) pollPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		if plan := d.plan.Load(); plan != nil {
-			if host, ok := plan.Poll(); ok {
-				d.fetch(ctx, d.controlOf(host))
-			}
+		if address, ok := d.pollWhom(); ok {
+			d.fetch(ctx, address)
 		} else {
 			d.pollSeeds(ctx)
 		}
@@ -99,6 +104,23 @@
 	}
 }
 
+// pollWhom returns the control address of the daemon to ask next. Now and then
+// that is any that was ever told of, since one that is gone may be back and know
+// nobody.
+func (d *daemon) pollWhom() (string, bool) {
+	if known := d.members.all(); d.registers() && rand.N(pollAnyOneIn) == 0 {
+		if h := known[rand.N(len(known))]; h.Name != d.config.Settings.Name {
+			return h.Control, true
+		}
+	}
+	plan := d.plan.Load()
+	if plan == nil {
+		return "", false
+	}
+	host, ok := plan.Poll()
+	return d.controlOf(host), ok
+}
+
 // pollSeeds asks every seed, and takes the highest revision that any of them has.
 func (d *daemon) pollSeeds(ctx context.Context) {
 	if *d.platform.Load() == platformUp {
@@ -118,9 +140,11 @@
 	defer cancel()
 	var held control.Held
 	before := d.revision()
-	if err := d.peers.Call(ctx, address, control.MethodRevision, control.Above{Revision: before}, &held); err != nil {
+	above := control.Above{Revision: before, Hosts: d.digest()}
+	if err := d.peers.Call(ctx, address, control.MethodRevision, above, &held); err != nil {
 		return false
 	}
+	d.exchangeHosts(address, held)
 	d.notePlatform(time.Now().Add(-time.Duration(held.SilentMs) * time.Millisecond))
 	if held.Revision.Number > before {
 		d.take(held.Revision)
@@ -139,8 +163,10 @@
 }
 
 // held answers a daemon that asks which revision this one has.
-func (d *daemon) held(above int64) control.Held {
+func (d *daemon) held(asked control.Above) control.Held {
+	above := asked.Revision
 	held := control.Held{SilentMs: time.Since(d.platformLastSeen()).Milliseconds()}
+	d.answerHosts(asked, &held)
 	current := d.inForce.Load()
 	if current == nil {
 		return held
@@ -152,6 +178,43 @@
 	return held
 }
 
+// digest returns the hashes of the known hosts, if hosts register themselves.
+func (d *daemon) digest() []uint64 {
+	if !d.registers() {
+		return nil
+	}
+	var digest []uint64
+	d.members.with(func(t *member.Table, _ *registry.Registry) { digest = t.Digest() })
+	return digest
+}
+
+// answerHosts adds what the asking daemon does not know of hosts, and the digest
+// by which it finds what this one does not know.
+func (d *daemon) answerHosts(asked control.Above, held *control.Held) {
+	if asked.Hosts == nil || !d.registers() {
+		return
+	}
+	d.members.with(func(t *member.Table, _ *registry.Registry) {
+		held.Hosts = t.Missing(asked.Hosts)
+		if len(held.Hosts) > 0 || !slices.Equal(asked.Hosts, t.Digest()) {
+			held.Digest = t.Digest()
+		}
+	})
+}
+
+// exchangeHosts takes the hosts that a peer told, and tells it those it lacks.
+func (d *daemon) exchangeHosts(address string, held control.Held) {
+	if held.Digest == nil {
+		return
+	}
+	d.learn("", held.Hosts)
+	var missing []member.Host
+	d.members.with(func(t *member.Table, _ *registry.Registry) { missing = t.Missing(held.Digest) })
+	if len(missing) > 0 {
+		d.tellOne(address, control.Told{Host: d.config.Settings.Name, Hosts: missing})
+	}
+}
+
 // receiveNotice fetches a revision that another daemon says it has.
 func (d *daemon) receiveNotice(notice control.Notice) {
 	current := d.inForce.Load()
--- a/internal/detect/outcome.go
+++ b/internal/detect/outcome.go
@@ -27,8 +27,10 @@
 		return TimedOut, true
 	case result.ServerUnreachable.Number, result.PeerUnreachable.Number:
 		return Refused, true
-	case result.ConnectionLost.Number, result.UnframedAnswer.Number, result.AnswerCut.Number:
+	case result.ConnectionLost.Number, result.UnframedAnswer.Number, result.AnswerCut.Number, result.SpoiltAnswer.Number:
 		return Lost, true
+	case result.ServerFailed.Number:
+		return Error, true
 	default:
 		return OK, false
 	}
--- /dev/null
+++ b/internal/dial/dial.go
@@ -0,0 +1,63 @@
+// Package dial makes outgoing TCP connections that notice a silent cut.
+//
+// # Usage
+//
+//	dialer := dial.New(dial.Config{Connect: 500 * time.Millisecond, Unacknowledged: 2 * time.Second})
+//	transport := &http.Transport{DialContext: dialer.DialContext}
+package dial
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// keepAliveIdle is how long a connection rests before it is probed, and
+	// keepAliveEvery the pause between probes. Source: a peer that lost power
+	// answers none, and its requests should fail within two seconds.
+	keepAliveIdle  = time.Second
+	keepAliveEvery = 500 * time.Millisecond
+	keepAliveCount = 3
+)
+
+// Config bounds how long a connection may be silent.
+type Config struct {
+	// Connect bounds the opening of a connection.
+	Connect time.Duration
+	// Unacknowledged is how long sent bytes may wait for their acknowledgement
+	// before the connection counts as lost.
+	Unacknowledged time.Duration
+}
+
+// New returns a dialer.
+func New(config Config) *net.Dialer {
+	return &net.Dialer{
+		Timeout: config.Connect,
+		Control: userTimeout(config.Unacknowledged),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveEvery,
+			Count:    keepAliveCount,
+		},
+	}
+}
+
+// userTimeout returns what makes a socket give up once its bytes have not been
+// acknowledged for that long. A cut is silent; without it a write to a host that
+// is cut off hangs for minutes.
+func userTimeout(limit time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var setErr error
+		err := c.Control(func(fd uintptr) {
+			setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return setErr
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,12 +55,30 @@
 	ServerBack     = Event{307, slog.LevelInfo, "backend server no longer leaving", "The backend server takes new work again."}
 )
 
+// The events of hosts and backend servers that register themselves.
+var (
+	ServersRegistered = Event{401, slog.LevelInfo, "backend servers registered", "A backend server of this host checked in with news or left; the line says which of them serve now."}
+	CheckInRefused    = Event{402, slog.LevelWarn, "check-in refused", "A check-in could not be read and changed nothing."}
+	HostLearned       = Event{403, slog.LevelInfo, "host learned", "Another daemon or the store told of a host something new."}
+	RecordRefused     = Event{404, slog.LevelWarn, "host record refused", "A host's record in the store could not be read and was passed over."}
+	PeerSilent        = Event{405, slog.LevelDebug, "peer silent", "Another daemon did not answer a control call; it learns the news from the next."}
+)
+
+// The events of callers' requests.
+var (
+	RequestFailed  = Event{501, slog.LevelInfo, "request failed", "A caller got a refusal or a failure; the line has its id, the result code and what led to it."}
+	AttemptFailed  = Event{502, slog.LevelInfo, "attempt failed", "One sending of a request failed; the line says where, how, and whether it is tried elsewhere."}
+	RequestRefused = Event{503, slog.LevelDebug, "work refused", "This daemon refused work for a backend server of its host, for the reason given."}
+)
+
 // All returns every event in the order of their numbers.
 func All() []Event {
 	return []Event{
 		DaemonStarted, DaemonStopping, DaemonStopped, StopCut, ServeFailed,
 		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers,
 		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerLeaving, ServerBack,
+		RequestFailed, AttemptFailed, RequestRefused,
+		ServersRegistered, CheckInRefused, HostLearned, RecordRefused, PeerSilent,
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,6 +51,10 @@
 	DefaultSlots       = 10
 	DefaultQueue       = 20
 	DefaultRetryShare  = 0.1
+	DefaultRetrySlack  = 40
+	DefaultRetryWindow = 10 * time.Second
+	DefaultAttempts    = 3
+	DefaultFloorShare  = 0.7
 	DefaultMaxBody     = 8 << 20
 
 	DefaultDeadlineHeader = "X-Request-Timeout-Ms"
@@ -58,8 +62,16 @@
 	DefaultLeavingHeader  = "X-Leaving"
 )
 
+// targetPart is the part of the deadline within which an answer is worth most,
+// unless the route says.
+const targetPart = 3
+
+// AnyMethod among a route's repeatable methods means every method.
+const AnyMethod = "*"
+
 // Declaration is everything that operators declare.
 type Declaration struct {
+	Answers  Answers   `yaml:"answers" json:"answers,omitempty" jsonschema:"description=What the headers between a daemon and its backend servers mean."`
 	Callers  Callers   `yaml:"callers" json:"callers,omitempty" jsonschema:"description=What the headers of callers' requests mean."`
 	Hosts    []Host    `yaml:"hosts" json:"hosts" jsonschema:"description=The hosts that run a daemon."`
 	Services []Service `yaml:"services" json:"services" jsonschema:"description=The services and their backend servers."`
@@ -69,9 +81,29 @@
 // Callers says what the headers of callers' requests mean.
 type Callers struct {
 	DeadlineHeader string `yaml:"deadline-header" json:"deadline-header,omitempty" jsonschema:"description=The request header with the time left in milliseconds. Default X-Request-Timeout-Ms."`
+	IDHeader       string `yaml:"id-header" json:"id-header,omitempty" jsonschema:"description=The request header with the request's id, which a backend server repeats in its answer. Without one answers are not checked for it."`
+	OriginHeader   string `yaml:"origin-header" json:"origin-header,omitempty" jsonschema:"description=The header that tells a backend server which service runs on the host where the request began. Callers cannot set it."`
 	CustomerHeader string `yaml:"customer-header" json:"customer-header,omitempty" jsonschema:"description=The request header that names the customer. Default X-Customer."`
 }
 
+// Answers says what the headers between a sidecar and its backend servers mean.
+// A field that is empty means that there is no such header.
+type Answers struct {
+	// TargetHeader names the backend server that a request is meant for; any
+	// other answers 421 and does not run it.
+	TargetHeader string `yaml:"target-header" json:"target-header,omitempty" jsonschema:"description=The request header that names the backend server a request is meant for; another answers 421 without running it."`
+	// NotRunHeader stands on answers that say that the request was not run.
+	NotRunHeader string `yaml:"not-run-header" json:"not-run-header,omitempty" jsonschema:"description=The header of an answer by which a backend server says that it did not run the request."`
+	// SignatureHeader stands on every success of a backend server.
+	SignatureHeader string `yaml:"signature-header" json:"signature-header,omitempty" jsonschema:"description=The header that every success of a backend server carries; one without it is a failure."`
+}
+
+// Part is one service's part of a route's requests.
+type Part struct {
+	Service string `yaml:"service" json:"service" jsonschema:"description=The service."`
+	Weight  int    `yaml:"weight" json:"weight" jsonschema:"description=Its weight beside the other parts'."`
+}
+
 // Host is a host that runs a daemon.
 type Host struct {
 	Name       string `yaml:"name" json:"name" jsonschema:"description=The daemon's name."`
@@ -116,6 +148,9 @@
 	Floor          int                 `yaml:"floor" json:"floor" jsonschema:"description=How many backend servers ejecting always leaves able to serve."`
 	Deadline       time.Duration       `yaml:"deadline" json:"deadline,omitempty" jsonschema:"type=string,description=The longest a request may take unless the caller says less. Default 2s."`
 	Detection      Detection           `yaml:"detection" json:"detection,omitempty" jsonschema:"enum=careful,enum=swift,description=Fewer false ejections or faster detection. Default careful."`
+	FloorShare     float64             `yaml:"floor-share" json:"floor-share,omitempty" jsonschema:"description=The floor as a share of the backend servers that registered themselves. Then floor and backend-servers are left out."`
+	RetrySlack     float64             `yaml:"retry-slack" json:"retry-slack,omitempty" jsonschema:"description=Retries that the whole fleet may make in a retry-window beyond the share. Default 40."`
+	RetryWindow    time.Duration       `yaml:"retry-window" json:"retry-window,omitempty" jsonschema:"type=string,description=The time that retries are counted over. Default 10s."`
 	RetryShare     float64             `yaml:"retry-share" json:"retry-share,omitempty" jsonschema:"description=Retries as a share of the service's requests. Default 0.1."`
 	LeavingHeader  string              `yaml:"leaving-header" json:"leaving-header,omitempty" jsonschema:"description=The header of an answer by which a backend server says that it is leaving. Default X-Leaving."`
 	Adoption       map[string]Adoption `yaml:"adoption" json:"adoption,omitempty" jsonschema:"description=off or observe or steer by data centre; steer where a data centre is not named."`
@@ -136,7 +171,11 @@
 	Host       string        `yaml:"host" json:"host,omitempty" jsonschema:"description=The host name the caller asks for; empty means any."`
 	Path       string        `yaml:"path" json:"path,omitempty" jsonschema:"description=The start of the path up to a slash; / means any. Default /."`
 	Service    string        `yaml:"service" json:"service" jsonschema:"description=The service that answers."`
-	Repeatable []string      `yaml:"repeatable" json:"repeatable,omitempty" jsonschema:"description=The methods that may run more than once. Default GET and HEAD and OPTIONS. An empty list means none."`
+	Repeatable []string      `yaml:"repeatable" json:"repeatable,omitempty" jsonschema:"description=The methods that may run more than once; * means any. Default GET and HEAD and OPTIONS. An empty list means none."`
+	Split      []Part        `yaml:"split" json:"split,omitempty" jsonschema:"description=Several services that share the route's requests by weight in place of service."`
+	Attempts   int           `yaml:"attempts" json:"attempts,omitempty" jsonschema:"description=The most backend servers that one request may be sent to. Default 3."`
+	Target     time.Duration `yaml:"target" json:"target,omitempty" jsonschema:"type=string,description=The time within which an answer is worth most. Default a third of the deadline."`
+	Priority   int           `yaml:"priority" json:"priority,omitempty" jsonschema:"description=The rank in a queue; 0 is served first."`
 	Deadline   time.Duration `yaml:"deadline" json:"deadline,omitempty" jsonschema:"type=string,description=The longest a request on this route may take. Default the service's."`
 	MaxBody    int64         `yaml:"max-body" json:"max-body,omitempty" jsonschema:"description=The largest request body in bytes. Default 8388608."`
 }
@@ -182,6 +221,12 @@
 	if s.RetryShare == 0 {
 		s.RetryShare = DefaultRetryShare
 	}
+	if s.RetrySlack == 0 {
+		s.RetrySlack = DefaultRetrySlack
+	}
+	if s.RetryWindow == 0 {
+		s.RetryWindow = DefaultRetryWindow
+	}
 	for i := range s.BackendServers {
 		server := &s.BackendServers[i]
 		if server.Slots == 0 {
@@ -206,4 +251,10 @@
 	if r.MaxBody == 0 {
 		r.MaxBody = DefaultMaxBody
 	}
+	if r.Attempts == 0 {
+		r.Attempts = DefaultAttempts
+	}
+	if r.Target == 0 {
+		r.Target = r.Deadline / targetPart
+	}
 }
--- a/internal/hop/forward.go
+++ b/internal/hop/forward.go
@@ -25,7 +25,6 @@
 
 // Outgoing returns the request to send to the address in place of in. It
 // carries the same method, host, path, query, body and end-to-end headers.
-// net/http never sends it twice by itself.
 func Outgoing(ctx context.Context, in *http.Request, address string) *http.Request {
 	out := &http.Request{
 		Method: in.Method,
@@ -50,7 +49,6 @@
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil // keeps net/http from adding its own
 	}
-	forbidReplay(out)
 	return out.WithContext(ctx)
 }
 
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -38,6 +38,8 @@
 	HeaderTicket        = "Tidelift-Ticket"
 	HeaderWantTicket    = "Tidelift-Want-Ticket"
 	HeaderReference     = "Tidelift-Reference"
+	HeaderOrigin        = "Tidelift-Origin"
+	HeaderPriority      = "Tidelift-Priority"
 	HeaderLoad          = "Tidelift-Load"
 	HeaderWaited        = "Tidelift-Waited-Us"
 	HeaderRetryAfter    = "Tidelift-Retry-After-Ms"
@@ -57,6 +59,11 @@
 	WantTicket bool
 	// Ticket is the sidecar's leave to run the request; it may be empty.
 	Ticket string
+	// Origin is the service of the host where the request began; it may be
+	// empty.
+	Origin string
+	// Priority is the request's rank in a queue; 0 is served first.
+	Priority int
 	// Reference is how the service's other backend servers do, as
 	// detect.Reference encodes it; it may be empty.
 	Reference string
@@ -78,6 +85,12 @@
 	if c.Ticket != "" {
 		h[HeaderTicket] = []string{c.Ticket}
 	}
+	if c.Origin != "" {
+		h[HeaderOrigin] = []string{c.Origin}
+	}
+	if c.Priority != 0 {
+		h[HeaderPriority] = []string{strconv.Itoa(c.Priority)}
+	}
 	if c.Reference != "" {
 		h[HeaderReference] = []string{c.Reference}
 	}
@@ -92,6 +105,14 @@
 		WantTicket:    h.Get(HeaderWantTicket) != "",
 		Ticket:        h.Get(HeaderTicket),
 		Reference:     h.Get(HeaderReference),
+		Origin:        h.Get(HeaderOrigin),
+	}
+	if text := h.Get(HeaderPriority); text != "" {
+		priority, err := strconv.Atoi(text)
+		if err != nil {
+			return Call{}, errors.Wrap(err, "read "+HeaderPriority)
+		}
+		call.Priority = priority
 	}
 	left, err := strconv.ParseInt(h.Get(HeaderTimeLeft), 10, 64)
 	if err != nil {
--- a/internal/hop/trip.go
+++ b/internal/hop/trip.go
@@ -31,6 +31,7 @@
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	out := Outgoing(httptrace.WithClientTrace(ctx, trace), in, t.Address)
+	forbidReplay(out)
 	if t.TLS {
 		out.URL.Scheme = "https"
 	}
@@ -39,7 +40,7 @@
 	}
 	response, err := t.Transport.RoundTrip(out)
 	if err != nil {
-		return nil, t.classify(ctx, connected, err)
+		return nil, Classify(ctx, connected, t.Unreachable, err)
 	}
 	if err := CheckFraming(response); err != nil {
 		_ = response.Body.Close()
@@ -48,9 +49,10 @@
 	return response, nil
 }
 
-// classify tells a request that was never sent from one that may have run. A
-// request is sent only on a connection, so without one it was not.
-func (t Trip) classify(ctx context.Context, connected bool, err error) error {
+// Classify tells a request that was never sent from one that may have run. A
+// request is sent only on a connection, so without one it was not; unreachable
+// is the code for that.
+func Classify(ctx context.Context, connected bool, unreachable result.Code, err error) *result.Error {
 	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	gone := errors.Is(ctx.Err(), context.Canceled)
 	switch {
@@ -59,7 +61,7 @@
 	case !connected && gone:
 		return result.Wrap(result.CancelledBefore, err)
 	case !connected:
-		return result.Wrap(t.Unreachable, err)
+		return result.Wrap(unreachable, err)
 	case late:
 		return result.Wrap(result.DeadlineWhileRunning, err)
 	case gone:
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -1,11 +1,13 @@
 package ingress
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/tideliftd/tidelift/internal/body"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/route"
@@ -22,11 +24,13 @@
 	deadline time.Time
 	customer string
 	once     bool
-	body     *replayBody
+	attempts int // the most backend servers it may be sent to
+	priority int
+	body     *body.Body
 }
 
 // admit finds the service, the deadline and the customer of a request.
-func (in *Ingress) admit(r *http.Request, now time.Time) (*request, error) {
+func (in *Ingress) admit(w http.ResponseWriter, r *http.Request, now time.Time) (*request, error) {
 	current := in.state.Load()
 	if in.stopping.Load() {
 		return nil, result.New(result.Stopping).WithRetryAfter(notReadyRetry)
@@ -49,19 +53,22 @@
 	if e != nil {
 		return nil, e
 	}
+	name := match.Choose(rand.Uint64())
 	addForwarded(r)
-	body := newReplayBody(r, match.MaxBody)
+	r.Header.Del(callers.OriginHeader)
 	// The attempts change the body. net/http must keep its own request as it
 	// was, since by its body it knows whether the caller waits for 100 Continue.
 	own := *r
 	return &request{
 		Request:  &own,
-		service:  current.services[match.Service],
-		name:     match.Service,
+		service:  current.services[name],
+		name:     name,
 		deadline: now.Add(left),
 		customer: r.Header.Get(callers.CustomerHeader),
 		once:     !match.Repeatable(r.Method),
-		body:     body,
+		attempts: match.Attempts,
+		priority: match.Priority,
+		body:     body.New(w, r, match.MaxBody),
 	}, nil
 }
 
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -29,6 +29,8 @@
 		TimeLeft:      time.Until(r.deadline),
 		Customer:      r.customer,
 		Once:          r.once,
+		Origin:        in.config.Service,
+		Priority:      r.priority,
 		Reference:     target.Reference(),
 	}
 	if call.TimeLeft <= 0 {
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,209 @@
+// Package member keeps what a daemon knows of the daemons of all hosts and of
+// the backend servers that registered with them.
+//
+// A Table is the aggregate. It merges what daemons tell each other and what the
+// store holds, and says what changed; it has no clock, goroutine or socket.
+//
+// # Usage
+//
+//	t := member.NewTable(member.Host{Name: "csepel-1", DataCentre: "csepel"})
+//	t.SetServers(servers, left)
+//	changed := t.Merge(told)           // from a peer or the store
+//	digest := t.Digest()               // to a peer, which answers with t.Missing(digest)
+//	hosts := t.Hosts()
+//
+// # Rules
+//
+//   - Only a host's own daemon changes what is told of it. A record of a higher
+//     life replaces one of a lower, and within a life the higher version does.
+//   - A daemon that starts anew takes life 1, and one above any that it hears
+//     told of itself by an earlier start, so that it needs no clock and no disk.
+//   - Others may say that a host is gone. That counts against the same version,
+//     and the host takes it back by telling a higher one.
+//   - Two tables are compared by the hashes of their buckets, so that telling a
+//     peer what it lacks costs as much as what differs and not as all there is.
+package member
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// buckets is how many parts a digest has. Source: at 4,600 hosts a bucket holds
+// 72 records, some 20 KB, which is what one difference costs.
+const buckets = 64
+
+// Server is a backend server that registered with its host's daemon.
+type Server struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Slots   int    `json:"slots"`
+}
+
+// Host is what is told of a host.
+type Host struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	// Peers and Control are the daemon's addresses for other daemons.
+	Peers   string `json:"peers"`
+	Control string `json:"control"`
+	// Start is a random name of the daemon's start. It tells two lives of the
+	// same number apart until the later one has heard of the earlier.
+	Start string `json:"start"`
+	// Life rises with each start of the daemon, Version with each change in one.
+	Life    int64 `json:"life"`
+	Version int64 `json:"version"`
+	// Stopping says that the daemon is in a planned stop.
+	Stopping bool `json:"stopping,omitempty"`
+	// Gone says that another daemon found the host gone.
+	Gone bool `json:"gone,omitempty"`
+	// Servers are those that serve.
+	Servers []Server `json:"servers,omitempty"`
+	// Left names those that have left.
+	Left []string `json:"left,omitempty"`
+}
+
+// newer says whether h replaces other.
+func (h Host) newer(other Host) bool {
+	if h.Life != other.Life {
+		return h.Life > other.Life
+	}
+	if h.Version != other.Version {
+		return h.Version > other.Version
+	}
+	if h.Start != other.Start {
+		return h.Start > other.Start
+	}
+	return h.Gone && !other.Gone
+}
+
+// Table is what one daemon knows.
+type Table struct {
+	self  string
+	hosts map[string]Host
+}
+
+// NewTable returns a table that knows the daemon's own host.
+func NewTable(self Host) *Table {
+	self.Life, self.Version = 1, 1
+	return &Table{self: self.Name, hosts: map[string]Host{self.Name: self}}
+}
+
+// Self returns what is told of the daemon's own host.
+func (t *Table) Self() Host { return t.hosts[t.self] }
+
+// SetServers takes the backend servers of the own host.
+func (t *Table) SetServers(servers []Server, left []string) {
+	self := t.Self()
+	self.Servers, self.Left = servers, left
+	t.setSelf(self)
+}
+
+// SetStopping says that the own daemon is stopping.
+func (t *Table) SetStopping() {
+	self := t.Self()
+	self.Stopping = true
+	t.setSelf(self)
+}
+
+func (t *Table) setSelf(self Host) {
+	self.Version++
+	t.hosts[t.self] = self
+}
+
+// Merge takes what was told and returns what is news. Of the own host it
+// returns the new record if what was told had to be answered with one.
+func (t *Table) Merge(told []Host) []Host {
+	var news []Host
+	for _, h := range told {
+		if h.Name == t.self {
+			if self, ok := t.answer(h); ok {
+				news = append(news, self)
+			}
+			continue
+		}
+		if known, ok := t.hosts[h.Name]; ok && !h.newer(known) {
+			continue
+		}
+		t.hosts[h.Name] = h
+		news = append(news, h)
+	}
+	return news
+}
+
+// answer replaces a record of the own host that an earlier start of the daemon
+// told, or by which another daemon says that the host is gone.
+func (t *Table) answer(told Host) (Host, bool) {
+	self := t.Self()
+	earlierStart := told.Start != self.Start && told.Life >= self.Life
+	saidGone := told.Gone && told.Life == self.Life && told.Version >= self.Version
+	if !earlierStart && !saidGone {
+		return Host{}, false
+	}
+	self.Life = told.Life + 1
+	self.Version = 1
+	t.hosts[t.self] = self
+	return self, true
+}
+
+// SetGone says that a host was found gone. It returns the record to tell, or
+// false if a newer one is known.
+func (t *Table) SetGone(name string, life, version int64) (Host, bool) {
+	h, ok := t.hosts[name]
+	if !ok || name == t.self || h.Gone || h.Life != life || h.Version != version {
+		return Host{}, false
+	}
+	h.Gone = true
+	t.hosts[name] = h
+	return h, true
+}
+
+// Host returns what is known of a host.
+func (t *Table) Host(name string) (Host, bool) {
+	h, ok := t.hosts[name]
+	return h, ok
+}
+
+// Hosts returns every host, the gone ones too, in the order of their names.
+func (t *Table) Hosts() []Host {
+	all := make([]Host, 0, len(t.hosts))
+	for _, h := range t.hosts {
+		all = append(all, h)
+	}
+	slices.SortFunc(all, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Digest returns a hash of each bucket of hosts.
+func (t *Table) Digest() []uint64 {
+	digest := make([]uint64, buckets)
+	for _, h := range t.hosts {
+		digest[bucketOf(h.Name)] ^= h.hash()
+	}
+	return digest
+}
+
+// Missing returns the hosts of the buckets that differ from the digest.
+func (t *Table) Missing(digest []uint64) []Host {
+	own := t.Digest()
+	var missing []Host
+	for _, h := range t.Hosts() {
+		bucket := bucketOf(h.Name)
+		if bucket >= len(digest) || digest[bucket] != own[bucket] {
+			missing = append(missing, h)
+		}
+	}
+	return missing
+}
+
+func bucketOf(name string) int { return int(xxhash.Sum64String(name) % buckets) }
+
+// hash is of what orders records; the rest follows from it.
+func (h Host) hash() uint64 {
+	text, _ := json.Marshal([]any{h.Name, h.Start, h.Life, h.Version, h.Gone}) // strings, numbers and a flag always encode
+	return xxhash.Sum64(text)
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,125 @@
+// Package registry keeps the backend servers that register themselves with the
+// daemon on their host.
+//
+// A Registry is the aggregate of one host. It takes check-ins and says who
+// serves; it has no clock, goroutine or socket. The daemon owns it.
+//
+// # Usage
+//
+//	r := registry.New()
+//	changed := r.CheckIn(registry.CheckIn{Name: "i-7f3a", Service: "lookup", Address: "10.1.0.38:8145", Slots: 4, Sequence: 1})
+//	changed = r.Leave("i-7f3a")
+//	for _, server := range r.Serving() { ... }
+//
+// Rules:
+//
+//   - Each start of a backend server is a lifetime with a name of its own.
+//   - Leaving is final: whoever has said that it leaves never serves again under
+//     that name, whatever late check-in still comes.
+//   - A check-in whose sequence number is not above the last one is late and
+//     changes nothing.
+//   - Of two lifetimes at one address the one that checked in last serves.
+//   - Silence removes nobody. A backend server that cannot reach the daemon may
+//     still serve; one that is gone refuses connections, which its requests show.
+package registry
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// keptLeft bounds how many names that left are remembered. Source: a host has
+// one backend server, restarted a few times an hour; a late check-in comes
+// seconds late.
+const keptLeft = 64
+
+// CheckIn is what a backend server says of itself.
+type CheckIn struct {
+	// Name is that of this lifetime.
+	Name string
+	// Service is the service it belongs to.
+	Service string
+	// Address is the IP:port where it takes requests.
+	Address string
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Leaving says that it is about to end.
+	Leaving bool
+	// Sequence rises with each check-in of a lifetime.
+	Sequence int64
+}
+
+// Registry is the backend servers of one host.
+type Registry struct {
+	servers map[string]CheckIn // by name, the last check-in of each
+	holders map[string]string  // the name that serves at an address
+	left    []string           // names that said that they leave, the oldest first
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{servers: make(map[string]CheckIn), holders: make(map[string]string)}
+}
+
+// CheckIn takes a check-in and says whether Serving or Left changed.
+func (r *Registry) CheckIn(c CheckIn) bool {
+	if slices.Contains(r.left, c.Name) {
+		return false
+	}
+	if c.Leaving {
+		r.leave(c.Name)
+		return true
+	}
+	last, known := r.servers[c.Name]
+	if known && c.Sequence <= last.Sequence {
+		return false
+	}
+	r.servers[c.Name] = c
+	if r.holders[c.Address] != c.Name {
+		r.holders[c.Address] = c.Name
+		return true
+	}
+	last.Sequence = c.Sequence
+	return last != c
+}
+
+// Leave takes it that a backend server ends, and says whether that is news.
+func (r *Registry) Leave(name string) bool {
+	if slices.Contains(r.left, name) {
+		return false
+	}
+	r.leave(name)
+	return true
+}
+
+// Forbid takes names that left in an earlier life of the daemon.
+func (r *Registry) Forbid(names []string) bool {
+	changed := false
+	for _, name := range names {
+		changed = r.Leave(name) || changed
+	}
+	return changed
+}
+
+func (r *Registry) leave(name string) {
+	r.left = append(r.left, name)
+	r.left = r.left[max(0, len(r.left)-keptLeft):]
+	if server, ok := r.servers[name]; ok && r.holders[server.Address] == name {
+		delete(r.holders, server.Address)
+	}
+	delete(r.servers, name)
+}
+
+// Serving returns those that serve, in the order of their names.
+func (r *Registry) Serving() []CheckIn {
+	var serving []CheckIn
+	for name := range maps.Values(r.holders) {
+		serving = append(serving, r.servers[name])
+	}
+	slices.SortFunc(serving, func(a, b CheckIn) int { return cmp.Compare(a.Name, b.Name) })
+	return serving
+}
+
+// Left returns the names that left, the oldest first.
+func (r *Registry) Left() []string { return slices.Clone(r.left) }
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -35,6 +35,8 @@
 	UnknownServer     = Code{2013, "unknown-server", http.StatusServiceUnavailable, RanNo, "The daemon does not know the backend server; the declarations in force differ for the moment."}
 	CancelledBefore   = Code{2014, "cancelled-before-run", StatusCallerGone, RanNo, "The caller went away before the request was sent to a backend server."}
 	PlaceLost         = Code{2016, "place-lost", http.StatusTooManyRequests, RanNo, "The customer's newest place in a full queue went to a customer with fewer."}
+	NotTaken          = Code{2017, "not-taken", http.StatusServiceUnavailable, RanNo, "The backend server said that it did not run the request."}
+	Misdirected       = Code{2018, "misdirected", http.StatusServiceUnavailable, RanNo, "Another backend server has the address; it did not run the request."}
 	TicketUnanswered  = Code{2015, "ticket-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a ticket in time; the request was never sent."}
 )
 
@@ -45,6 +47,8 @@
 	UnframedAnswer       = Code{3003, "unframed-answer", http.StatusBadGateway, RanUnknown, "The answer has neither a length nor chunks, so that a cut one would look whole."}
 	CallerGone           = Code{3004, "caller-gone", StatusCallerGone, RanUnknown, "The caller went away after the request had been sent."}
 	AttemptOverdue       = Code{3006, "attempt-overdue", http.StatusGatewayTimeout, RanUnknown, "The attempt took far longer than the service's others do, so a repeatable request was tried elsewhere."}
+	SpoiltAnswer         = Code{3007, "spoilt-answer", http.StatusBadGateway, RanUnknown, "The answer is not the backend server's own: its id, digest or coding is wrong."}
+	ServerFailed         = Code{3008, "server-failed", http.StatusBadGateway, RanUnknown, "The backend server answered with a status that promises that the request was not run, without saying so itself."}
 	AnswerCut            = Code{3005, "answer-cut", http.StatusBadGateway, RanUnknown, "The answer broke off; the caller's connection was closed so that it does not look whole."}
 )
 
@@ -68,8 +72,8 @@
 	return []Code{
 		MalformedRequest, NoRoute, AmbiguousFraming, HeadersTooLarge, BodyTooLarge, BadDeadline, UpgradeRefused, ProtocolVersion,
 		NotReady, Stopping, NoneAble, QueueFull, QueueTooSlow, CustomerShare, Leaving, Ejected, PeerUnreachable, ServerUnreachable,
-		TicketExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, TicketUnanswered, PlaceLost,
-		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue,
+		TicketExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, TicketUnanswered, PlaceLost, NotTaken, Misdirected,
+		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, SpoiltAnswer, ServerFailed,
 		BadDeclaration, RevisionChanged, PlatformDown, NotDeclared, ChangeUnknown, ValueTooLarge, MalformedCall, PeerSilent, ChangeIDReused, TokenRefused, RoleRefused,
 	}
 }
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -1,43 +1,46 @@
 // Package retry decides whether a failed attempt may be tried again.
 //
 // Only the ingress retries. A Budget is the aggregate of one service at one
-// daemon: each first attempt earns a share of a retry, each retry spends a
-// whole one, so that retries stay a fixed share of the traffic whatever fails.
+// daemon: each request earns a share of a retry and each retry spends a whole
+// one. What may be saved up is the daemon's part of the fleet's slack, so that
+// all daemons together stay within the service's limit without a call.
 //
 // # Usage
 //
-//	budget := retry.NewBudget(0.1)
+//	budget := retry.NewBudget()
+//	budget.Resize(retry.Size{Share: 0.2, Slack: 56, Daemons: 21})
 //	budget.Earn()
-//	switch retry.Decide(retry.Attempt{Number: 1, Once: true, Err: refusal}) {
+//	switch retry.Decide(retry.Attempt{Sent: 1, Most: 2, Once: true, Err: refusal}) {
 //	case retry.Again:
 //		if !budget.Spend() { ... }
 //	}
 //
 // Rules:
 //
-//   - "Not run" may be tried elsewhere whatever the request, since nothing ran.
-//   - An unknown outcome may be tried again only if the request is repeatable.
-//   - Refusals that mean overload of the whole service are not tried again: a
-//     queue that is full or too slow refuses for good, with when to come back,
-//     unless it is the first attempt, for which another queue is asked once.
+//   - A refusal by a sidecar cost the backend servers nothing, so another may be
+//     asked without drawing on the budget; a few times if queues are full, as
+//     long as there is one if the refusing one takes no work at all.
+//   - What reached a backend server is tried elsewhere within the route's
+//     attempts and the budget, and only if it did not run or may run twice.
+//   - The customer's own limits and the deadline are final.
 package retry
 
 import (
-	"sync/atomic"
+	"sync"
 
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
 const (
-	// MaxAttempts bounds the attempts of one request.
-	MaxAttempts = 3
-	// unit is one retry in the budget's counting.
-	unit = 1000
-	// maxSaved is how many retries a budget saves up.
-	maxSaved = 20
-	// freeRetries are there when a budget is new, so that a service with few
-	// requests may retry at all.
-	freeRetries = 5
+	// MaxQueues is how many backend servers with a full queue are asked. Source:
+	// of two drawn at random the less loaded one is asked first, so that after
+	// three the service is full.
+	MaxQueues = 3
+	// safety is the part of the limit that is used. Source: calls of a run that
+	// was itself a repeat count as repeats too, and nobody here sees those.
+	safety = 0.7
+	// oneRetry is what a retry costs.
+	oneRetry = 1
 )
 
 // Decision says what to do after a failed attempt.
@@ -47,14 +50,20 @@
 const (
 	// Again means that another attempt is allowed if the budget has one.
 	Again Decision = "again"
+	// Free means that another attempt is allowed and costs nothing.
+	Free Decision = "free"
 	// Final means that the failure is the answer.
 	Final Decision = "final"
 )
 
 // Attempt is a failed attempt.
 type Attempt struct {
-	// Number counts the attempts so far, this one included.
-	Number int
+	// Sent counts the attempts that reached a backend server, this one included.
+	Sent int
+	// Most is the route's limit on them.
+	Most int
+	// Full counts the refusals for a full queue, this one included.
+	Full int
 	// Once says that the request must not run more than once.
 	Once bool
 	// Err is how it failed.
@@ -63,50 +72,101 @@
 
 // Decide says whether the attempt may be tried again on another backend server.
 func Decide(a Attempt) Decision {
-	if a.Number >= MaxAttempts {
+	switch {
+	case isFinal(a.Err.Code):
 		return Final
-	}
-	switch a.Err.Code.Number {
-	case result.QueueFull.Number, result.QueueTooSlow.Number:
-		if a.Number > 1 {
+	case IsFull(a.Err.Code):
+		if a.Full >= MaxQueues {
 			return Final
 		}
+		return Free
+	case !Reached(a.Err.Code):
+		return Free
+	case a.Sent >= a.Most:
+		return Final
+	case a.Err.Code.Ran == result.RanNo || !a.Once:
 		return Again
+	default:
+		return Final
+	}
+}
+
+func isFinal(code result.Code) bool {
+	switch code.Number {
 	case result.CustomerShare.Number, result.PlaceLost.Number, result.DeadlineBeforeRun.Number, result.CancelledBefore.Number,
 		result.DeadlineWhileRunning.Number, result.CallerGone.Number, result.MalformedRequest.Number:
-		return Final
+		return true
 	}
-	if a.Err.Code.Ran == result.RanNo || !a.Once {
-		return Again
+	return false
+}
+
+// IsFull says whether a sidecar refused for want of a slot in time.
+func IsFull(code result.Code) bool {
+	return code.Number == result.QueueFull.Number || code.Number == result.QueueTooSlow.Number
+}
+
+// Reached says whether the request reached the backend server, be it that it
+// did not run it.
+func Reached(code result.Code) bool {
+	switch code.Number {
+	case result.NotTaken.Number, result.Misdirected.Number:
+		return true
 	}
-	return Final
+	return code.Ran == result.RanUnknown
+}
+
+// Size is how much a budget holds.
+type Size struct {
+	// Share is the retries as a share of the service's requests, from 0 to 1.
+	Share float64
+	// Slack is how many retries beyond that all daemons may make in the time
+	// that the limit is counted over.
+	Slack float64
+	// Daemons is how many share the slack.
+	Daemons int
 }
 
 // Budget bounds the retries of one service. It is safe for concurrent use.
 type Budget struct {
-	share int64
-	saved atomic.Int64
+	mu    sync.Mutex
+	size  Size
+	saved float64
+}
+
+// NewBudget returns a budget that allows nothing until Resize.
+func NewBudget() *Budget { return &Budget{} }
+
+// Resize takes a new size. A new budget is full.
+func (b *Budget) Resize(size Size) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.size == (Size{}) {
+		b.saved = size.most()
+	}
+	b.size = size
+	b.saved = min(b.saved, size.most())
 }
 
-// NewBudget returns a budget of that share of the traffic, from 0 to 1.
-func NewBudget(share float64) *Budget {
-	b := &Budget{share: int64(share * unit)}
-	b.saved.Store(freeRetries * unit)
-	return b
+// most is what may be saved up. A daemon's part of the slack may be less than
+// one retry; it can still make one, which the safety covers.
+func (s Size) most() float64 {
+	return max(oneRetry, safety*s.Slack/float64(max(1, s.Daemons)))
 }
 
-// Earn counts a first attempt.
+// Earn counts a request.
 func (b *Budget) Earn() {
-	if b.saved.Load() < maxSaved*unit {
-		b.saved.Add(b.share)
-	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saved = min(b.saved+safety*b.size.Share, b.size.most())
 }
 
 // Spend takes one retry, or says that none is left.
 func (b *Budget) Spend() bool {
-	if b.saved.Add(-unit) >= 0 {
-		return true
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.saved < oneRetry {
+		return false
 	}
-	b.saved.Add(unit)
-	return false
+	b.saved -= oneRetry
+	return true
 }
--- a/internal/revision/follow.go
+++ b/internal/revision/follow.go
@@ -4,63 +4,57 @@
 	"context"
 	"slices"
 
-	"github.com/tideliftd/tidelift/internal/platform"
 	"github.com/tideliftd/tidelift/internal/result"
-	"github.com/tideliftd/tidelift/internal/wait"
+	"github.com/tideliftd/tidelift/internal/store"
 )
 
 // Follow calls the function with each revision above the one given, in rising
 // order, until ctx ends. It may skip revisions that were soon replaced.
 func (l *Ledger) Follow(ctx context.Context, above int64, take func(Revision)) {
-	pause := newBackOff()
-	seen := int64(0)
-	for ctx.Err() == nil {
-		next, err := l.followOnce(ctx, &seen, above)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			l.config.OnError(err)
-			wait.For(ctx, pause.NextBackOff())
-			continue
-		}
-		l.config.OnAnswer()
-		pause.Reset()
-		if next.Number > above {
+	store.Follow(ctx, store.FollowConfig{
+		Store:    l.config.Store,
+		Prefix:   l.rootKey(),
+		Wait:     watchWait,
+		OnError:  l.config.OnError,
+		OnAnswer: l.config.OnAnswer,
+		Take: func(ctx context.Context, items []store.Item) error {
+			next, err := l.newest(ctx, items, above)
+			if err != nil || next.Number <= above {
+				return err
+			}
 			above = next.Number
 			take(next)
-		}
-	}
+			return nil
+		},
+	})
 }
 
-// followOnce waits for the root to move. The zero Revision means that it has
-// none above the one given.
-func (l *Ledger) followOnce(ctx context.Context, seen *int64, above int64) (Revision, error) {
-	value, err := l.watchRoot(ctx, *seen)
-	if err != nil {
-		return Revision{}, err
+// newest reads the revision of the last root among the items. The zero Revision
+// means that it is not above the one given.
+func (l *Ledger) newest(ctx context.Context, items []store.Item, above int64) (Revision, error) {
+	item, ok := lastOf(items, l.rootKey())
+	if !ok {
+		return Revision{}, nil
 	}
-	current, err := parseRoot(value)
-	if err != nil {
+	current, err := parseRoot(item)
+	if err != nil || current.Revision <= above {
 		return Revision{}, err
 	}
-	if current.Revision <= above {
-		*seen = value.Seen
-		return Revision{}, nil
-	}
 	text, err := l.readParts(ctx, current.last().Parts)
 	if err != nil {
 		return Revision{}, err
 	}
-	*seen = value.Seen
 	return Revision{Number: current.Revision, YAML: text, Accepted: current.last()}, nil
 }
 
-func (l *Ledger) watchRoot(ctx context.Context, seen int64) (platform.Value, error) {
-	if seen == 0 {
-		return l.config.Store.Get(ctx, l.rootKey())
+// lastOf returns the last item of the key that was not deleted.
+func lastOf(items []store.Item, key string) (store.Item, bool) {
+	for _, item := range slices.Backward(items) {
+		if item.Key == key && !item.Deleted {
+			return item, true
+		}
 	}
-	return l.config.Store.Watch(ctx, l.rootKey(), seen, watchWait)
+	return store.Item{}, false
 }
 
 // History returns the last changes, the newest first.
--- a/internal/revision/publish.go
+++ b/internal/revision/publish.go
@@ -8,8 +8,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/tideliftd/tidelift/internal/platform"
 	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/store"
 	"github.com/tideliftd/tidelift/internal/wait"
 )
 
@@ -67,10 +67,10 @@
 // that the root had moved, so the change is either there or lost the race; with
 // one the answer was lost, and the write may still be on its way.
 func (l *Ledger) lookUp(ctx context.Context, change Change, cause error) (Accepted, error) {
-	if errors.Is(cause, platform.ErrNotSent) {
+	if errors.Is(cause, store.ErrNotDone) {
 		return Accepted{}, result.Wrap(result.PlatformDown, cause)
 	}
-	pause := newBackOff()
+	pause := store.NewPause()
 	for range lookups {
 		current, _, err := l.readRoot(ctx)
 		if err == nil {
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -21,11 +21,10 @@
 	"strings"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
-	"github.com/tideliftd/tidelift/internal/platform"
 	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/store"
 )
 
 const (
@@ -35,12 +34,12 @@
 	maxParts = 64
 	// keptChanges is how many changes the root remembers by id.
 	keptChanges = 64
-	// watchWait is how long one watch of the root waits.
-	watchWait = 30 * time.Second
+	// watchWait is how long one watch waits. Source: a change has to be in force
+	// within seconds also where the watcher's path to the store was cut silently,
+	// and one call in so many seconds is a small part of a daemon's price.
+	watchWait = 4 * time.Second
 	// lookups is how often a lost answer is looked up before giving up.
 	lookups = 4
-	// maxRetryInterval bounds the pause between calls to a platform that is down.
-	maxRetryInterval = 5 * time.Second
 )
 
 // Change is what an operator asks for.
@@ -103,7 +102,7 @@
 // Config says where the revisions are kept.
 type Config struct {
 	// Store is the platform's key-value service.
-	Store platform.Store
+	Store store.Store
 	// Prefix starts the name of every key.
 	Prefix string
 	// Now returns the time, for the record.
@@ -141,10 +140,10 @@
 		return root{}, 0, err
 	}
 	current, err := parseRoot(value)
-	return current, value.Index, err
+	return current, value.Revision, err
 }
 
-func parseRoot(value platform.Value) (root, error) {
+func parseRoot(value store.Item) (root, error) {
 	var r root
 	if value.Data == nil {
 		return r, nil
@@ -160,7 +159,19 @@
 	if err != nil {
 		return false, errors.Wrap(err, "encode root")
 	}
-	return l.config.Store.CompareAndSwap(ctx, l.rootKey(), data, index)
+	return l.write(ctx, l.rootKey(), data, index)
+}
+
+// write writes a key if it still has the revision, and says whether it did.
+func (l *Ledger) write(ctx context.Context, key string, data []byte, expected int64) (bool, error) {
+	_, err := l.config.Store.Commit(ctx, store.Change{
+		Expect: []store.Expect{{Key: key, Revision: expected}},
+		Puts:   []store.Put{{Key: key, Data: data}},
+	})
+	if errors.Is(err, store.ErrConflict) {
+		return false, nil
+	}
+	return err == nil, err
 }
 
 // part is a piece of a declaration with the hash that names it.
@@ -194,8 +205,8 @@
 // writePart writes one part. If the answer is lost, it looks whether the part
 // is there.
 func (l *Ledger) writePart(ctx context.Context, p part) error {
-	_, err := l.config.Store.CompareAndSwap(ctx, l.partKey(p.hash), p.data, 0)
-	if err == nil || errors.Is(err, platform.ErrNotSent) {
+	_, err := l.write(ctx, l.partKey(p.hash), p.data, 0)
+	if err == nil || errors.Is(err, store.ErrNotDone) {
 		return err
 	}
 	value, readErr := l.config.Store.Get(ctx, l.partKey(p.hash))
@@ -219,10 +230,3 @@
 	}
 	return text.String(), nil
 }
-
-func newBackOff() *backoff.ExponentialBackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = 100 * time.Millisecond
-	b.MaxInterval = maxRetryInterval
-	return b
-}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -22,14 +22,42 @@
 // Match is a route made ready for serving.
 type Match struct {
 	fleet.Route
-	repeatable []string
+	parts []fleet.Part
+	total uint64 // of the parts' weights
 }
 
 // Repeatable says whether a request of that method may run more than once.
 func (m *Match) Repeatable(method string) bool {
-	return slices.Contains(m.repeatable, method)
+	return slices.Contains(m.Route.Repeatable, method) || slices.Contains(m.Route.Repeatable, fleet.AnyMethod)
 }
 
+// Choose returns the service for one request: each of the route's parts by its
+// weight, for random bits.
+func (m *Match) Choose(random uint64) string {
+	if m.total == 0 {
+		return m.Service
+	}
+	left := random % m.total
+	for _, part := range m.parts {
+		if left < weightOf(part) {
+			return part.Service
+		}
+		left -= weightOf(part)
+	}
+	return m.Service
+}
+
+func newMatch(r fleet.Route) *Match {
+	m := &Match{Route: r, parts: r.Parts()}
+	for _, part := range m.parts {
+		m.total += weightOf(part)
+	}
+	return m
+}
+
+// weightOf returns the weight, which a checked declaration never has below zero.
+func weightOf(part fleet.Part) uint64 { return uint64(max(0, part.Weight)) }
+
 // Table finds routes. It is read-only and may be shared.
 type Table struct {
 	byKey map[key]*Match
@@ -45,7 +73,7 @@
 	t := &Table{byKey: make(map[key]*Match, len(routes))}
 	for _, r := range routes {
 		k := key{host: strings.ToLower(r.Host), path: strings.TrimSuffix(r.Path, "/")}
-		t.byKey[k] = &Match{Route: r, repeatable: r.Repeatable}
+		t.byKey[k] = newMatch(r)
 	}
 	return t
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/yamlfile"
 )
 
@@ -40,6 +41,7 @@
 // Settings is the whole of a daemon's settings file.
 type Settings struct {
 	Name       string   `yaml:"name" json:"name" jsonschema:"description=The daemon's name; the declaration's host of the same name."`
+	Service    string   `yaml:"service" json:"service,omitempty" jsonschema:"description=The service of the applications on this host, whose own requests begin here."`
 	DataCentre string   `yaml:"data-centre" json:"data-centre" jsonschema:"description=The data centre the host stands in."`
 	Listen     Listen   `yaml:"listen" json:"listen" jsonschema:"description=Where the daemon listens."`
 	Platform   Platform `yaml:"platform" json:"platform" jsonschema:"description=The platform's key-value service."`
@@ -47,6 +49,7 @@
 	Keys       Keys     `yaml:"keys" json:"keys,omitempty" jsonschema:"description=What daemons and operators prove themselves with. Without them control calls and operators are taken on loopback only."`
 	Limits     Limits   `yaml:"limits" json:"limits,omitempty" jsonschema:"description=Bounds on callers' requests and on a stop."`
 	Log        Log      `yaml:"log" json:"log,omitempty" jsonschema:"description=What is logged."`
+	Source     Source   `yaml:"source" json:"source,omitempty" jsonschema:"description=Where the declaration and the backend servers come from."`
 	Processors int      `yaml:"processors" json:"processors,omitempty" jsonschema:"description=Processors the daemon uses at once. Default 2."`
 }
 
@@ -55,9 +58,33 @@
 	Callers   string `yaml:"callers" json:"callers" jsonschema:"description=Takes callers' requests."`
 	Peers     string `yaml:"peers" json:"peers" jsonschema:"description=Takes requests from other daemons."`
 	Control   string `yaml:"control" json:"control" jsonschema:"description=Takes control calls from other daemons."`
+	CheckIns  string `yaml:"check-ins" json:"check-ins,omitempty" jsonschema:"description=Takes the check-ins of this host's backend servers; left out if they are declared."`
+	Ready     string `yaml:"ready" json:"ready,omitempty" jsonschema:"description=Answers whether the daemon takes callers' requests; left out if the operators' address is enough."`
 	Operators string `yaml:"operators" json:"operators" jsonschema:"description=Serves the operator API and the metrics page."`
 }
 
+// Declared names who writes the declaration.
+type Declared string
+
+// Who writes the declaration.
+const (
+	// DeclaredByOperators means that operators apply it through a daemon.
+	DeclaredByOperators Declared = "operators"
+	// DeclaredByPlatform means that the platform's operator writes it to the
+	// store in the platform's form.
+	DeclaredByPlatform Declared = "platform"
+)
+
+// Source says where the declaration comes from, and what holds for every service
+// if the declaration does not say.
+type Source struct {
+	Declared    Declared      `yaml:"declared" json:"declared,omitempty" jsonschema:"enum=operators,enum=platform,description=Who writes the declaration: operators through a daemon or the platform to its store. Default operators."`
+	FloorShare  float64       `yaml:"floor-share" json:"floor-share,omitempty" jsonschema:"description=The floor of a service whose backend servers register themselves as a share of them. Default 0.7."`
+	RetryShare  float64       `yaml:"retry-share" json:"retry-share,omitempty" jsonschema:"description=Retries as a share of a service's requests. Default 0.1."`
+	RetrySlack  float64       `yaml:"retry-slack" json:"retry-slack,omitempty" jsonschema:"description=Retries that the whole fleet may make in a retry-window beyond the share. Default 40."`
+	RetryWindow time.Duration `yaml:"retry-window" json:"retry-window,omitempty" jsonschema:"type=string,description=The time that retries are counted over. Default 10s."`
+}
+
 // Platform says where the platform's key-value service is.
 type Platform struct {
 	Address string `yaml:"address" json:"address" jsonschema:"description=URL of the key-value service such as http://127.0.0.1:8500."`
@@ -70,6 +97,7 @@
 	Certificate string `yaml:"certificate" json:"certificate,omitempty" jsonschema:"description=PEM file with the daemon's certificate for the DNS name tidelift."`
 	Key         string `yaml:"key" json:"key,omitempty" jsonschema:"description=PEM file with its key."`
 	Authority   string `yaml:"authority" json:"authority,omitempty" jsonschema:"description=PEM file with the authority that signs every daemon's certificate."`
+	TrustedNet  bool   `yaml:"trusted-network" json:"trusted-network,omitempty" jsonschema:"description=Daemons take each other's calls without certificates on every address, since nobody else reaches the network."`
 	Tokens      string `yaml:"tokens" json:"tokens,omitempty" jsonschema:"description=YAML file with the operators' tokens as hashes."`
 }
 
@@ -130,6 +158,21 @@
 	if s.Log.Level == "" {
 		s.Log.Level = DefaultLogLevel
 	}
+	if s.Source.Declared == "" {
+		s.Source.Declared = DeclaredByOperators
+	}
+	if s.Source.FloorShare == 0 {
+		s.Source.FloorShare = fleet.DefaultFloorShare
+	}
+	if s.Source.RetryShare == 0 {
+		s.Source.RetryShare = fleet.DefaultRetryShare
+	}
+	if s.Source.RetrySlack == 0 {
+		s.Source.RetrySlack = fleet.DefaultRetrySlack
+	}
+	if s.Source.RetryWindow == 0 {
+		s.Source.RetryWindow = fleet.DefaultRetryWindow
+	}
 	if s.Processors == 0 {
 		s.Processors = DefaultProcessors
 	}
@@ -142,7 +185,14 @@
 	address(c, "$.listen.peers", s.Listen.Peers)
 	address(c, "$.listen.control", s.Listen.Control)
 	address(c, "$.listen.operators", s.Listen.Operators)
+	if s.Listen.CheckIns != "" {
+		address(c, "$.listen.check-ins", s.Listen.CheckIns)
+	}
+	if s.Listen.Ready != "" {
+		address(c, "$.listen.ready", s.Listen.Ready)
+	}
 	platform(c, s.Platform.Address)
+	s.Source.check(c)
 	s.Keys.check(c, s.Listen)
 	for i, seed := range s.Seeds {
 		address(c, fmt.Sprintf("$.seeds[%d]", i), seed)
@@ -163,12 +213,30 @@
 	return c.Err()
 }
 
+func (s Source) check(c *yamlfile.Checker) {
+	if s.Declared != DeclaredByOperators && s.Declared != DeclaredByPlatform {
+		c.Add("$.source.declared", fmt.Sprintf("is %q", s.Declared), "operators or platform")
+	}
+	share(c, "$.source.floor-share", s.FloorShare)
+	share(c, "$.source.retry-share", s.RetryShare)
+	if s.RetrySlack < 0 {
+		c.Add("$.source.retry-slack", fmt.Sprintf("is %g", s.RetrySlack), "0 or more")
+	}
+	positive(c, "$.source.retry-window", s.RetryWindow)
+}
+
+func share(c *yamlfile.Checker, path string, value float64) {
+	if value < 0 || value > 1 {
+		c.Add(path, fmt.Sprintf("is %g", value), "0 to 1")
+	}
+}
+
 func (k Keys) check(c *yamlfile.Checker, listen Listen) {
 	if some := k.Certificate + k.Key + k.Authority; some != "" && (k.Certificate == "" || k.Key == "" || k.Authority == "") {
 		c.Add("$.keys", "names some of certificate, key and authority", "all three or none")
 	}
-	if !k.MutualTLS() && !isLoopback(listen.Control) {
-		c.Add("$.listen.control", fmt.Sprintf("is %q without certificates", listen.Control), "a loopback address, or keys.certificate, keys.key and keys.authority")
+	if !k.MutualTLS() && !k.TrustedNet && !isLoopback(listen.Control) {
+		c.Add("$.listen.control", fmt.Sprintf("is %q without certificates", listen.Control), "a loopback address, keys.certificate, keys.key and keys.authority, or keys.trusted-network")
 	}
 	if k.Tokens == "" && !isLoopback(listen.Operators) {
 		c.Add("$.listen.operators", fmt.Sprintf("is %q without tokens", listen.Operators), "a loopback address, or keys.tokens")
--- /dev/null
+++ b/internal/sidecar/exchange.go
@@ -0,0 +1,108 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tideliftd/tidelift/internal/backend"
+	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/hop"
+	"github.com/tideliftd/tidelift/internal/result"
+)
+
+// headers says what the headers of requests and answers mean.
+type headers struct {
+	fleet.Callers
+	fleet.Answers
+}
+
+// exchange sends the request to the backend server and returns its checked
+// answer.
+func (s *Sidecar) exchange(ctx context.Context, server *server, call hop.Call, in *http.Request, began time.Time) (*http.Response, error) {
+	names := s.headers.Load()
+	out := hop.Outgoing(ctx, in, server.address())
+	left := call.TimeLeft - time.Since(began)
+	out.Header.Set(names.DeadlineHeader, strconv.FormatInt(left.Milliseconds(), 10))
+	names.address(out.Header, call)
+	response, err := server.pool.Do(ctx, out, func(r *http.Response) bool { return names.belongs(r, in) })
+	if err != nil {
+		sent := !errors.Is(err, backend.ErrNotSent)
+		return nil, hop.Classify(ctx, sent, result.ServerUnreachable, err)
+	}
+	if failure := names.check(response); failure != nil {
+		_ = response.Body.Close()
+		return nil, failure
+	}
+	return response, nil
+}
+
+// address says whom the request is for and where it began.
+func (h *headers) address(out http.Header, call hop.Call) {
+	if h.TargetHeader != "" {
+		out.Set(h.TargetHeader, call.BackendServer)
+	}
+	if h.OriginHeader != "" {
+		out.Set(h.OriginHeader, call.Origin)
+	}
+}
+
+// belongs says whether the answer is to the request, by the id that a backend
+// server repeats.
+func (h *headers) belongs(response *http.Response, in *http.Request) bool {
+	if h.IDHeader == "" {
+		return true
+	}
+	return response.Header.Get(h.IDHeader) == in.Header.Get(h.IDHeader)
+}
+
+// check finds what is wrong with an answer's head. A status that promises that
+// the request was not run is passed on only if the backend server itself says
+// so; no other may look like that promise.
+func (h *headers) check(response *http.Response) *result.Error {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return result.New(result.Misdirected)
+	}
+	if h.NotRunHeader != "" {
+		if response.Header.Get(h.NotRunHeader) != "" {
+			return result.New(result.NotTaken).WithDetail("status %d", response.StatusCode)
+		}
+		if promisesNotRun(response.StatusCode) {
+			return result.New(result.ServerFailed).WithDetail("status %d", response.StatusCode)
+		}
+	}
+	if h.SignatureHeader == "" {
+		if err := hop.CheckFraming(response); err != nil {
+			return result.Wrap(result.UnframedAnswer, err)
+		}
+		return nil
+	}
+	return h.checkSigned(response)
+}
+
+// checkSigned checks an answer of a backend server that signs its answers. One
+// that ends with its connection is whole if the end was orderly, which the
+// reading of its body tells.
+func (h *headers) checkSigned(response *http.Response) *result.Error {
+	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+	if success && response.Header.Get(h.SignatureHeader) == "" {
+		return result.New(result.SpoiltAnswer).WithDetail("a success without %s", h.SignatureHeader)
+	}
+	if coding := response.Header.Get("Content-Encoding"); coding != "" {
+		return result.New(result.SpoiltAnswer).WithDetail("content coding %q was not asked for", coding)
+	}
+	return nil
+}
+
+// promisesNotRun says whether a caller takes the status for a promise that the
+// request was not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strconv"
+	"time"
 
+	"github.com/tideliftd/tidelift/internal/body"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
 )
@@ -20,8 +23,11 @@
 		result.Write(w, result.Wrap(result.MalformedRequest, err).WithDetail("%s", err))
 		return
 	}
-	if r.Body != http.NoBody {
-		_ = http.NewResponseController(w).EnableFullDuplex()
+	sent := body.New(w, r, math.MaxInt64) // the ingress bounds it
+	defer sent.Finish()
+	if err := sent.Prepare(time.Now().Add(call.TimeLeft)); err != nil {
+		writeRefusal(w, result.Wrap(result.CancelledBefore, err))
+		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), call.TimeLeft)
 	defer cancel()
@@ -33,7 +39,9 @@
 		writeRefusal(w, result.New(result.TicketExpired).WithDetail("a request that must not run twice needs a ticket"))
 		return
 	}
-	answer, err := s.Do(ctx, call, r)
+	own := *r // net/http must keep its own request as it was
+	sent.Rewind(&own)
+	answer, err := s.Do(ctx, call, &own)
 	if err != nil {
 		writeRefusal(w, result.From(err))
 		return
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -8,9 +8,12 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/tideliftd/tidelift/internal/admission"
+	"github.com/tideliftd/tidelift/internal/backend"
 	"github.com/tideliftd/tidelift/internal/detect"
+	"github.com/tideliftd/tidelift/internal/dial"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
@@ -52,11 +55,19 @@
 	ended    chan struct{}
 	loadBits atomic.Uint64
 	declared atomic.Pointer[declared]
+	pool     *backend.Pool
+	closeAll func()
 }
 
-func newServer(config Config, d *declared) *server {
+func newServer(config Config, d *declared, connects tally.Counter) *server {
 	s := &server{mailbox: make(chan any, mailboxSize), ended: make(chan struct{})}
 	s.declared.Store(d)
+	dialer := dial.New(dial.Config{Connect: connectTimeout, Unacknowledged: unacknowledged})
+	s.pool, s.closeAll = backend.New(backend.Config{
+		Address:   d.BackendServer.Address,
+		Dial:      dialer.DialContext,
+		OnConnect: func() { connects.Inc(1) },
+	})
 	go newTask(config, s, d).run()
 	return s
 }
@@ -75,7 +86,10 @@
 	}
 }
 
-func (s *server) end() { close(s.ended) }
+func (s *server) end() {
+	close(s.ended)
+	s.closeAll()
+}
 
 func (s *server) reconfigure(d *declared) {
 	s.declared.Store(d)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -20,9 +20,7 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,10 +38,9 @@
 	// connectTimeout bounds the opening of a connection to a backend server
 	// on the same host.
 	connectTimeout = 500 * time.Millisecond
-	// idleTimeout is how long an idle connection to a backend server is kept.
-	idleTimeout = 30 * time.Second
-	// maxAnswerHeader bounds the headers of an answer, in bytes.
-	maxAnswerHeader = 256 << 10
+	// unacknowledged is how long bytes to a backend server may stay without an
+	// acknowledgement before the connection counts as lost.
+	unacknowledged = 5 * time.Second
 )
 
 // Config says which host's backend servers the sidecar serves.
@@ -60,16 +57,16 @@
 
 // Sidecar sends work to the backend servers of one host.
 type Sidecar struct {
-	config    Config
-	transport *http.Transport
-	refused   metric.Reasons
-	nextID    atomic.Uint64
-	stopping  atomic.Bool
-	tickets   *tickets
-
-	mu             sync.Mutex // serialises Reconfigure and the end
-	servers        atomic.Pointer[map[string]*server]
-	deadlineHeader atomic.Pointer[string]
+	config   Config
+	refused  metric.Reasons
+	connects tally.Counter
+	nextID   atomic.Uint64
+	stopping atomic.Bool
+	tickets  *tickets
+
+	mu      sync.Mutex // serialises Reconfigure and the end
+	servers atomic.Pointer[map[string]*server]
+	headers atomic.Pointer[headers]
 }
 
 // Answer is a backend server's answer.
@@ -85,22 +82,14 @@
 // New returns a sidecar without backend servers, and a function that ends its
 // tasks.
 func New(config Config) (*Sidecar, func()) {
-	dialer := &net.Dialer{Timeout: connectTimeout}
 	s := &Sidecar{
-		config: config,
-		transport: &http.Transport{
-			DialContext:            dialer.DialContext,
-			DisableCompression:     true,
-			MaxIdleConnsPerHost:    1024,
-			IdleConnTimeout:        idleTimeout,
-			ExpectContinueTimeout:  time.Second,
-			MaxResponseHeaderBytes: maxAnswerHeader,
-		},
-		refused: metric.NewReasons(config.Scope, "sidecar_refusals"),
-		tickets: newTickets(),
+		config:   config,
+		refused:  metric.NewReasons(config.Scope, "sidecar_refusals"),
+		connects: config.Scope.Counter("sidecar_connects"),
+		tickets:  newTickets(),
 	}
 	s.servers.Store(&map[string]*server{})
-	s.deadlineHeader.Store(new(string))
+	s.headers.Store(&headers{})
 	return s, s.end
 }
 
@@ -111,7 +100,6 @@
 		server.end()
 	}
 	s.servers.Store(&map[string]*server{})
-	s.transport.CloseIdleConnections()
 }
 
 // Reconfigure starts, changes and ends the tasks of backend servers as the
@@ -119,7 +107,7 @@
 func (s *Sidecar) Reconfigure(index *fleet.Index) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deadlineHeader.Store(&index.Declaration.Callers.DeadlineHeader)
+	s.headers.Store(&headers{Callers: index.Declaration.Callers, Answers: index.Declaration.Answers})
 	old := *s.servers.Load()
 	next := make(map[string]*server, len(old))
 	for _, placement := range index.OnHost(s.config.Host) {
@@ -130,7 +118,7 @@
 			next[name] = server
 			continue
 		}
-		next[name] = newServer(s.config, declared)
+		next[name] = newServer(s.config, declared, s.connects)
 	}
 	s.servers.Store(&next)
 	for name, server := range old {
@@ -198,7 +186,7 @@
 		return Answer{}, err
 	}
 	slot.begin(others)
-	response, err := s.trip(server, call, began).Send(ctx, in) //nolint:bodyclose // the answer carries the body to who closes it
+	response, err := s.exchange(ctx, server, call, in, began) //nolint:bodyclose // the answer carries the body to who closes it
 	if err != nil {
 		slot.failed(result.From(err))
 		slot.release()
@@ -237,16 +225,3 @@
 	}
 	return server, slot, time.Since(asked), nil
 }
-
-// trip sends the request with the time left in the header that is declared for it.
-func (s *Sidecar) trip(server *server, call hop.Call, began time.Time) hop.Trip {
-	return hop.Trip{
-		Transport:   s.transport,
-		Address:     server.address(),
-		Unreachable: result.ServerUnreachable,
-		SetHeaders: func(h http.Header) {
-			left := call.TimeLeft - time.Since(began)
-			h.Set(*s.deadlineHeader.Load(), strconv.FormatInt(left.Milliseconds(), 10))
-		},
-	}
-}
