feat(sidecar): doubt a backend server at its first broken connection

Change: a backend server that breaks one connection, or fails two answers in a row, is asked last (internal/doubt): requests that must not run twice go elsewhere, repeatable ones probe it at growing pauses, and one that nobody else takes is sent all the same, so that nothing is withheld and the floor is untouched. Ruled out: lower thresholds of detect, whose holds double with each episode.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -119,6 +119,27 @@
 	t.pausedUntil.Store(int64(until.Sub(p.config.Start)))
 }
 
+// Doubt keeps the target from being chosen until then, unless there is no other.
+func (p *Pool) Doubt(t *Target, until time.Time) {
+	t.doubtUntil.Store(int64(until.Sub(p.config.Start)))
+}
+
+// PickDoubted chooses the least loaded target that is passed over for doubt
+// alone. It says false if there is none.
+func (p *Pool) PickDoubted(now time.Time, tried []*Target) (*Target, bool) {
+	since := int64(now.Sub(p.config.Start))
+	var best *Target
+	for _, t := range p.view.Load().all {
+		if t.doubtUntil.Load() <= since || t.pausedUntil.Load() > since || slices.Contains(tried, t) {
+			continue
+		}
+		if best == nil || t.cost(since) < best.cost(since) {
+			best = t
+		}
+	}
+	return best, best != nil
+}
+
 // Paused says whether the target is paused.
 func (p *Pool) Paused(t *Target, now time.Time) bool {
 	return t.pausedUntil.Load() > int64(now.Sub(p.config.Start))
@@ -226,5 +247,5 @@
 }
 
 func usable(t *Target, since int64, tried []*Target) bool {
-	return t.pausedUntil.Load() <= since && !slices.Contains(tried, t)
+	return t.pausedUntil.Load() <= since && t.doubtUntil.Load() <= since && !slices.Contains(tried, t)
 }
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -18,6 +18,7 @@
 	loadBits    atomic.Uint64
 	reported    atomic.Int64 // nanoseconds since the pool's start
 	pausedUntil atomic.Int64 // nanoseconds since the pool's start
+	doubtUntil  atomic.Int64 // nanoseconds since the pool's start
 	share       atomic.Uint32
 	trial       atomic.Uint32
 	suspect     atomic.Bool
--- /dev/null
+++ b/internal/doubt/doubt.go
@@ -0,0 +1,110 @@
+// Package doubt decides whether a backend server is trusted with requests that
+// must not run twice.
+//
+// Package detect weighs evidence and takes seconds, since what it decides takes
+// a backend server out of service. Doubt takes nothing out of service: it puts
+// a backend server last for a while, at the first sign of failing, so that
+// requests go where one has just succeeded. A repeatable request now and then
+// finds out whether it is well again, and one that nobody else takes is sent
+// all the same.
+//
+// A Doubt is the aggregate of one backend server. It takes outcomes and the time;
+// it has no clock, goroutine or socket. The sidecar's task owns it.
+//
+// # Usage
+//
+//	d := doubt.New()
+//	d.Bad(now, doubt.Broken)
+//	if d.Doubted() && d.MayProbe(now) { d.Probe(now) }
+//	d.Good(now)
+package doubt
+
+import "time"
+
+const (
+	// Broken is the weight of a connection that broke or an answer that was
+	// spoilt: one is enough. Source: a backend server that is well breaks less
+	// than one in a thousand.
+	Broken = 1.0
+	// Failed is the weight of an answer that says that the backend server failed.
+	// Source: about one in eighty does at one that is well, so that two in a row
+	// are chance once in six thousand.
+	Failed = 0.5
+	// Overdue is the weight of a request that takes far longer than others.
+	Overdue = 0.5
+
+	// enough is the sum of weights from which a backend server is doubted.
+	enough = 1.0
+	// fade is what a good answer leaves of the sum.
+	fade = 0.4
+	// proofs is how many good answers in a row end the doubt. Source: of a
+	// backend server that fails six in seven, two in a row are good once in
+	// fifty times.
+	proofs = 2
+	// firstPause and longestPause bound the time between probes; each that fails
+	// doubles it. Source: failing probes are retries, which are a fifth of the
+	// requests at most; a server that is well again should not wait for seconds.
+	firstPause   = 200 * time.Millisecond
+	longestPause = 1600 * time.Millisecond
+	// probeLasts is how long one probe keeps others from being sent.
+	probeLasts = time.Second
+)
+
+// Doubt is what is held against one backend server.
+type Doubt struct {
+	sum     float64
+	doubted bool
+	good    int // good answers in a row while doubted
+	pause   time.Duration
+	next    time.Time // when the next probe may be sent
+}
+
+// New returns the doubt of a backend server that nothing is held against.
+func New() *Doubt { return &Doubt{} }
+
+// Bad takes a bad outcome of that weight and says whether doubt begins with it.
+func (d *Doubt) Bad(now time.Time, weight float64) bool {
+	d.sum += weight
+	if d.doubted {
+		d.good = 0
+		d.pause = min(2*d.pause, longestPause)
+		d.next = now.Add(d.pause)
+		return false
+	}
+	if d.sum < enough {
+		return false
+	}
+	d.doubted = true
+	d.good = 0
+	d.pause = firstPause
+	d.next = now.Add(firstPause)
+	return true
+}
+
+// Good takes a good answer and says whether doubt ends with it.
+func (d *Doubt) Good(now time.Time) bool {
+	d.sum *= fade
+	if !d.doubted {
+		return false
+	}
+	d.good++
+	d.next = now
+	if d.good < proofs {
+		return false
+	}
+	d.doubted = false
+	d.sum = 0
+	return true
+}
+
+// Doubted says whether the backend server is doubted.
+func (d *Doubt) Doubted() bool { return d.doubted }
+
+// MayProbe says whether a repeatable request may be sent to find out.
+func (d *Doubt) MayProbe(now time.Time) bool { return !now.Before(d.next) }
+
+// Probe takes it that one is being sent.
+func (d *Doubt) Probe(now time.Time) { d.next = now.Add(probeLasts) }
+
+// HeldFor returns when to come back with a request.
+func (d *Doubt) HeldFor(now time.Time) time.Duration { return max(firstPause, d.next.Sub(now)) }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -52,6 +52,8 @@
 	ServerReturned = Event{304, slog.LevelInfo, "backend server returned", "The backend server passed its trial and gets work again, at first a growing share."}
 	FloorHeld      = Event{305, slog.LevelWarn, "floor held", "A backend server looks sick but stays, because the floor allows no more to be ejected."}
 	ServerLeaving  = Event{306, slog.LevelInfo, "backend server leaving", "The backend server takes no new work."}
+	ServerDoubted  = Event{308, slog.LevelInfo, "backend server doubted", "The backend server failed a request; others are asked first until repeatable requests succeed."}
+	ServerTrusted  = Event{309, slog.LevelInfo, "backend server trusted again", "Repeatable requests succeeded, so that the backend server is no longer asked last."}
 	ServerBack     = Event{307, slog.LevelInfo, "backend server no longer leaving", "The backend server takes new work again."}
 )
 
@@ -76,7 +78,7 @@
 	return []Event{
 		DaemonStarted, DaemonStopping, DaemonStopped, StopCut, ServeFailed,
 		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers,
-		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerLeaving, ServerBack,
+		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerLeaving, ServerBack, ServerDoubted, ServerTrusted,
 		RequestFailed, AttemptFailed, RequestRefused,
 		ServersRegistered, CheckInRefused, HostLearned, RecordRefused, PeerSilent,
 	}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -40,6 +40,7 @@
 	HeaderReference     = "Tidelift-Reference"
 	HeaderOrigin        = "Tidelift-Origin"
 	HeaderPriority      = "Tidelift-Priority"
+	HeaderInsist        = "Tidelift-Insist"
 	HeaderLoad          = "Tidelift-Load"
 	HeaderWaited        = "Tidelift-Waited-Us"
 	HeaderRetryAfter    = "Tidelift-Retry-After-Ms"
@@ -64,6 +65,9 @@
 	Origin string
 	// Priority is the request's rank in a queue; 0 is served first.
 	Priority int
+	// Insist says that nobody else takes the request, so that doubt is no reason
+	// to refuse it.
+	Insist bool
 	// Reference is how the service's other backend servers do, as
 	// detect.Reference encodes it; it may be empty.
 	Reference string
@@ -88,6 +92,9 @@
 	if c.Origin != "" {
 		h[HeaderOrigin] = []string{c.Origin}
 	}
+	if c.Insist {
+		h[HeaderInsist] = []string{"1"}
+	}
 	if c.Priority != 0 {
 		h[HeaderPriority] = []string{strconv.Itoa(c.Priority)}
 	}
@@ -106,6 +113,7 @@
 		Ticket:        h.Get(HeaderTicket),
 		Reference:     h.Get(HeaderReference),
 		Origin:        h.Get(HeaderOrigin),
+		Insist:        h.Get(HeaderInsist) != "",
 	}
 	if text := h.Get(HeaderPriority); text != "" {
 		priority, err := strconv.Atoi(text)
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -36,11 +36,11 @@
 	r.service.budget.Earn()
 	var story trail
 	for {
-		target, trial, ok := pick(r, story.tried)
+		target, trial, ok := pick(r, &story)
 		if !ok {
 			return nil, worst(story.mayHaveRun, noneAble(story.last))
 		}
-		a := &attempt{in: in, request: r, target: target, trial: trial, first: story.sent == 0}
+		a := &attempt{in: in, request: r, target: target, trial: trial, insist: story.insist, first: story.sent == 0}
 		response, err := a.run(ctx)
 		if err == nil {
 			return response, nil
@@ -65,14 +65,17 @@
 // trail is what became of a request's attempts so far.
 type trail struct {
 	tried      []*balance.Target
-	sent       int // that reached a backend server
-	full       int // that met a full queue
+	sent       int  // that reached a backend server
+	full       int  // that met a full queue
+	insist     bool // nobody else is left, so that doubt is no reason to refuse
 	last       *result.Error
 	mayHaveRun *result.Error // the last that may have run; nil if none may
 }
 
 func (t *trail) add(target *balance.Target, failure *result.Error) {
-	t.tried = append(t.tried, target)
+	if failure.Code.Number != result.Doubted.Number {
+		t.tried = append(t.tried, target) // a doubted one may be asked again, and is passed over until then
+	}
 	t.last = failure
 	if failure.Code.Ran == result.RanUnknown {
 		t.mayHaveRun = failure
@@ -96,15 +99,20 @@
 }
 
 // pick chooses a target. A first attempt that may be repeated goes to one on
-// trial, if there is one.
-func pick(r *request, tried []*balance.Target) (target *balance.Target, trial, ok bool) {
+// trial, if there is one. If nobody else is left, one that is doubted will do.
+func pick(r *request, story *trail) (target *balance.Target, trial, ok bool) {
 	now := time.Now()
+	tried := story.tried
 	if !r.once && len(tried) == 0 {
 		if target, ok := r.service.pool.PickTrial(now); ok {
 			return target, true, true
 		}
 	}
 	target, ok = r.service.pool.Pick(now, tried)
+	if !ok {
+		story.insist = true
+		target, ok = r.service.pool.PickDoubted(now, tried)
+	}
 	return target, false, ok
 }
 
@@ -126,7 +134,7 @@
 
 func takesNoWork(failure *result.Error) bool {
 	switch failure.Code.Number {
-	case result.Leaving.Number, result.Stopping.Number, result.UnknownServer.Number, result.Ejected.Number:
+	case result.Leaving.Number, result.Stopping.Number, result.UnknownServer.Number, result.Ejected.Number, result.Doubted.Number:
 		return true
 	default:
 		return false
@@ -148,6 +156,7 @@
 	request *request
 	target  *balance.Target
 	trial   bool
+	insist  bool
 	first   bool        // no attempt before it reached a backend server
 	overdue atomic.Bool // it took far longer than others would
 	spent   atomic.Bool // a retry was taken from the budget for it
@@ -160,7 +169,7 @@
 	clock := a.startClock(cancel)
 	a.target.Begin()
 	a.request.body.Rewind(a.request.Request)
-	answer, err := a.in.send(ctx, a.request, a.target)
+	answer, err := a.in.send(ctx, a.request, a.target, a.insist)
 	clock.stop()
 	if err != nil {
 		failure := a.failure(ctx, err)
@@ -211,6 +220,8 @@
 	a.tell(detect.Observation{Outcome: outcome, Took: took, WasOverdue: a.overdue.Load()}, seen)
 	pool := a.request.service.pool
 	switch {
+	case failure.Code.Number == result.Doubted.Number:
+		pool.Doubt(a.target, time.Now().Add(pauseFor(failure)))
 	case takesNoWork(failure):
 		pool.Pause(a.target, time.Now().Add(pauseFor(failure)))
 	case failure.Code.Number == result.PeerUnreachable.Number, failure.Code.Number == result.ServerUnreachable.Number:
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -23,12 +23,13 @@
 
 // send passes the request to the target's sidecar, directly if it is the
 // daemon's own.
-func (in *Ingress) send(ctx context.Context, r *request, target *balance.Target) (sidecar.Answer, error) {
+func (in *Ingress) send(ctx context.Context, r *request, target *balance.Target, insist bool) (sidecar.Answer, error) {
 	call := hop.Call{
 		BackendServer: target.Name,
 		TimeLeft:      time.Until(r.deadline),
 		Customer:      r.customer,
 		Once:          r.once,
+		Insist:        insist,
 		Origin:        in.config.Service,
 		Priority:      r.priority,
 		Reference:     target.Reference(),
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -37,6 +37,7 @@
 	PlaceLost         = Code{2016, "place-lost", http.StatusTooManyRequests, RanNo, "The customer's newest place in a full queue went to a customer with fewer."}
 	NotTaken          = Code{2017, "not-taken", http.StatusServiceUnavailable, RanNo, "The backend server said that it did not run the request."}
 	Misdirected       = Code{2018, "misdirected", http.StatusServiceUnavailable, RanNo, "Another backend server has the address; it did not run the request."}
+	Doubted           = Code{2019, "doubted", http.StatusServiceUnavailable, RanNo, "The backend server failed a moment ago; others are asked first."}
 	TicketUnanswered  = Code{2015, "ticket-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a ticket in time; the request was never sent."}
 )
 
@@ -72,7 +73,7 @@
 	return []Code{
 		MalformedRequest, NoRoute, AmbiguousFraming, HeadersTooLarge, BodyTooLarge, BadDeadline, UpgradeRefused, ProtocolVersion,
 		NotReady, Stopping, NoneAble, QueueFull, QueueTooSlow, CustomerShare, Leaving, Ejected, PeerUnreachable, ServerUnreachable,
-		TicketExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, TicketUnanswered, PlaceLost, NotTaken, Misdirected,
+		TicketExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, TicketUnanswered, PlaceLost, NotTaken, Misdirected, Doubted,
 		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, SpoiltAnswer, ServerFailed,
 		BadDeclaration, RevisionChanged, PlatformDown, NotDeclared, ChangeUnknown, ValueTooLarge, MalformedCall, PeerSilent, ChangeIDReused, TokenRefused, RoleRefused,
 	}
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -35,9 +35,9 @@
 	// keptChanges is how many changes the root remembers by id.
 	keptChanges = 64
 	// watchWait is how long one watch waits. Source: a change has to be in force
-	// within seconds also where the watcher's path to the store was cut silently,
-	// and one call in so many seconds is a small part of a daemon's price.
-	watchWait = 4 * time.Second
+	// within two seconds also where a watch hears nothing of it, be it that its
+	// path was cut silently or that the store lost sight of it.
+	watchWait = 1500 * time.Millisecond
 	// lookups is how often a lost answer is looked up before giving up.
 	lookups = 4
 )
--- a/internal/sidecar/messages.go
+++ b/internal/sidecar/messages.go
@@ -62,6 +62,7 @@
 	offerMessage struct {
 		request admission.Request
 		once    bool
+		insist  bool
 		reply   chan grant
 	}
 	observeMessage struct {
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -7,6 +7,7 @@
 
 	"github.com/tideliftd/tidelift/internal/admission"
 	"github.com/tideliftd/tidelift/internal/detect"
+	"github.com/tideliftd/tidelift/internal/doubt"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/floor"
@@ -41,6 +42,7 @@
 	hostLeaving    bool      // the platform's list says that the host is
 	selfDrainUntil time.Time // until when its own word that it is leaving counts
 	trying         bool      // a trial request runs
+	doubt          *doubt.Doubt
 }
 
 func newTask(config Config, s *server, d *declared) *task {
@@ -57,6 +59,7 @@
 			FirstNumber: rand.Uint64(),
 		}),
 		asking: newAsking(),
+		doubt:  doubt.New(),
 	}
 }
 
@@ -110,6 +113,9 @@
 // all, then whether there is a slot.
 func (t *task) offer(now time.Time, m offerMessage) {
 	trial, refused := t.admit(now, m.once)
+	if refused == nil && !trial {
+		refused = t.admitDoubted(now, m)
+	}
 	if refused != nil {
 		m.reply <- grant{err: refused}
 		return
@@ -152,6 +158,40 @@
 	return true, nil
 }
 
+// admitDoubted says whether a doubted backend server takes the request: one that
+// nobody else takes, or a repeatable one that finds out how it does.
+func (t *task) admitDoubted(now time.Time, m offerMessage) *result.Error {
+	if !t.doubt.Doubted() || m.insist {
+		return nil
+	}
+	if m.once || !t.doubt.MayProbe(now) {
+		return refusal(result.Doubted, t.doubt.HeldFor(now))
+	}
+	t.doubt.Probe(now)
+	return nil
+}
+
+// weigh takes an outcome for the doubt.
+func (t *task) weigh(now time.Time, saw detect.Observation) {
+	weight := 0.0
+	switch saw.Outcome {
+	case detect.OK:
+		if t.doubt.Good(now) {
+			t.log(event.ServerTrusted)
+		}
+		return
+	case detect.Refused, detect.Lost:
+		weight = doubt.Broken
+	case detect.Error:
+		weight = doubt.Failed
+	case detect.TimedOut, detect.Overdue:
+		weight = doubt.Overdue
+	}
+	if t.doubt.Bad(now, weight) {
+		t.log(event.ServerDoubted, "outcome", saw.Outcome)
+	}
+}
+
 // size is the backend server's slots, fewer for a while after a return.
 func (t *task) size(now time.Time) admission.Config {
 	size := t.declared.size()
@@ -166,6 +206,7 @@
 }
 
 func (t *task) observe(now time.Time, m observeMessage) {
+	t.weigh(now, m.observation)
 	if t.declared.adoption() == fleet.AdoptionOff || t.subject.State(now) != detect.Serving {
 		return
 	}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -47,9 +47,10 @@
 	// NotifyFar is how many of other data centres.
 	NotifyFar = 2
 	// PollEvery is how often a daemon asks another for its revision.
-	PollEvery = 2 * time.Second
-	// StaleAfter is how long a daemon relies on others' watching.
-	StaleAfter = time.Minute
+	PollEvery = time.Second
+	// StaleAfter is how long a daemon relies on others' watching. Source: all
+	// watchers may be lost at once, and a change has to be in force within seconds.
+	StaleAfter = 5 * time.Second
 	// farOneIn is how often a daemon asks one of another data centre.
 	farOneIn = 4
 )
