feat: ask for a free slot before waiting, urgent requests first, answers held whole

Change: up to four are asked for a free slot, then the request waits where the wait is shortest; queues serve by priority; two good answers end an ejection too; a short answer is read whole before it is passed on; refusals between daemons have no body; a doubted backend server seeks ejection seldom. Ruled out: no ejection while doubted (two integration tests ask for one).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -17,7 +17,10 @@
 //   - A free slot is given at once.
 //   - A request that could not start before its deadline, by the time that
 //     recent requests took, is refused at once.
-//   - Waiting customers take turns. A customer that has its fair part of the queue
+//   - The most urgent wait least: of two that wait the one of the lower priority
+//     number is served first, and it may take the place of another in a full
+//     queue.
+//   - Waiting customers of one priority take turns. A customer that has its fair part of the queue
 //     leaves a place free for each other that was seen in the last ActiveFor, so
 //     that whoever floods is refused at once and the others still find a place.
 //   - When the queue is full all the same, a customer who waits with more requests
@@ -31,6 +34,8 @@
 package admission
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -82,6 +87,8 @@
 	ID uint64
 	// Customer is who the request is for.
 	Customer string
+	// Priority is the rank; 0 is served first.
+	Priority int
 	// Deadline is when the answer has to be there.
 	Deadline time.Time
 }
@@ -100,18 +107,11 @@
 	config      Config
 	running     int
 	waiting     int
-	buckets     [bucketCount][]place
+	lines       []*line                // the most urgent first
 	seen        [bucketCount]time.Time // when a customer of the bucket last asked
-	turn        int
 	serviceTime time.Duration
 }
 
-// place is a waiting request.
-type place struct {
-	Request
-	since time.Time
-}
-
 // NewQueue returns an empty queue.
 func NewQueue(config Config) *Queue {
 	return &Queue{config: config, serviceTime: initialServiceTime}
@@ -134,21 +134,24 @@
 // RetryAfter returns when what runs and waits now will have been served.
 func (q *Queue) RetryAfter() time.Duration { return q.wait(q.waiting + 1) }
 
+// HasSlot says whether a request would be granted a slot at once.
+func (q *Queue) HasSlot() bool { return q.running < q.config.Slots && q.waiting == 0 }
+
 // Offer decides on one request.
 func (q *Queue) Offer(now time.Time, r Request) Decision {
 	bucket := q.bucketOf(r.Customer)
 	q.seen[bucket] = now
-	if q.running < q.config.Slots && q.waiting == 0 {
+	if q.HasSlot() {
 		q.running++
 		return Decision{Verdict: Granted}
 	}
-	if now.Add(q.wait(q.waiting + 1)).After(r.Deadline) {
+	if now.Add(q.wait(q.before(r.Priority) + 1)).After(r.Deadline) {
 		return Decision{Verdict: RefusedLate, RetryAfter: q.RetryAfter()}
 	}
 	if q.waiting >= q.config.Depth {
 		return q.offerFull(now, bucket, r)
 	}
-	if !q.leavesRoom(now, bucket) {
+	if !q.leavesRoom(now, bucket, r.Priority) {
 		return Decision{Verdict: RefusedShare, RetryAfter: q.RetryAfter()}
 	}
 	q.push(now, bucket, r)
@@ -157,11 +160,31 @@
 
 // leavesRoom says whether the bucket may take another place: if it has less than
 // its fair part of them, or a place stays free for each other that is active.
-func (q *Queue) leavesRoom(now time.Time, bucket int) bool {
+func (q *Queue) leavesRoom(now time.Time, bucket, priority int) bool {
 	others := q.activeOthers(now, bucket)
 	fair := max(1, q.config.Depth/(others+1))
 	free := q.config.Depth - q.waiting
-	return len(q.buckets[bucket]) < fair || free > others
+	return len(q.line(priority).buckets[bucket]) < fair || free > others
+}
+
+// before returns how many wait that are served before one of that priority.
+func (q *Queue) before(priority int) int {
+	waiting := 0
+	for _, l := range q.lines {
+		if l.priority <= priority {
+			waiting += l.waiting
+		}
+	}
+	return waiting
+}
+
+// line returns the line of that priority.
+func (q *Queue) line(priority int) *line {
+	at, ok := slices.BinarySearchFunc(q.lines, priority, func(l *line, priority int) int { return cmp.Compare(l.priority, priority) })
+	if !ok {
+		q.lines = slices.Insert(q.lines, at, &line{priority: priority})
+	}
+	return q.lines[at]
 }
 
 func (q *Queue) activeOthers(now time.Time, bucket int) int {
@@ -174,22 +197,54 @@
 	return others
 }
 
-// offerFull lets a customer with a short queue take the newest place of the
-// customer with the longest.
+// offerFull lets a more urgent request take the newest place of the least urgent,
+// and a customer with a short queue that of the customer with the longest.
 func (q *Queue) offerFull(now time.Time, bucket int, r Request) Decision {
-	longest := q.longest()
-	if longest == bucket && len(q.buckets[bucket]) < q.waiting {
+	own := q.line(r.Priority)
+	if least := q.leastUrgent(); least.priority > r.Priority {
+		return q.exchange(now, least, least.longest(), bucket, r)
+	}
+	longest := own.longest()
+	if longest == bucket && len(own.buckets[bucket]) < own.waiting {
 		return Decision{Verdict: RefusedShare, RetryAfter: q.RetryAfter()}
 	}
-	if longest == bucket || len(q.buckets[longest]) <= len(q.buckets[bucket])+1 {
+	if longest == bucket || len(own.buckets[longest]) <= len(own.buckets[bucket])+1 {
 		return Decision{Verdict: RefusedFull, RetryAfter: q.RetryAfter()}
 	}
-	if now.Sub(q.newest(longest).since) > EvictWithin {
+	if now.Sub(own.newest(longest).since) > EvictWithin {
 		return Decision{Verdict: RefusedFull, RetryAfter: q.RetryAfter()}
 	}
-	evicted := q.popNewest(longest)
+	return q.exchange(now, own, longest, bucket, r)
+}
+
+// exchange gives the newest place of a bucket to the request.
+func (q *Queue) exchange(now time.Time, from *line, evicted, bucket int, r Request) Decision {
+	out := from.popNewest(evicted)
+	q.waiting--
 	q.push(now, bucket, r)
-	return Decision{Verdict: Queued, Evicted: evicted.ID}
+	return Decision{Verdict: Queued, Evicted: out.ID}
+}
+
+// leastUrgent returns the least urgent line in which somebody waits. The queue
+// is not empty.
+func (q *Queue) leastUrgent() *line {
+	for _, l := range slices.Backward(q.lines) {
+		if l.waiting > 0 {
+			return l
+		}
+	}
+	return q.lines[0]
+}
+
+// next takes the request that is served next. The queue is not empty.
+func (q *Queue) next() Request {
+	q.waiting--
+	for _, l := range q.lines {
+		if l.waiting > 0 {
+			return l.popTurn()
+		}
+	}
+	return Request{} // not reached
 }
 
 // Done frees a slot after a request that took so long, and returns the
@@ -206,7 +261,7 @@
 
 func (q *Queue) grant(now time.Time) (granted, late []uint64) {
 	for q.running < q.config.Slots && q.waiting > 0 {
-		next := q.popTurn()
+		next := q.next()
 		if now.After(next.Deadline) {
 			late = append(late, next.ID)
 			continue
@@ -220,13 +275,11 @@
 // Cancel takes a waiting request out and says whether it was waiting.
 func (q *Queue) Cancel(customer string, id uint64) bool {
 	bucket := q.bucketOf(customer)
-	for i, r := range q.buckets[bucket] {
-		if r.ID != id {
-			continue
+	for _, l := range q.lines {
+		if l.cancel(bucket, id) {
+			q.waiting--
+			return true
 		}
-		q.buckets[bucket] = append(q.buckets[bucket][:i], q.buckets[bucket][i+1:]...)
-		q.waiting--
-		return true
 	}
 	return false
 }
@@ -241,45 +294,10 @@
 }
 
 func (q *Queue) push(now time.Time, bucket int, r Request) {
-	q.buckets[bucket] = append(q.buckets[bucket], place{Request: r, since: now})
+	q.line(r.Priority).push(now, bucket, r)
 	q.waiting++
 }
 
-// popTurn takes the oldest request of the next customer whose turn it is. The
-// queue is not empty.
-func (q *Queue) popTurn() Request {
-	for len(q.buckets[q.turn]) == 0 {
-		q.turn = (q.turn + 1) % bucketCount
-	}
-	bucket := q.turn
-	q.turn = (q.turn + 1) % bucketCount
-	r := q.buckets[bucket][0]
-	q.buckets[bucket] = q.buckets[bucket][1:]
-	q.waiting--
-	return r.Request
-}
-
-func (q *Queue) newest(bucket int) place {
-	return q.buckets[bucket][len(q.buckets[bucket])-1]
-}
-
-func (q *Queue) popNewest(bucket int) Request {
-	newest := q.newest(bucket)
-	q.buckets[bucket] = q.buckets[bucket][:len(q.buckets[bucket])-1]
-	q.waiting--
-	return newest.Request
-}
-
-func (q *Queue) longest() int {
-	longest := 0
-	for i := range q.buckets {
-		if len(q.buckets[i]) > len(q.buckets[longest]) {
-			longest = i
-		}
-	}
-	return longest
-}
-
 func (q *Queue) bucketOf(customer string) int {
 	return int(xxhash.Sum64String(q.config.Salt+customer) % bucketCount)
 }
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -65,6 +65,30 @@
 	}
 }
 
+func TestTheMostUrgentWaitLeast(t *testing.T) {
+	q := admission.NewQueue(admission.Config{Slots: 1, Depth: 3})
+	offer := func(id uint64, priority int) admission.Decision {
+		r := request(id, "a")
+		r.Priority = priority
+		return q.Offer(start, r)
+	}
+	offer(1, 2)
+	offer(2, 2)
+	offer(3, 1)
+	offer(4, 2)
+	if got := offer(5, 0); got.Verdict != admission.Queued || got.Evicted != 4 {
+		t.Fatalf("%+v, want the place of request 4", got)
+	}
+	if got := offer(6, 2); got.Verdict != admission.RefusedFull {
+		t.Fatalf("%+v, want no place for the least urgent", got)
+	}
+	for _, want := range []uint64{5, 3, 2} {
+		if granted, _ := q.Done(start, time.Millisecond); !contains(granted, want) {
+			t.Fatalf("granted %v, want %d", granted, want)
+		}
+	}
+}
+
 func contains(ids []uint64, id uint64) bool {
 	for _, other := range ids {
 		if other == id {
@@ -99,7 +123,8 @@
 				nextID++
 				customer := fmt.Sprint("c", rapid.IntRange(0, 5).Draw(t, "customer"))
 				deadline := now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
-				decision := q.Offer(now, admission.Request{ID: nextID, Customer: customer, Deadline: deadline})
+				priority := rapid.IntRange(0, 2).Draw(t, "priority")
+				decision := q.Offer(now, admission.Request{ID: nextID, Customer: customer, Priority: priority, Deadline: deadline})
 				if decision.Evicted != 0 {
 					grant(nil, []uint64{decision.Evicted})
 				}
--- a/internal/detect/hold.go
+++ b/internal/detect/hold.go
@@ -95,6 +95,14 @@
 	s.forget()
 }
 
+// Restore puts the subject back in service with its whole share, on proof from
+// elsewhere that it is well.
+func (s *Subject) Restore() {
+	s.hold.ejected = false
+	s.hold.cause = CauseNone
+	s.forget()
+}
+
 // Share returns the part of its work that the subject should get, from 0 to 1:
 // after a return it grows to 1 over the ramp.
 func (s *Subject) Share(now time.Time) float64 {
--- a/internal/hop/forward.go
+++ b/internal/hop/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -94,8 +95,7 @@
 	if response.Request != nil && response.Request.Method == http.MethodHead {
 		return nil
 	}
-	switch response.StatusCode {
-	case http.StatusNoContent, http.StatusNotModified:
+	if !hasBody(response.StatusCode) {
 		return nil
 	}
 	return ErrUnframed
@@ -106,6 +106,9 @@
 // without the end of the answer, by panicking with http.ErrAbortHandler.
 func WriteAnswer(w http.ResponseWriter, response *http.Response) error {
 	CopyEndToEnd(w.Header(), response.Header)
+	if response.ContentLength >= 0 && response.Request != nil && response.Request.Method != http.MethodHead && hasBody(response.StatusCode) {
+		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
 	announceTrailers(w.Header(), response.Trailer)
 	w.WriteHeader(response.StatusCode)
 	if err := copyBody(w, response); err != nil {
@@ -117,6 +120,11 @@
 	return nil
 }
 
+// hasBody says whether an answer of that status may have a body.
+func hasBody(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 func announceTrailers(h, trailer http.Header) {
 	for name := range trailer {
 		h.Add("Trailer", name)
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -41,8 +41,10 @@
 	HeaderOrigin        = "Tidelift-Origin"
 	HeaderPriority      = "Tidelift-Priority"
 	HeaderInsist        = "Tidelift-Insist"
+	HeaderNoWait        = "Tidelift-No-Wait"
 	HeaderLoad          = "Tidelift-Load"
 	HeaderWaited        = "Tidelift-Waited-Us"
+	HeaderDetail        = "Tidelift-Detail"
 	HeaderRetryAfter    = "Tidelift-Retry-After-Ms"
 )
 
@@ -68,6 +70,8 @@
 	// Insist says that nobody else takes the request, so that doubt is no reason
 	// to refuse it.
 	Insist bool
+	// NoWait asks for a refusal in place of a wait for a slot.
+	NoWait bool
 	// Reference is how the service's other backend servers do, as
 	// detect.Reference encodes it; it may be empty.
 	Reference string
@@ -92,6 +96,9 @@
 	if c.Origin != "" {
 		h[HeaderOrigin] = []string{c.Origin}
 	}
+	if c.NoWait {
+		h[HeaderNoWait] = []string{"1"}
+	}
 	if c.Insist {
 		h[HeaderInsist] = []string{"1"}
 	}
@@ -113,6 +120,7 @@
 		Ticket:        h.Get(HeaderTicket),
 		Reference:     h.Get(HeaderReference),
 		Origin:        h.Get(HeaderOrigin),
+		NoWait:        h.Get(HeaderNoWait) != "",
 		Insist:        h.Get(HeaderInsist) != "",
 	}
 	if text := h.Get(HeaderPriority); text != "" {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/tideliftd/tidelift/internal/balance"
 	"github.com/tideliftd/tidelift/internal/detect"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/hop"
@@ -36,16 +35,16 @@
 	r.service.budget.Earn()
 	var story trail
 	for {
-		target, trial, ok := pick(r, &story)
+		next, ok := choose(r, &story)
 		if !ok {
 			return nil, worst(story.mayHaveRun, noneAble(story.last))
 		}
-		a := &attempt{in: in, request: r, target: target, trial: trial, insist: story.insist, first: story.sent == 0}
+		a := &attempt{in: in, request: r, choice: next, first: story.sent == 0}
 		response, err := a.run(ctx)
 		if err == nil {
 			return response, nil
 		}
-		story.add(target, result.From(err))
+		story.add(next, result.From(err))
 		again := in.again(r, a, &story)
 		in.logAttempt(r, a, &story, again)
 		if !again {
@@ -62,32 +61,6 @@
 		"why", story.last.Error(), "again", again)
 }
 
-// trail is what became of a request's attempts so far.
-type trail struct {
-	tried      []*balance.Target
-	sent       int  // that reached a backend server
-	full       int  // that met a full queue
-	insist     bool // nobody else is left, so that doubt is no reason to refuse
-	last       *result.Error
-	mayHaveRun *result.Error // the last that may have run; nil if none may
-}
-
-func (t *trail) add(target *balance.Target, failure *result.Error) {
-	if failure.Code.Number != result.Doubted.Number {
-		t.tried = append(t.tried, target) // a doubted one may be asked again, and is passed over until then
-	}
-	t.last = failure
-	if failure.Code.Ran == result.RanUnknown {
-		t.mayHaveRun = failure
-	}
-	if retry.Reached(failure.Code) {
-		t.sent++
-	}
-	if retry.IsFull(failure.Code) {
-		t.full++
-	}
-}
-
 // worst is the failure to tell the caller: "not run" is true only if it is true
 // of every attempt, so one that may have run goes first. When to come back is
 // what the last one said.
@@ -98,24 +71,6 @@
 	return mayHaveRun.WithRetryAfter(last.RetryAfter)
 }
 
-// pick chooses a target. A first attempt that may be repeated goes to one on
-// trial, if there is one. If nobody else is left, one that is doubted will do.
-func pick(r *request, story *trail) (target *balance.Target, trial, ok bool) {
-	now := time.Now()
-	tried := story.tried
-	if !r.once && len(tried) == 0 {
-		if target, ok := r.service.pool.PickTrial(now); ok {
-			return target, true, true
-		}
-	}
-	target, ok = r.service.pool.Pick(now, tried)
-	if !ok {
-		story.insist = true
-		target, ok = r.service.pool.PickDoubted(now, tried)
-	}
-	return target, false, ok
-}
-
 // again says whether the last failed attempt may be followed by another.
 func (in *Ingress) again(r *request, a *attempt, story *trail) bool {
 	if r.body.Spent() {
@@ -154,9 +109,7 @@
 type attempt struct {
 	in      *Ingress
 	request *request
-	target  *balance.Target
-	trial   bool
-	insist  bool
+	choice
 	first   bool        // no attempt before it reached a backend server
 	overdue atomic.Bool // it took far longer than others would
 	spent   atomic.Bool // a retry was taken from the budget for it
@@ -169,7 +122,7 @@
 	clock := a.startClock(cancel)
 	a.target.Begin()
 	a.request.body.Rewind(a.request.Request)
-	answer, err := a.in.send(ctx, a.request, a.target, a.insist)
+	answer, err := a.in.send(ctx, a.request, a.choice)
 	clock.stop()
 	if err != nil {
 		failure := a.failure(ctx, err)
@@ -215,11 +168,15 @@
 // learn takes a failure as evidence, and keeps away from a target that refuses
 // for a while.
 func (a *attempt) learn(failure *result.Error, took time.Duration) {
-	a.target.Fail()
+	if retry.Reached(failure.Code) {
+		a.target.Fail()
+	}
 	outcome, seen := detect.FromResult(failure.Code)
 	a.tell(detect.Observation{Outcome: outcome, Took: took, WasOverdue: a.overdue.Load()}, seen)
 	pool := a.request.service.pool
 	switch {
+	case failure.Code.Number == result.Busy.Number:
+		pool.Report(a.target, 1, time.Now())
 	case failure.Code.Number == result.Doubted.Number:
 		pool.Doubt(a.target, time.Now().Add(pauseFor(failure)))
 	case takesNoWork(failure):
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,24 +10,22 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/tideliftd/tidelift/internal/balance"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/sidecar"
 )
 
-// maxRefusalBody bounds what is read of a refusal's body, in bytes.
-const maxRefusalBody = 4 << 10
-
 // send passes the request to the target's sidecar, directly if it is the
 // daemon's own.
-func (in *Ingress) send(ctx context.Context, r *request, target *balance.Target, insist bool) (sidecar.Answer, error) {
+func (in *Ingress) send(ctx context.Context, r *request, c choice) (sidecar.Answer, error) {
+	target := c.target
 	call := hop.Call{
 		BackendServer: target.Name,
 		TimeLeft:      time.Until(r.deadline),
 		Customer:      r.customer,
 		Once:          r.once,
-		Insist:        insist,
+		Insist:        c.insist,
+		NoWait:        c.noWait,
 		Origin:        in.config.Service,
 		Priority:      r.priority,
 		Reference:     target.Reference(),
@@ -58,21 +54,41 @@
 	if err != nil {
 		return sidecar.Answer{}, err
 	}
+	if err := hop.Hold(response); err != nil {
+		return sidecar.Answer{}, hop.Classify(ctx, true, result.PeerUnreachable, err)
+	}
 	load, waited := hop.DecodeServed(response.Header)
 	return sidecar.Answer{Response: response, Load: load, Waited: waited}, nil
 }
 
-// ticketPart is the part of the time left that a ticket may take: what is left
-// then is enough to try another backend server.
-const ticketPart = 3
+const (
+	// ticketPart is the part of the time left that a ticket may take if it does
+	// not wait for a slot: what is left then is enough to try another backend
+	// server.
+	ticketPart = 3
+	// ticketWithin bounds it further. Source: ten round trips between data
+	// centres, and a lost packet's first repeat after 200 ms.
+	ticketWithin = 400 * time.Millisecond
+)
+
+// ticketTime is how long the call's ticket may take. One that waits for a slot
+// may wait as long as there is time; the sidecar refuses it earlier if no slot
+// can come in time.
+func ticketTime(call hop.Call) time.Duration {
+	if !call.NoWait {
+		return call.TimeLeft
+	}
+	return min(call.TimeLeft/ticketPart, ticketWithin)
+}
 
 // askTicket asks for a ticket. Asking runs nothing, so whatever becomes of it,
 // without a ticket the request was not run and will not be.
 func (in *Ingress) askTicket(ctx context.Context, call hop.Call, address string) (string, error) {
-	asking, cancel := context.WithTimeout(ctx, call.TimeLeft/ticketPart)
+	within := ticketTime(call)
+	asking, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	call.WantTicket = true
-	call.TimeLeft /= ticketPart
+	call.TimeLeft = within
 	ask := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Host: address, Header: http.Header{}}
 	response, err := in.hop(asking, call, ask, address)
 	if err != nil {
@@ -117,7 +133,7 @@
 
 // readRefusal turns a sidecar's refusal back into its code.
 func readRefusal(response *http.Response, text string) error {
-	defer func() { _ = response.Body.Close() }()
+	_ = response.Body.Close() // it is empty
 	number, _, _ := strings.Cut(text, " ")
 	parsed, err := strconv.Atoi(number)
 	if err != nil {
@@ -128,14 +144,7 @@
 		return result.New(result.ConnectionLost).WithDetail("refusal %q is not known here", text)
 	}
 	refusal := result.New(code)
-	var body struct {
-		Detail string `json:"detail"`
-	}
-	// Read to its end, the body leaves the connection fit for another request.
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxRefusalBody))
-	if err == nil && json.Unmarshal(data, &body) == nil {
-		refusal.Detail = body.Detail
-	}
+	refusal.Detail = response.Header.Get(hop.HeaderDetail)
 	millis, _ := strconv.ParseInt(response.Header.Get(hop.HeaderRetryAfter), 10, 64)
 	refusal.RetryAfter = time.Duration(millis) * time.Millisecond
 	return refusal
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -38,6 +38,7 @@
 	NotTaken          = Code{2017, "not-taken", http.StatusServiceUnavailable, RanNo, "The backend server said that it did not run the request."}
 	Misdirected       = Code{2018, "misdirected", http.StatusServiceUnavailable, RanNo, "Another backend server has the address; it did not run the request."}
 	Doubted           = Code{2019, "doubted", http.StatusServiceUnavailable, RanNo, "The backend server failed a moment ago; others are asked first."}
+	Busy              = Code{2020, "busy", http.StatusServiceUnavailable, RanNo, "The backend server has no free slot at this moment; the request asked not to wait for one yet."}
 	TicketUnanswered  = Code{2015, "ticket-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a ticket in time; the request was never sent."}
 )
 
@@ -73,7 +74,7 @@
 	return []Code{
 		MalformedRequest, NoRoute, AmbiguousFraming, HeadersTooLarge, BodyTooLarge, BadDeadline, UpgradeRefused, ProtocolVersion,
 		NotReady, Stopping, NoneAble, QueueFull, QueueTooSlow, CustomerShare, Leaving, Ejected, PeerUnreachable, ServerUnreachable,
-		TicketExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, TicketUnanswered, PlaceLost, NotTaken, Misdirected, Doubted,
+		TicketExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, TicketUnanswered, PlaceLost, NotTaken, Misdirected, Doubted, Busy,
 		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, SpoiltAnswer, ServerFailed,
 		BadDeclaration, RevisionChanged, PlatformDown, NotDeclared, ChangeUnknown, ValueTooLarge, MalformedCall, PeerSilent, ChangeIDReused, TokenRefused, RoleRefused,
 	}
--- a/internal/sidecar/eject.go
+++ b/internal/sidecar/eject.go
@@ -20,6 +20,10 @@
 	// askAgain is the least pause between two tries to be ejected; a random
 	// part as long again is added, so that two do not keep in step.
 	askAgain = 300 * time.Millisecond
+	// askAgainDoubted is the pause while the backend server is doubted. Being
+	// asked last spares its callers already; each try costs a call to every other
+	// backend server of the service.
+	askAgainDoubted = 5 * time.Second
 )
 
 // asking is how far a try to be ejected has come.
@@ -194,7 +198,11 @@
 	if len(t.asking.pending) > 0 {
 		return
 	}
-	t.asking.notBefore = now.Add(askAgain + rand.N(askAgain))
+	pause := askAgain
+	if t.doubt.Doubted() {
+		pause = askAgainDoubted
+	}
+	t.asking.notBefore = now.Add(pause + rand.N(pause))
 	held := fmt.Sprintf("%d promises to keep serving, floor %d", len(t.ledger.Holding(now)), t.declared.Service.Floor)
 	t.stopAsking()
 	if verdict.Sick {
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -54,9 +54,16 @@
 }
 
 // writeRefusal answers with the code and, to the millisecond, when to come back.
+// It has no body: a caller gets one from the daemon that it asked.
 func writeRefusal(w http.ResponseWriter, e *result.Error) {
+	h := w.Header()
+	h.Set(result.Header, strconv.Itoa(e.Code.Number)+" "+e.Code.Name)
 	if e.RetryAfter > 0 {
-		w.Header().Set(hop.HeaderRetryAfter, strconv.FormatInt(e.RetryAfter.Milliseconds(), 10))
+		h.Set(hop.HeaderRetryAfter, strconv.FormatInt(e.RetryAfter.Milliseconds(), 10))
 	}
-	result.Write(w, e)
+	if e.Detail != "" {
+		h.Set(hop.HeaderDetail, e.Detail)
+	}
+	h.Set("Content-Length", "0")
+	w.WriteHeader(e.Code.Status)
 }
--- a/internal/sidecar/messages.go
+++ b/internal/sidecar/messages.go
@@ -63,6 +63,7 @@
 		request admission.Request
 		once    bool
 		insist  bool
+		noWait  bool
 		reply   chan grant
 	}
 	observeMessage struct {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -112,9 +112,9 @@
 
 // acquire waits for a slot until the task refuses or ctx ends.
 func (s *server) acquire(ctx context.Context, id uint64, call hop.Call, deadline time.Time) (*slot, error) {
-	request := admission.Request{ID: id, Customer: call.Customer, Deadline: deadline}
+	request := admission.Request{ID: id, Customer: call.Customer, Priority: call.Priority, Deadline: deadline}
 	reply := make(chan grant, 1)
-	if !s.send(offerMessage{request: request, once: call.Once, insist: call.Insist, reply: reply}) {
+	if !s.send(offerMessage{request: request, once: call.Once, insist: call.Insist, noWait: call.NoWait, reply: reply}) {
 		return nil, result.New(result.Leaving)
 	}
 	select {
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -112,15 +112,16 @@
 // offer decides on one request: first whether the backend server takes work at
 // all, then whether there is a slot.
 func (t *task) offer(now time.Time, m offerMessage) {
-	trial, refused := t.admit(now, m.once)
-	if refused == nil && !trial {
-		refused = t.admitDoubted(now, m)
-	}
+	trial, refused := t.admit(now, m)
 	if refused != nil {
 		m.reply <- grant{err: refused}
 		return
 	}
 	t.queue.Resize(t.size(now))
+	if m.noWait && !t.queue.HasSlot() {
+		m.reply <- grant{err: refusal(result.Busy, t.queue.RetryAfter())}
+		return
+	}
 	decision := t.queue.Offer(now, m.request)
 	if decision.Evicted != 0 {
 		t.reply(decision.Evicted, grant{err: refusal(result.PlaceLost, t.queue.RetryAfter())})
@@ -142,17 +143,20 @@
 
 // admit says whether the backend server takes the request, and whether as a
 // trial.
-func (t *task) admit(now time.Time, once bool) (trial bool, refused *result.Error) {
+func (t *task) admit(now time.Time, m offerMessage) (trial bool, refused *result.Error) {
 	if t.isLeaving(now) {
 		return false, result.New(result.Leaving)
 	}
+	if t.doubt.Doubted() {
+		return false, t.admitDoubted(now, m)
+	}
 	if !t.isEjected(now) {
 		return false, nil
 	}
 	if t.subject.State(now) == detect.Ejected {
 		return false, refusal(result.Ejected, min(t.subject.HeldFor(now), longestRefusal))
 	}
-	if once || t.trying {
+	if m.once || t.trying {
 		return false, refusal(result.Ejected, trialRefusal)
 	}
 	return true, nil
@@ -161,7 +165,7 @@
 // admitDoubted says whether a doubted backend server takes the request: one that
 // nobody else takes, or a repeatable one that finds out how it does.
 func (t *task) admitDoubted(now time.Time, m offerMessage) *result.Error {
-	if !t.doubt.Doubted() || m.insist {
+	if m.insist {
 		return nil
 	}
 	if m.once || !t.doubt.MayProbe(now) {
@@ -177,7 +181,7 @@
 	switch saw.Outcome {
 	case detect.OK:
 		if t.doubt.Good(now) {
-			t.log(event.ServerTrusted)
+			t.trust(now)
 		}
 		return
 	case detect.Refused, detect.Lost:
@@ -192,6 +196,16 @@
 	}
 }
 
+// trust ends the doubt, and an ejection that began meanwhile: the answers that
+// end the one are proof enough for the other.
+func (t *task) trust(now time.Time) {
+	t.log(event.ServerTrusted)
+	if t.subject.State(now) != detect.Serving {
+		t.subject.Restore()
+		t.comeBack("answered well while it was doubted")
+	}
+}
+
 // size is the backend server's slots, fewer for a while after a return.
 func (t *task) size(now time.Time) admission.Config {
 	size := t.declared.size()
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -15,7 +15,7 @@
 	// does not answer. Source: the store's return has to be noticed well within
 	// two seconds.
 	firstPause   = 100 * time.Millisecond
-	longestPause = time.Second
+	longestPause = 600 * time.Millisecond
 )
 
 // FollowConfig says which keys are followed.
