feat: take changed settings without a start, by SIGHUP or by looking

Change: the file is read again on SIGHUP and each second; a wrong one is refused with file, line and field, and the old settings stay.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -60,7 +60,11 @@
 		return errors.Wrapf(errUsage, "%q is not a command", c.Args().First())
 	}
 	file := c.String(flagSettings)
-	s, err := settings.Load(file)
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	s, err := settings.Parse(file, data)
 	if err != nil {
 		return err
 	}
@@ -73,31 +77,36 @@
 	debug.SetMemoryLimit(memoryLimit)
 	ctx, force, cleanUp := stopSignals(ctx)
 	defer cleanUp()
+	logger, level := newLogger(c.Root().Writer, s)
+	followed := &settingsFile{name: file, logger: logger, seen: data}
 	kv, closeStore := platform.NewStore(platform.StoreConfig{Address: s.Platform.Address})
 	defer closeStore()
 	return daemon.Run(ctx, daemon.Config{
 		Settings:     s,
-		Logger:       newLogger(c.Root().Writer, s),
+		Logger:       logger,
+		Level:        level,
+		Reloads:      followed.follow(ctx),
 		Force:        force,
 		Store:        kv,
-		Desired:      newDesired(s.Source),
+		Desired:      newDesired(),
 		CheckIns:     newCheckIns,
 		ReadyPattern: platform.ReadyPattern,
 	})
 }
 
 // newDesired reads the declaration that the platform's operator writes.
-func newDesired(s settings.Source) daemon.Desired {
-	defaults := platform.Defaults{
-		FloorShare:  s.FloorShare,
-		RetryShare:  s.RetryShare,
-		RetrySlack:  s.RetrySlack,
-		RetryWindow: s.RetryWindow,
-	}
+func newDesired() daemon.Desired {
 	return daemon.Desired{
 		Key:    platform.DesiredKey,
 		Number: platform.DesiredVersion,
-		Parse:  func(data []byte) (fleet.Declaration, error) { return platform.ParseDesired(data, defaults) },
+		Parse: func(data []byte, s settings.Source) (fleet.Declaration, error) {
+			return platform.ParseDesired(data, platform.Defaults{
+				FloorShare:  s.FloorShare,
+				RetryShare:  s.RetryShare,
+				RetrySlack:  s.RetrySlack,
+				RetryWindow: s.RetryWindow,
+			})
+		},
 	}
 }
 
@@ -105,11 +114,12 @@
 	return platform.NewCheckIns(platform.CheckInsConfig{CheckIn: c.CheckIn, Leave: c.Leave, OnError: c.OnError})
 }
 
-func newLogger(out io.Writer, s settings.Settings) *slog.Logger {
-	var level slog.Level
-	_ = level.UnmarshalText([]byte(s.Log.Level)) // the settings were checked
+// newLogger returns the daemon's logger and what sets its level.
+func newLogger(out io.Writer, s settings.Settings) (*slog.Logger, *slog.LevelVar) {
+	level := new(slog.LevelVar)
+	level.Set(s.Log.SlogLevel())
 	handler := slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level})
-	return slog.New(handler).With("daemon", s.Name)
+	return slog.New(handler).With("daemon", s.Name), level
 }
 
 // stopSignals returns a context that the first signal ends and a channel that
--- /dev/null
+++ b/internal/cli/reload.go
@@ -0,0 +1,73 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/settings"
+)
+
+// lookEvery is how often the settings file is looked at without a signal.
+// Source: whoever replaces it expects it in force within two seconds.
+const lookEvery = time.Second
+
+// settingsFile follows the settings file of a running daemon.
+type settingsFile struct {
+	name   string
+	logger *slog.Logger
+	seen   []byte
+}
+
+// follow sends the settings each time the file changes, on SIGHUP or without,
+// until ctx ends. A file that is wrong changes nothing.
+func (f *settingsFile) follow(ctx context.Context) <-chan settings.Settings {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	changed := make(chan settings.Settings)
+	go func() {
+		defer signal.Stop(hangUps)
+		ticker := time.NewTicker(lookEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-hangUps:
+			case <-ticker.C:
+			case <-ctx.Done():
+				return
+			}
+			if s, ok := f.look(); ok {
+				changed <- s
+			}
+		}
+	}()
+	return changed
+}
+
+// look reads the file and says whether it holds new settings.
+func (f *settingsFile) look() (settings.Settings, bool) {
+	data, err := os.ReadFile(f.name)
+	if err == nil && bytes.Equal(data, f.seen) {
+		return settings.Settings{}, false
+	}
+	if err != nil {
+		f.refuse(err)
+		return settings.Settings{}, false
+	}
+	f.seen = data
+	s, err := settings.Parse(f.name, data)
+	if err != nil {
+		f.refuse(err)
+		return settings.Settings{}, false
+	}
+	return s, true
+}
+
+func (f *settingsFile) refuse(err error) {
+	event.Log(f.logger, event.SettingsRefused, "file", f.name, "error", err)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,6 +51,11 @@
 	Logger *slog.Logger
 	// Force ends a planned stop at once when it is closed; nil never does.
 	Force <-chan struct{}
+	// Level sets the least level that is logged; nil if it is fixed.
+	Level *slog.LevelVar
+	// Reloads brings the settings each time their file has changed; nil if they
+	// never do.
+	Reloads <-chan settings.Settings
 	// Store is the platform's key-value store.
 	Store store.Store
 	// Desired reads what the platform's operator writes; it is used if the
@@ -68,7 +73,7 @@
 	Key string
 	// Number reads its revision, Parse all of it.
 	Number func(data []byte) (int64, error)
-	Parse  func(data []byte) (fleet.Declaration, error)
+	Parse  func(data []byte, s settings.Source) (fleet.Declaration, error)
 }
 
 // CheckIns takes what backend servers of this host say of themselves. Each
@@ -94,6 +99,7 @@
 	declared fleet.Declaration
 	platform atomic.Pointer[platformState]
 	inForce  atomic.Pointer[operator.InForce]
+	live     atomic.Pointer[settings.Settings] // as the file says now
 	source   source
 	members  *members
 	plan     atomic.Pointer[spread.Plan]
@@ -117,6 +123,7 @@
 // Run runs a daemon until ctx ends and its planned stop is done.
 func Run(ctx context.Context, config Config) error {
 	d := &daemon{config: config, started: time.Now()}
+	d.live.Store(&config.Settings)
 	defer d.cleanUp()
 	d.setPlatform(platformUnknown)
 	if err := d.build(); err != nil {
@@ -129,6 +136,7 @@
 	followCtx, stopFollowing := context.WithCancel(context.Background())
 	defer stopFollowing()
 	go d.follow(followCtx)
+	go d.followSettings(followCtx)
 	if d.registers() {
 		go d.join(followCtx)
 	}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -176,7 +176,7 @@
 func (d *daemon) stop(l *listeners) error {
 	event.Log(d.config.Logger, event.DaemonStopping, "in_flight", d.ingress.InFlight())
 	d.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), d.config.Settings.Limits.Stop)
+	ctx, cancel := context.WithTimeout(context.Background(), d.live.Load().Limits.Stop)
 	defer cancel()
 	go d.forceStop(cancel)
 	d.sidecar.Stop()
--- /dev/null
+++ b/internal/daemon/reload.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/settings"
+)
+
+// followSettings takes the settings each time their file has changed.
+func (d *daemon) followSettings(ctx context.Context) {
+	for {
+		select {
+		case s := <-d.config.Reloads:
+			d.takeSettings(s)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// takeSettings puts in force what can change in a running daemon: the log level,
+// the limit of a stop, and what holds for every service.
+func (d *daemon) takeSettings(s settings.Settings) {
+	old := d.live.Swap(&s)
+	if d.config.Level != nil {
+		d.config.Level.Set(s.Log.SlogLevel())
+	}
+	if old.Source != s.Source {
+		d.reparse()
+	}
+	event.Log(d.config.Logger, event.SettingsTaken, "needs_start", needsStart(*old, s))
+}
+
+// needsStart says whether something changed that only a start puts in force.
+func needsStart(old, next settings.Settings) bool {
+	next.Log, next.Source, next.Limits.Stop = old.Log, old.Source, old.Limits.Stop
+	return !next.Equal(old)
+}
+
+// reparse reads the declaration in force again, with other settings.
+func (d *daemon) reparse() {
+	d.taking.Lock()
+	defer d.taking.Unlock()
+	current := d.inForce.Load()
+	if current == nil {
+		return
+	}
+	declaration, err := d.source.parse(current.Revision.YAML)
+	if err != nil {
+		event.Log(d.config.Logger, event.DeclarationRefused, "revision", current.Revision.Number, "error", err)
+		return
+	}
+	d.declared = declaration
+	d.putInForce(current.Revision)
+}
--- a/internal/daemon/source.go
+++ b/internal/daemon/source.go
@@ -37,6 +37,6 @@
 		follow: func(ctx context.Context, above int64, take func(revision.Revision)) {
 			revision.FollowKey(ctx, config, above, take)
 		},
-		parse: func(text string) (fleet.Declaration, error) { return desired.Parse([]byte(text)) },
+		parse: func(text string) (fleet.Declaration, error) { return desired.Parse([]byte(text), d.live.Load().Source) },
 	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -28,11 +28,13 @@
 
 // The events of a daemon's life.
 var (
-	DaemonStarted  = Event{101, slog.LevelInfo, "daemon started", "The daemon listens on the addresses given."}
-	DaemonStopping = Event{102, slog.LevelInfo, "daemon stopping", "A planned stop began: no new work is taken, what is in flight is finished."}
-	DaemonStopped  = Event{103, slog.LevelInfo, "daemon stopped", "Everything in flight was finished and the daemon has ended."}
-	StopCut        = Event{104, slog.LevelWarn, "stop cut requests", "The stop's limit or a second signal ended the daemon with requests in flight."}
-	ServeFailed    = Event{105, slog.LevelError, "listener failed", "A listener ended with an error; the daemon stops."}
+	DaemonStarted   = Event{101, slog.LevelInfo, "daemon started", "The daemon listens on the addresses given."}
+	DaemonStopping  = Event{102, slog.LevelInfo, "daemon stopping", "A planned stop began: no new work is taken, what is in flight is finished."}
+	DaemonStopped   = Event{103, slog.LevelInfo, "daemon stopped", "Everything in flight was finished and the daemon has ended."}
+	StopCut         = Event{104, slog.LevelWarn, "stop cut requests", "The stop's limit or a second signal ended the daemon with requests in flight."}
+	SettingsTaken   = Event{106, slog.LevelInfo, "settings taken", "The settings file changed; what can change without a start is in force, and the line names what cannot."}
+	SettingsRefused = Event{107, slog.LevelError, "settings refused", "The settings file changed and is wrong; the settings before stay in force."}
+	ServeFailed     = Event{105, slog.LevelError, "listener failed", "A listener ended with an error; the daemon stops."}
 )
 
 // The events of the declaration in force.
@@ -76,7 +78,7 @@
 // All returns every event in the order of their numbers.
 func All() []Event {
 	return []Event{
-		DaemonStarted, DaemonStopping, DaemonStopped, StopCut, ServeFailed,
+		DaemonStarted, DaemonStopping, DaemonStopped, StopCut, ServeFailed, SettingsTaken, SettingsRefused,
 		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers,
 		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerLeaving, ServerBack, ServerDoubted, ServerTrusted,
 		RequestFailed, AttemptFailed, RequestRefused,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"reflect"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -117,6 +118,18 @@
 	Level string `yaml:"level" json:"level,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error,description=The least level that is logged. Default info."`
 }
 
+// Equal says whether two settings are the same.
+func (s Settings) Equal(other Settings) bool { return reflect.DeepEqual(s, other) }
+
+// SlogLevel returns the least level that is logged.
+func (l Log) SlogLevel() slog.Level {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(l.Level)); err != nil {
+		return slog.LevelInfo // not reached: the settings were checked
+	}
+	return level
+}
+
 // Load reads and checks the settings file.
 func Load(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
