feat: try a server's own failure elsewhere, ask for proof, tell who was turned away

Change: a repeatable request that gets a server's failure is tried elsewhere and keeps that answer if nothing better comes; requests that must not run twice ask for a backend server with a recent proof; a doubted one is probed by its own host's ingress, and tells those that it turned away when the doubt ends.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -124,6 +124,23 @@
 	t.doubtUntil.Store(int64(until.Sub(p.config.Start)))
 }
 
+// Trust lets the target be chosen again.
+func (p *Pool) Trust(t *Target) { t.doubtUntil.Store(0) }
+
+// PickProbe takes a target of the host that was doubted and may be tried again.
+// It says false if there is none.
+func (p *Pool) PickProbe(now time.Time, host string) (*Target, bool) {
+	since := int64(now.Sub(p.config.Start))
+	for _, t := range p.view.Load().own {
+		until := t.doubtUntil.Load()
+		if until == 0 || until > since || t.pausedUntil.Load() > since || t.placement.Load().Host.Name != host {
+			continue
+		}
+		return t, true
+	}
+	return nil, false
+}
+
 // PickDoubted chooses the least loaded target that is passed over for doubt
 // alone. It says false if there is none.
 func (p *Pool) PickDoubted(now time.Time, tried []*Target) (*Target, bool) {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -38,6 +38,9 @@
 	MethodDrain Method = "sidecar.drain"
 	// MethodLeaving tells that backend servers of another host take no more work.
 	MethodLeaving Method = "ingress.leaving"
+	// MethodTrusted tells that backend servers of another host are no longer
+	// doubted.
+	MethodTrusted Method = "ingress.trusted"
 	// MethodHost tells a daemon what the platform's list says of its host.
 	MethodHost Method = "sidecar.host"
 	// MethodNotice tells that there is a revision; MethodRevision asks which one
@@ -68,6 +71,11 @@
 	Names []string `json:"names"`
 }
 
+// Trusted is the parameter of MethodTrusted.
+type Trusted struct {
+	Names []string `json:"names"`
+}
+
 // Host is the parameter of MethodHost.
 type Host struct {
 	Leaving bool `json:"leaving"`
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/tideliftd/tidelift/internal/control"
+	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/floor"
 	"github.com/tideliftd/tidelift/internal/result"
@@ -21,6 +22,8 @@
 		return d.callDrain(params)
 	case control.MethodLeaving:
 		return d.callLeaving(params)
+	case control.MethodTrusted:
+		return d.callTrusted(params)
 	case control.MethodHost:
 		return d.callHost(params)
 	case control.MethodNotice:
@@ -69,6 +72,15 @@
 	return done{}, nil
 }
 
+func (d *daemon) callTrusted(params json.RawMessage) (any, error) {
+	var trusted control.Trusted
+	if err := decode(params, &trusted); err != nil {
+		return nil, err
+	}
+	d.ingress.Trusted(trusted.Names)
+	return done{}, nil
+}
+
 func (d *daemon) callNotice(params json.RawMessage) (any, error) {
 	var notice control.Notice
 	if err := decode(params, &notice); err != nil {
@@ -121,7 +133,35 @@
 // sidecarPeer carries the floor's calls, without a connection where the other
 // backend server is on this host.
 func (d *daemon) sidecarPeer() sidecar.Peer {
-	return sidecar.Peer{Ask: d.askPeer, Release: d.releasePeer}
+	return sidecar.Peer{Ask: d.askPeer, Release: d.releasePeer, Trusted: d.tellTrusted}
+}
+
+// tellTrusted tells the ingresses of the hosts that a backend server of this one
+// is no longer doubted. One that does not hear it comes back by itself later.
+func (d *daemon) tellTrusted(hosts []string, backendServer string) {
+	current := d.inForce.Load()
+	if current == nil {
+		return
+	}
+	trusted := control.Trusted{Names: []string{backendServer}}
+	for _, name := range hosts {
+		if name == d.config.Settings.Name {
+			go d.ingress.Trusted(trusted.Names)
+			continue
+		}
+		if host, ok := current.Index.Host(name); ok {
+			go d.callPeer(d.controlOf(host), control.MethodTrusted, trusted)
+		}
+	}
+}
+
+// callPeer makes a call whose answer says nothing.
+func (d *daemon) callPeer(address string, method control.Method, params any) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	if err := d.peers.Call(ctx, address, method, params, nil); err != nil {
+		event.Log(d.config.Logger, event.PeerSilent, "address", address, "call", method, "error", err)
+	}
 }
 
 func (d *daemon) askPeer(ctx context.Context, other fleet.Placement, r floor.Request) (sidecar.Promise, error) {
--- a/internal/daemon/join.go
+++ b/internal/daemon/join.go
@@ -153,19 +153,11 @@
 	told := control.Told{Host: d.config.Settings.Name, Hosts: news}
 	for _, host := range plan.Notify() {
 		if host.Name != except {
-			go d.tellOne(d.controlOf(host), told)
+			go d.callPeer(d.controlOf(host), control.MethodTold, told)
 		}
 	}
 }
 
-func (d *daemon) tellOne(address string, told control.Told) {
-	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-	defer cancel()
-	if err := d.peers.Call(ctx, address, control.MethodTold, told, nil); err != nil {
-		event.Log(d.config.Logger, event.PeerSilent, "address", address, "call", control.MethodTold, "error", err)
-	}
-}
-
 // checkIns returns who takes the check-ins of this host's backend servers.
 func (d *daemon) checkIns() CheckIns {
 	return CheckIns{
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -8,7 +8,6 @@
 
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/event"
-	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/member"
 	"github.com/tideliftd/tidelift/internal/registry"
 	"github.com/tideliftd/tidelift/internal/revision"
@@ -211,7 +210,7 @@
 	var missing []member.Host
 	d.members.with(func(t *member.Table, _ *registry.Registry) { missing = t.Missing(held.Digest) })
 	if len(missing) > 0 {
-		d.tellOne(address, control.Told{Host: d.config.Settings.Name, Hosts: missing})
+		d.callPeer(address, control.MethodTold, control.Told{Host: d.config.Settings.Name, Hosts: missing})
 	}
 }
 
@@ -230,12 +229,6 @@
 func (d *daemon) notifyPeers(r revision.Revision, plan *spread.Plan) {
 	notice := control.Notice{Host: d.config.Settings.Name, Revision: r.Number}
 	for _, host := range plan.Notify() {
-		go d.notifyOne(host, notice)
+		go d.callPeer(d.controlOf(host), control.MethodNotice, notice)
 	}
 }
-
-func (d *daemon) notifyOne(host fleet.Host, notice control.Notice) {
-	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-	defer cancel()
-	_ = d.peers.Call(ctx, d.controlOf(host), control.MethodNotice, notice, nil) // one that does not hear it will ask
-}
--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -8,6 +8,11 @@
 // finds out whether it is well again, and one that nobody else takes is sent
 // all the same.
 //
+// It also knows how old the last proof is that the backend server is well: a good
+// answer, or a request that it has been working on for a moment. Requests that
+// must not run twice are best sent where that is young, since whoever is first to
+// meet a backend server that has just begun to fail is lost.
+//
 // A Doubt is the aggregate of one backend server. It takes outcomes and the time;
 // it has no clock, goroutine or socket. The sidecar's task owns it.
 //
@@ -48,6 +53,12 @@
 	longestPause = 1600 * time.Millisecond
 	// probeLasts is how long one probe keeps others from being sent.
 	probeLasts = time.Second
+	// survives is how long a request has to run to be a proof. Source: one that a
+	// failing backend server breaks is broken within milliseconds; a ticket's
+	// request comes a round trip after its slot was granted.
+	survives = 40 * time.Millisecond
+	// keptBegun bounds how many beginnings are remembered.
+	keptBegun = 8
 )
 
 // Doubt is what is held against one backend server.
@@ -57,6 +68,9 @@
 	good    int // good answers in a row while doubted
 	pause   time.Duration
 	next    time.Time // when the next probe may be sent
+
+	begun    []time.Time // when the last requests were given their slots
+	lastGood time.Time
 }
 
 // New returns the doubt of a backend server that nothing is held against.
@@ -65,6 +79,8 @@
 // Bad takes a bad outcome of that weight and says whether doubt begins with it.
 func (d *Doubt) Bad(now time.Time, weight float64) bool {
 	d.sum += weight
+	d.begun = nil
+	d.lastGood = time.Time{}
 	if d.doubted {
 		d.good = 0
 		d.pause = min(2*d.pause, longestPause)
@@ -84,6 +100,7 @@
 // Good takes a good answer and says whether doubt ends with it.
 func (d *Doubt) Good(now time.Time) bool {
 	d.sum *= fade
+	d.lastGood = now
 	if !d.doubted {
 		return false
 	}
@@ -108,3 +125,20 @@
 
 // HeldFor returns when to come back with a request.
 func (d *Doubt) HeldFor(now time.Time) time.Duration { return max(firstPause, d.next.Sub(now)) }
+
+// Began takes it that a request was given a slot.
+func (d *Doubt) Began(now time.Time) {
+	d.begun = append(d.begun, now)
+	d.begun = d.begun[max(0, len(d.begun)-keptBegun):]
+}
+
+// ProofAge returns how old the last proof is that the backend server is well.
+func (d *Doubt) ProofAge(now time.Time) time.Duration {
+	last := d.lastGood
+	for _, at := range d.begun {
+		if now.Sub(at) >= survives && at.After(last) {
+			last = at
+		}
+	}
+	return now.Sub(last)
+}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -42,6 +42,8 @@
 	HeaderPriority      = "Tidelift-Priority"
 	HeaderInsist        = "Tidelift-Insist"
 	HeaderNoWait        = "Tidelift-No-Wait"
+	HeaderProven        = "Tidelift-Proven"
+	HeaderHost          = "Tidelift-Host"
 	HeaderLoad          = "Tidelift-Load"
 	HeaderWaited        = "Tidelift-Waited-Us"
 	HeaderDetail        = "Tidelift-Detail"
@@ -72,6 +74,11 @@
 	Insist bool
 	// NoWait asks for a refusal in place of a wait for a slot.
 	NoWait bool
+	// Proven asks for a refusal if the backend server has not shown for a while
+	// that it is well.
+	Proven bool
+	// Host is the ingress's host.
+	Host string
 	// Reference is how the service's other backend servers do, as
 	// detect.Reference encodes it; it may be empty.
 	Reference string
@@ -99,6 +106,12 @@
 	if c.NoWait {
 		h[HeaderNoWait] = []string{"1"}
 	}
+	if c.Proven {
+		h[HeaderProven] = []string{"1"}
+	}
+	if c.Host != "" {
+		h[HeaderHost] = []string{c.Host}
+	}
 	if c.Insist {
 		h[HeaderInsist] = []string{"1"}
 	}
@@ -121,6 +134,8 @@
 		Reference:     h.Get(HeaderReference),
 		Origin:        h.Get(HeaderOrigin),
 		NoWait:        h.Get(HeaderNoWait) != "",
+		Proven:        h.Get(HeaderProven) != "",
+		Host:          h.Get(HeaderHost),
 		Insist:        h.Get(HeaderInsist) != "",
 	}
 	if text := h.Get(HeaderPriority); text != "" {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -35,25 +35,53 @@
 	r.service.budget.Earn()
 	var story trail
 	for {
-		next, ok := choose(r, &story)
+		next, ok := in.choose(r, &story)
 		if !ok {
-			return nil, worst(story.mayHaveRun, noneAble(story.last))
+			return story.end(worst(story.mayHaveRun, noneAble(story.last)))
 		}
 		a := &attempt{in: in, request: r, choice: next, first: story.sent == 0}
 		response, err := a.run(ctx)
-		if err == nil {
+		if err == nil && !mayImprove(r, response) {
+			story.drop()
 			return response, nil
 		}
+		if err == nil {
+			story.drop()
+			story.answer = response
+			err = result.New(result.ServerError).WithDetail("status %d", response.StatusCode)
+		}
 		story.add(next, result.From(err))
 		again := in.again(r, a, &story)
 		in.logAttempt(r, a, &story, again)
 		if !again {
-			return nil, worst(story.mayHaveRun, story.last)
+			return story.end(worst(story.mayHaveRun, story.last))
 		}
 		in.metrics.retried.Inc(story.last.Code)
 	}
 }
 
+// mayImprove says whether another backend server may give a better answer than
+// this failure, which has been read whole.
+func mayImprove(r *request, response *http.Response) bool {
+	return !r.once && response.StatusCode >= http.StatusInternalServerError && response.ContentLength >= 0
+}
+
+// end returns the answer of a backend server if there is one, and else the
+// failure.
+func (t *trail) end(failure *result.Error) (*http.Response, error) {
+	if t.answer != nil {
+		return t.answer, nil
+	}
+	return nil, failure
+}
+
+// drop closes the answer that is not needed any more.
+func (t *trail) drop() {
+	if t.answer != nil {
+		_ = t.answer.Body.Close() // it was read whole
+	}
+}
+
 func (in *Ingress) logAttempt(r *request, a *attempt, story *trail, again bool) {
 	event.Log(in.config.Logger, event.AttemptFailed,
 		"request", in.requestID(r.Request), "service", r.name, "backend_server", a.target.Name, "trial", a.trial,
--- a/internal/ingress/choose.go
+++ b/internal/ingress/choose.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -14,6 +15,10 @@
 // with a chance of a half, so that four leave one request in sixteen to wait.
 const maxLooks = 4
 
+// maxUnproven is how many backend servers are asked for one that has just shown
+// that it is well, before any will do.
+const maxUnproven = 2
+
 // choice is whom to ask next, and how.
 type choice struct {
 	target *balance.Target
@@ -21,6 +26,8 @@
 	trial bool
 	// noWait asks for a refusal in place of a wait for a slot.
 	noWait bool
+	// proven asks for a refusal unless the target has just shown that it is well.
+	proven bool
 	// insist says that nobody else is left, so that doubt is no reason to refuse.
 	insist bool
 }
@@ -28,9 +35,11 @@
 // trail is what became of a request's attempts so far.
 type trail struct {
 	tried      []*balance.Target
-	busy       []busyTarget // those that had no free slot
-	sent       int          // that reached a backend server
-	full       int          // that met a full queue
+	busy       []busyTarget      // those that had no free slot
+	unproven   []*balance.Target // that had not shown for a while that they are well
+	answer     *http.Response    // a failure of a backend server, if nothing better comes
+	sent       int               // that reached a backend server
+	full       int               // that met a full queue
 	last       *result.Error
 	mayHaveRun *result.Error // the last that may have run; nil if none may
 }
@@ -47,6 +56,8 @@
 	case result.Busy.Number:
 		t.busy = append(t.busy, busyTarget{c.target, failure.RetryAfter})
 		t.tried = append(t.tried, c.target)
+	case result.Unproven.Number:
+		t.unproven = append(t.unproven, c.target)
 	default:
 		t.tried = append(t.tried, c.target)
 	}
@@ -64,18 +75,23 @@
 
 // choose says whom to ask next: first for a free slot, then where the wait for
 // one is shortest, and one that is doubted if nobody else is left. A first
-// attempt that may be repeated goes to one on trial, if there is one.
-func choose(r *request, story *trail) (choice, bool) {
+// attempt that may be repeated goes to one on trial or in doubt on this host, if
+// there is one; what must not be lost goes to one that has just shown that it is
+// well, if that is soon found.
+func (in *Ingress) choose(r *request, story *trail) (choice, bool) {
 	now := time.Now()
 	pool := r.service.pool
 	if !r.once && len(story.tried) == 0 {
 		if target, ok := pool.PickTrial(now); ok {
 			return choice{target: target, trial: true}, true
 		}
+		if target, ok := pool.PickProbe(now, in.config.Host); ok {
+			return choice{target: target, noWait: true}, true
+		}
 	}
 	if len(story.busy) < maxLooks {
-		if target, ok := pool.Pick(now, story.tried); ok {
-			return choice{target: target, noWait: true}, true
+		if c, ok := story.look(r, now); ok {
+			return c, true
 		}
 	}
 	if len(story.busy) > 0 {
@@ -85,6 +101,18 @@
 	return choice{target: target, insist: true}, ok
 }
 
+// look chooses one to ask for a free slot.
+func (t *trail) look(r *request, now time.Time) (choice, bool) {
+	proven := (r.once || t.sent > 0) && len(t.unproven) < maxUnproven
+	if proven {
+		if target, ok := r.service.pool.Pick(now, slices.Concat(t.tried, t.unproven)); ok {
+			return choice{target: target, noWait: true, proven: true}, true
+		}
+	}
+	target, ok := r.service.pool.Pick(now, t.tried)
+	return choice{target: target, noWait: true}, ok
+}
+
 // leastBusy takes the target out where the wait is shortest.
 func (t *trail) leastBusy() *balance.Target {
 	best := 0
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -237,11 +237,21 @@
 // Leaving keeps away for a while from backend servers that another daemon says
 // take no more work.
 func (in *Ingress) Leaving(names []string) {
+	until := time.Now().Add(leavingPause)
+	in.eachTarget(names, func(pool *balance.Pool, target *balance.Target) { pool.Pause(target, until) })
+}
+
+// Trusted takes it that backend servers are no longer doubted.
+func (in *Ingress) Trusted(names []string) {
+	in.eachTarget(names, func(pool *balance.Pool, target *balance.Target) { pool.Trust(target) })
+}
+
+// eachTarget calls the function for the targets of those names.
+func (in *Ingress) eachTarget(names []string, f func(*balance.Pool, *balance.Target)) {
 	current := in.state.Load()
 	if current == nil {
 		return
 	}
-	until := time.Now().Add(leavingPause)
 	for _, name := range names {
 		placement, ok := current.index.BackendServer(name)
 		if !ok {
@@ -250,7 +260,7 @@
 		pool := current.services[placement.Service.Name].pool
 		for _, target := range pool.Targets() {
 			if target.Name == name {
-				pool.Pause(target, until)
+				f(pool, target)
 			}
 		}
 	}
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -26,6 +26,8 @@
 		Once:          r.once,
 		Insist:        c.insist,
 		NoWait:        c.noWait,
+		Proven:        c.proven,
+		Host:          in.config.Host,
 		Origin:        in.config.Service,
 		Priority:      r.priority,
 		Reference:     target.Reference(),
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -39,6 +39,7 @@
 	Misdirected       = Code{2018, "misdirected", http.StatusServiceUnavailable, RanNo, "Another backend server has the address; it did not run the request."}
 	Doubted           = Code{2019, "doubted", http.StatusServiceUnavailable, RanNo, "The backend server failed a moment ago; others are asked first."}
 	Busy              = Code{2020, "busy", http.StatusServiceUnavailable, RanNo, "The backend server has no free slot at this moment; the request asked not to wait for one yet."}
+	Unproven          = Code{2021, "unproven", http.StatusServiceUnavailable, RanNo, "The backend server has not shown for a while that it is well; the request asked for one that has."}
 	TicketUnanswered  = Code{2015, "ticket-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a ticket in time; the request was never sent."}
 )
 
@@ -51,6 +52,7 @@
 	AttemptOverdue       = Code{3006, "attempt-overdue", http.StatusGatewayTimeout, RanUnknown, "The attempt took far longer than the service's others do, so a repeatable request was tried elsewhere."}
 	SpoiltAnswer         = Code{3007, "spoilt-answer", http.StatusBadGateway, RanUnknown, "The answer is not the backend server's own: its id, digest or coding is wrong."}
 	ServerFailed         = Code{3008, "server-failed", http.StatusBadGateway, RanUnknown, "The backend server answered with a status that promises that the request was not run, without saying so itself."}
+	ServerError          = Code{3009, "server-error", http.StatusBadGateway, RanUnknown, "The backend server answered that it failed; a repeatable request is tried elsewhere, and the answer is passed on if that is no better."}
 	AnswerCut            = Code{3005, "answer-cut", http.StatusBadGateway, RanUnknown, "The answer broke off; the caller's connection was closed so that it does not look whole."}
 )
 
@@ -74,8 +76,8 @@
 	return []Code{
 		MalformedRequest, NoRoute, AmbiguousFraming, HeadersTooLarge, BodyTooLarge, BadDeadline, UpgradeRefused, ProtocolVersion,
 		NotReady, Stopping, NoneAble, QueueFull, QueueTooSlow, CustomerShare, Leaving, Ejected, PeerUnreachable, ServerUnreachable,
-		TicketExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, TicketUnanswered, PlaceLost, NotTaken, Misdirected, Doubted, Busy,
-		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, SpoiltAnswer, ServerFailed,
+		TicketExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, TicketUnanswered, PlaceLost, NotTaken, Misdirected, Doubted, Busy, Unproven,
+		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, SpoiltAnswer, ServerFailed, ServerError,
 		BadDeclaration, RevisionChanged, PlatformDown, NotDeclared, ChangeUnknown, ValueTooLarge, MalformedCall, PeerSilent, ChangeIDReused, TokenRefused, RoleRefused,
 	}
 }
--- a/internal/sidecar/messages.go
+++ b/internal/sidecar/messages.go
@@ -8,6 +8,7 @@
 	"github.com/tideliftd/tidelift/internal/detect"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/floor"
+	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
@@ -16,6 +17,9 @@
 type Peer struct {
 	// Ask asks for a promise.
 	Ask func(ctx context.Context, other fleet.Placement, r floor.Request) (Promise, error)
+	// Trusted tells ingresses that a backend server of this host is no longer
+	// doubted.
+	Trusted func(hosts []string, backendServer string)
 	// Release gives a promise back.
 	Release func(ctx context.Context, other fleet.Placement, r floor.Release) error
 }
@@ -61,9 +65,7 @@
 type (
 	offerMessage struct {
 		request admission.Request
-		once    bool
-		insist  bool
-		noWait  bool
+		call    hop.Call
 		reply   chan grant
 	}
 	observeMessage struct {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -114,7 +114,7 @@
 func (s *server) acquire(ctx context.Context, id uint64, call hop.Call, deadline time.Time) (*slot, error) {
 	request := admission.Request{ID: id, Customer: call.Customer, Priority: call.Priority, Deadline: deadline}
 	reply := make(chan grant, 1)
-	if !s.send(offerMessage{request: request, once: call.Once, insist: call.Insist, noWait: call.NoWait, reply: reply}) {
+	if !s.send(offerMessage{request: request, call: call, reply: reply}) {
 		return nil, result.New(result.Leaving)
 	}
 	select {
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -1,8 +1,10 @@
 package sidecar
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/admission"
@@ -24,6 +26,14 @@
 	// selfDrainFor is how long a backend server's own word that it is leaving
 	// counts.
 	selfDrainFor = 10 * time.Second
+	// othersStayAway is how long other hosts' ingresses keep away from a doubted
+	// backend server. They are told when it is trusted again; this is for those
+	// that do not hear it.
+	othersStayAway = 4 * time.Second
+	// provenWithin is how old the last proof may be for requests that ask for one.
+	// Source: a backend server gets some six requests a second, so that about half
+	// have a proof that young.
+	provenWithin = 150 * time.Millisecond
 	// trialRefusal is how long one stays away while a trial request runs.
 	trialRefusal = 200 * time.Millisecond
 )
@@ -43,6 +53,7 @@
 	selfDrainUntil time.Time // until when its own word that it is leaving counts
 	trying         bool      // a trial request runs
 	doubt          *doubt.Doubt
+	turnedAway     map[string]bool // hosts whose requests were refused for doubt
 }
 
 func newTask(config Config, s *server, d *declared) *task {
@@ -60,6 +71,8 @@
 		}),
 		asking: newAsking(),
 		doubt:  doubt.New(),
+
+		turnedAway: make(map[string]bool),
 	}
 }
 
@@ -117,8 +130,12 @@
 		m.reply <- grant{err: refused}
 		return
 	}
+	if m.call.Proven && t.doubt.ProofAge(now) > provenWithin {
+		m.reply <- grant{err: result.New(result.Unproven)}
+		return
+	}
 	t.queue.Resize(t.size(now))
-	if m.noWait && !t.queue.HasSlot() {
+	if m.call.NoWait && !t.queue.HasSlot() {
 		m.reply <- grant{err: refusal(result.Busy, t.queue.RetryAfter())}
 		return
 	}
@@ -129,6 +146,7 @@
 	switch decision.Verdict {
 	case admission.Granted:
 		t.trying = t.trying || trial
+		t.doubt.Began(now)
 		m.reply <- grant{trial: trial}
 	case admission.Queued:
 		t.waiting[m.request.ID] = m.reply
@@ -156,7 +174,7 @@
 	if t.subject.State(now) == detect.Ejected {
 		return false, refusal(result.Ejected, min(t.subject.HeldFor(now), longestRefusal))
 	}
-	if m.once || t.trying {
+	if m.call.Once || t.trying {
 		return false, refusal(result.Ejected, trialRefusal)
 	}
 	return true, nil
@@ -165,14 +183,18 @@
 // admitDoubted says whether a doubted backend server takes the request: one that
 // nobody else takes, or a repeatable one that finds out how it does.
 func (t *task) admitDoubted(now time.Time, m offerMessage) *result.Error {
-	if m.insist {
+	if m.call.Insist {
+		return nil
+	}
+	if !m.call.Once && t.doubt.MayProbe(now) {
+		t.doubt.Probe(now)
 		return nil
 	}
-	if m.once || !t.doubt.MayProbe(now) {
+	t.turnedAway[m.call.Host] = true
+	if m.call.Host == t.config.Host {
 		return refusal(result.Doubted, t.doubt.HeldFor(now))
 	}
-	t.doubt.Probe(now)
-	return nil
+	return refusal(result.Doubted, othersStayAway)
 }
 
 // weigh takes an outcome for the doubt.
@@ -200,6 +222,8 @@
 // end the one are proof enough for the other.
 func (t *task) trust(now time.Time) {
 	t.log(event.ServerTrusted)
+	t.config.Peer.Trusted(slices.Collect(maps.Keys(t.turnedAway)), t.declared.BackendServer.Name)
+	clear(t.turnedAway)
 	if t.subject.State(now) != detect.Serving {
 		t.subject.Restore()
 		t.comeBack("answered well while it was doubted")
@@ -229,7 +253,8 @@
 }
 
 func (t *task) release(now time.Time, m releaseMessage) {
-	t.settle(t.queue.Done(now, m.took))
+	granted, late := t.queue.Done(now, m.took)
+	t.settle(now, granted, late)
 	if !m.trial {
 		return
 	}
@@ -248,8 +273,9 @@
 	m.reply <- wasWaiting
 }
 
-func (t *task) settle(granted, late []uint64) {
+func (t *task) settle(now time.Time, granted, late []uint64) {
 	for _, id := range granted {
+		t.doubt.Began(now)
 		t.reply(id, grant{})
 	}
 	for _, id := range late {
