feat: admission that tells in time, hosts out of reach pinged, fewer looks

Change: one grant in four goes to the less urgent; what can still meet its aim goes first; who waited 45% of its time in a crowded queue is refused; the queue of a backend server that begins to fail is emptied; nobody insists on a doubted one where queues are full; where three in four are busy two are asked; a host that cannot be reached is pinged and not tried.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -18,8 +18,10 @@
 //   - A request that could not start before its deadline, by the time that
 //     recent requests took, is refused at once.
 //   - The most urgent wait least: of two that wait the one of the lower priority
-//     number is served first, and it may take the place of another in a full
-//     queue.
+//     number is served first, but for one grant in UrgentGrants, so that nobody
+//     starves. It may take the place of another that has just come.
+//   - Of one customer's requests those that can still meet their aim are served
+//     before those that come late in any case.
 //   - Waiting customers of one priority take turns. A customer that has its fair part of the queue
 //     leaves a place free for each other that was seen in the last ActiveFor, so
 //     that whoever floods is refused at once and the others still find a place.
@@ -67,6 +69,14 @@
 	initialServiceTime = 10 * time.Millisecond
 	// ActiveFor is how long a customer counts as active after a request.
 	ActiveFor = 2 * time.Second
+	// UrgentGrants is how many grants go to the more urgent while the less urgent
+	// wait, before one goes to those. Source: what is less urgent must get a
+	// quarter of the share that the rest gets at the least.
+	UrgentGrants = 3
+	// EvictLessUrgentWithin is how long a waiting request can lose its place to a
+	// more urgent one. Source: a refusal should come within a quarter of the time
+	// in which an answer is hoped for, some hundreds of milliseconds.
+	EvictLessUrgentWithin = 50 * time.Millisecond
 	// EvictWithin is how long a waiting request can lose its place.
 	EvictWithin = 10 * time.Millisecond
 )
@@ -89,6 +99,10 @@
 	Customer string
 	// Priority is the rank; 0 is served first.
 	Priority int
+	// Aim is when the answer should be there; zero says nothing of it.
+	Aim time.Time
+	// Patience is until when it waits in a crowded queue; zero says nothing of it.
+	Patience time.Time
 	// Deadline is when the answer has to be there.
 	Deadline time.Time
 }
@@ -110,6 +124,8 @@
 	lines       []*line                // the most urgent first
 	seen        [bucketCount]time.Time // when a customer of the bucket last asked
 	serviceTime time.Duration
+	// urgentGrants counts the grants to the most urgent since the last to others.
+	urgentGrants int
 }
 
 // NewQueue returns an empty queue.
@@ -202,7 +218,10 @@
 func (q *Queue) offerFull(now time.Time, bucket int, r Request) Decision {
 	own := q.line(r.Priority)
 	if least := q.leastUrgent(); least.priority > r.Priority {
-		return q.exchange(now, least, least.longest(), bucket, r)
+		out := least.longest()
+		if now.Sub(least.newest(out).since) <= EvictLessUrgentWithin {
+			return q.exchange(now, least, out, bucket, r)
+		}
 	}
 	longest := own.longest()
 	if longest == bucket && len(own.buckets[bucket]) < own.waiting {
@@ -237,14 +256,30 @@
 }
 
 // next takes the request that is served next. The queue is not empty.
-func (q *Queue) next() Request {
+func (q *Queue) next(now time.Time) Request {
 	q.waiting--
-	for _, l := range q.lines {
-		if l.waiting > 0 {
-			return l.popTurn()
+	return q.nextLine().popTurn(now.Add(q.serviceTime))
+}
+
+// nextLine returns the line that is served next: the most urgent, or after
+// UrgentGrants of those the next one that waits.
+func (q *Queue) nextLine() *line {
+	first := -1
+	for i, l := range q.lines {
+		if l.waiting == 0 {
+			continue
+		}
+		if first >= 0 {
+			q.urgentGrants = 0
+			return l
+		}
+		first = i
+		if q.urgentGrants < UrgentGrants {
+			break
 		}
 	}
-	return Request{} // not reached
+	q.urgentGrants++
+	return q.lines[first]
 }
 
 // Done frees a slot after a request that took so long, and returns the
@@ -261,8 +296,8 @@
 
 func (q *Queue) grant(now time.Time) (granted, late []uint64) {
 	for q.running < q.config.Slots && q.waiting > 0 {
-		next := q.next()
-		if now.After(next.Deadline) {
+		next := q.next(now)
+		if q.isHopeless(now, next) {
 			late = append(late, next.ID)
 			continue
 		}
@@ -272,6 +307,37 @@
 	return granted, late
 }
 
+// hopelessPart is the part of the usual service time that has to be left for a
+// request to be run at all.
+const hopelessPart = 2
+
+func (q *Queue) isHopeless(now time.Time, r Request) bool {
+	return now.Add(q.serviceTime / hopelessPart).After(r.Deadline)
+}
+
+// Expire takes out the waiting requests that have no hope or, in a crowded queue,
+// no patience left, and returns them. A queue is crowded while more wait than
+// there are slots.
+func (q *Queue) Expire(now time.Time) []uint64 {
+	return q.remove(func(r Request) bool {
+		impatient := !r.Patience.IsZero() && now.After(r.Patience) && q.waiting > q.config.Slots
+		return impatient || q.isHopeless(now, r)
+	})
+}
+
+// Clear takes out every waiting request and returns them.
+func (q *Queue) Clear() []uint64 {
+	return q.remove(func(Request) bool { return true })
+}
+
+func (q *Queue) remove(which func(Request) bool) []uint64 {
+	var removed []uint64
+	for _, l := range q.lines {
+		removed = append(removed, l.remove(which, func() { q.waiting-- })...)
+	}
+	return removed
+}
+
 // Cancel takes a waiting request out and says whether it was waiting.
 func (q *Queue) Cancel(customer string, id uint64) bool {
 	bucket := q.bucketOf(customer)
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -82,13 +82,47 @@
 	if got := offer(6, 2); got.Verdict != admission.RefusedFull {
 		t.Fatalf("%+v, want no place for the least urgent", got)
 	}
-	for _, want := range []uint64{5, 3, 2} {
+	for _, want := range []uint64{5, 3, 2} { // 2 is the only one left
 		if granted, _ := q.Done(start, time.Millisecond); !contains(granted, want) {
 			t.Fatalf("granted %v, want %d", granted, want)
 		}
 	}
 }
 
+func TestTheLessUrgentDoNotStarve(t *testing.T) {
+	q := admission.NewQueue(admission.Config{Slots: 1, Depth: 50})
+	for id := range uint64(20) {
+		r := request(id+1, "a")
+		r.Priority = int(id % 2)
+		q.Offer(start, r)
+	}
+	lessUrgent := 0
+	for range 8 {
+		granted, _ := q.Done(start, time.Millisecond)
+		if granted[0]%2 == 0 {
+			lessUrgent++
+		}
+	}
+	if lessUrgent != 2 {
+		t.Fatalf("%d of 8 grants went to the less urgent, want 2", lessUrgent)
+	}
+}
+
+func TestWhatCanStillMeetItsAimGoesFirst(t *testing.T) {
+	q := admission.NewQueue(admission.Config{Slots: 1, Depth: 10})
+	for id, aim := range []time.Duration{time.Second, 50 * time.Millisecond, 60 * time.Millisecond, time.Second} {
+		r := request(uint64(id)+1, "a")
+		r.Aim = start.Add(aim)
+		q.Offer(start, r)
+	}
+	late := start.Add(55 * time.Millisecond)
+	for _, want := range []uint64{4, 2, 3} {
+		if granted, _ := q.Done(late, 0); !contains(granted, want) {
+			t.Fatalf("granted %v, want %d", granted, want)
+		}
+	}
+}
+
 func contains(ids []uint64, id uint64) bool {
 	for _, other := range ids {
 		if other == id {
--- a/internal/admission/line.go
+++ b/internal/admission/line.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // line is the requests of one priority that wait. Their customers take turns.
 type line struct {
@@ -21,16 +24,18 @@
 	l.waiting++
 }
 
-// popTurn takes the oldest request of the next customer whose turn it is. The
-// line is not empty.
-func (l *line) popTurn() Request {
+// popTurn takes a request of the next customer whose turn it is: the oldest whose
+// aim is not before ready, which is when an answer could be there, or the oldest
+// of all. The line is not empty.
+func (l *line) popTurn(ready time.Time) Request {
 	for len(l.buckets[l.turn]) == 0 {
 		l.turn = (l.turn + 1) % bucketCount
 	}
 	bucket := l.turn
 	l.turn = (l.turn + 1) % bucketCount
-	r := l.buckets[bucket][0]
-	l.buckets[bucket] = l.buckets[bucket][1:]
+	at := max(0, slices.IndexFunc(l.buckets[bucket], func(p place) bool { return p.Aim.IsZero() || !p.Aim.Before(ready) }))
+	r := l.buckets[bucket][at]
+	l.buckets[bucket] = slices.Delete(l.buckets[bucket], at, at+1)
 	l.waiting--
 	return r.Request
 }
@@ -60,10 +65,28 @@
 func (l *line) cancel(bucket int, id uint64) bool {
 	for i, r := range l.buckets[bucket] {
 		if r.ID == id {
-			l.buckets[bucket] = append(l.buckets[bucket][:i], l.buckets[bucket][i+1:]...)
+			l.buckets[bucket] = slices.Delete(l.buckets[bucket], i, i+1)
 			l.waiting--
 			return true
 		}
 	}
 	return false
 }
+
+// remove takes out the requests that the function names, calls after each, and
+// returns them.
+func (l *line) remove(which func(Request) bool, after func()) []uint64 {
+	var removed []uint64
+	for i := range l.buckets {
+		l.buckets[i] = slices.DeleteFunc(l.buckets[i], func(p place) bool {
+			if !which(p.Request) {
+				return false
+			}
+			removed = append(removed, p.ID)
+			l.waiting--
+			after()
+			return true
+		})
+	}
+	return removed
+}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -41,6 +41,10 @@
 	// that a target that once reported a high load would get no more work, and
 	// so never report another.
 	loadCounts = time.Second
+	// busyUnit is a share of one in BusyShare's counting, and busyWeight the part
+	// that the newest answer weighs.
+	busyUnit   = 1 << 20
+	busyWeight = 16
 	// draws is how often a target is drawn before all are looked through.
 	draws = 6
 )
@@ -57,8 +61,9 @@
 
 // Pool is the backend servers of one service.
 type Pool struct {
-	config Config
-	view   atomic.Pointer[view]
+	config    Config
+	busyShare atomic.Int64 // of busyUnit
+	view      atomic.Pointer[view]
 }
 
 // view is what Pick reads; it does not change once stored.
@@ -114,6 +119,24 @@
 	t.reported.Store(int64(now.Sub(p.config.Start)))
 }
 
+// Looked takes whether a target had a free slot when it was asked for one.
+func (p *Pool) Looked(free bool) {
+	for {
+		old := p.busyShare.Load()
+		next := old - old/busyWeight
+		if !free {
+			next += busyUnit / busyWeight
+		}
+		if p.busyShare.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// BusyShare returns how many of the last targets asked had no free slot, from 0
+// to 1.
+func (p *Pool) BusyShare() float64 { return float64(p.busyShare.Load()) / busyUnit }
+
 // Pause keeps the target from being chosen until then.
 func (p *Pool) Pause(t *Target, until time.Time) {
 	t.pausedUntil.Store(int64(until.Sub(p.config.Start)))
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -38,6 +38,8 @@
 	MethodDrain Method = "sidecar.drain"
 	// MethodLeaving tells that backend servers of another host take no more work.
 	MethodLeaving Method = "ingress.leaving"
+	// MethodPing asks for any answer.
+	MethodPing Method = "daemon.ping"
 	// MethodTrusted tells that backend servers of another host are no longer
 	// doubted.
 	MethodTrusted Method = "ingress.trusted"
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -22,6 +22,8 @@
 		return d.callDrain(params)
 	case control.MethodLeaving:
 		return d.callLeaving(params)
+	case control.MethodPing:
+		return done{}, nil
 	case control.MethodTrusted:
 		return d.callTrusted(params)
 	case control.MethodHost:
@@ -155,6 +157,11 @@
 	}
 }
 
+// ping asks another host's daemon for any answer.
+func (d *daemon) ping(ctx context.Context, host fleet.Host) error {
+	return d.peers.Call(ctx, d.controlOf(host), control.MethodPing, done{}, nil)
+}
+
 // callPeer makes a call whose answer says nothing.
 func (d *daemon) callPeer(address string, method control.Method, params any) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -173,6 +173,7 @@
 		Logger:      d.config.Logger,
 		Scope:       metrics.Scope,
 		Local:       d.sidecar.Do,
+		Ping:        d.ping,
 	})
 	d.atEnd(cleanUp)
 	return d.buildLedger()
--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -50,7 +50,7 @@
 	// doubles it. Source: failing probes are retries, which are a fifth of the
 	// requests at most; a server that is well again should not wait for seconds.
 	firstPause   = 200 * time.Millisecond
-	longestPause = 1600 * time.Millisecond
+	longestPause = 800 * time.Millisecond
 	// probeLasts is how long one probe keeps others from being sent.
 	probeLasts = time.Second
 	// survives is how long a request has to run to be a proof. Source: one that a
@@ -68,6 +68,10 @@
 	good    int // good answers in a row while doubted
 	pause   time.Duration
 	next    time.Time // when the next probe may be sent
+	broke   bool      // the last bad outcome was a broken connection
+	probed  time.Time // when a probe began of which nothing is known yet
+	// survived counts the probes that were counted before their answers came.
+	survived int
 
 	begun    []time.Time // when the last requests were given their slots
 	lastGood time.Time
@@ -81,6 +85,9 @@
 	d.sum += weight
 	d.begun = nil
 	d.lastGood = time.Time{}
+	d.broke = weight >= Broken
+	d.probed = time.Time{}
+	d.survived = 0
 	if d.doubted {
 		d.good = 0
 		d.pause = min(2*d.pause, longestPause)
@@ -104,6 +111,25 @@
 	if !d.doubted {
 		return false
 	}
+	if d.survived > 0 {
+		d.survived-- // it was counted when it had survived
+		return false
+	}
+	return d.count(now)
+}
+
+// Survived counts a probe that has not been broken for long enough, if broken
+// connections were what began the doubt, and says whether doubt ends with it.
+func (d *Doubt) Survived(now time.Time) bool {
+	if !d.doubted || !d.broke || d.probed.IsZero() || now.Sub(d.probed) < survives {
+		return false
+	}
+	d.survived++
+	return d.count(now)
+}
+
+func (d *Doubt) count(now time.Time) bool {
+	d.probed = time.Time{}
 	d.good++
 	d.next = now
 	if d.good < proofs {
@@ -121,7 +147,10 @@
 func (d *Doubt) MayProbe(now time.Time) bool { return !now.Before(d.next) }
 
 // Probe takes it that one is being sent.
-func (d *Doubt) Probe(now time.Time) { d.next = now.Add(probeLasts) }
+func (d *Doubt) Probe(now time.Time) {
+	d.next = now.Add(probeLasts)
+	d.probed = now
+}
 
 // HeldFor returns when to come back with a request.
 func (d *Doubt) HeldFor(now time.Time) time.Duration { return max(firstPause, d.next.Sub(now)) }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -65,6 +65,8 @@
 	CheckInRefused    = Event{402, slog.LevelWarn, "check-in refused", "A check-in could not be read and changed nothing."}
 	HostLearned       = Event{403, slog.LevelInfo, "host learned", "Another daemon or the store told of a host something new."}
 	RecordRefused     = Event{404, slog.LevelWarn, "host record refused", "A host's record in the store could not be read and was passed over."}
+	HostAway          = Event{406, slog.LevelWarn, "host away", "A request could not reach another host's daemon; the host is passed over until it answers."}
+	HostBack          = Event{407, slog.LevelInfo, "host back", "The other host's daemon answers again, or its time of being passed over is up."}
 	PeerSilent        = Event{405, slog.LevelDebug, "peer silent", "Another daemon did not answer a control call; it learns the news from the next."}
 )
 
@@ -82,7 +84,7 @@
 		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers,
 		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerLeaving, ServerBack, ServerDoubted, ServerTrusted,
 		RequestFailed, AttemptFailed, RequestRefused,
-		ServersRegistered, CheckInRefused, HostLearned, RecordRefused, PeerSilent,
+		ServersRegistered, CheckInRefused, HostLearned, RecordRefused, PeerSilent, HostAway, HostBack,
 	}
 }
 
--- a/internal/fleet/complete.go
+++ b/internal/fleet/complete.go
@@ -27,6 +27,7 @@
 func (d Declaration) With(hosts []Host, servers []Registered) Declaration {
 	byService := make(map[string][]BackendServer)
 	for _, r := range servers {
+		r.BackendServer.Queue = queueForSlot * r.BackendServer.Slots
 		byService[r.Service] = append(byService[r.Service], r.BackendServer)
 	}
 	next := d
@@ -43,6 +44,11 @@
 	return next
 }
 
+// queueForSlot is how many requests may wait for each slot of a backend server
+// that registered itself. Source: at a quarter of a second each they wait for
+// two seconds and a half, which is as long as most routes let them.
+const queueForSlot = 10
+
 // Check says what is wrong with a declaration whose backend servers register
 // themselves, or nil.
 func (d Declaration) Check() error {
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -33,6 +33,8 @@
 const (
 	HeaderBackendServer = "Tidelift-Backend-Server"
 	HeaderTimeLeft      = "Tidelift-Time-Left-Us"
+	HeaderAim           = "Tidelift-Aim-Us"
+	HeaderPatience      = "Tidelift-Patience-Us"
 	HeaderCustomer      = "Tidelift-Customer"
 	HeaderOnce          = "Tidelift-Once"
 	HeaderTicket        = "Tidelift-Ticket"
@@ -56,6 +58,12 @@
 	BackendServer string
 	// TimeLeft is what the caller's deadline leaves.
 	TimeLeft time.Duration
+	// Aim is what is left of the time in which an answer is worth most; zero or
+	// less if that is over.
+	Aim time.Duration
+	// Patience is how long it may wait in a crowded queue; zero or less if it may
+	// not.
+	Patience time.Duration
 	// Customer is who the request is for; it may be empty.
 	Customer string
 	// Once says that the request must not run more than once.
@@ -88,6 +96,12 @@
 func (c Call) Encode(h http.Header) {
 	h[HeaderBackendServer] = []string{c.BackendServer}
 	h[HeaderTimeLeft] = []string{strconv.FormatInt(c.TimeLeft.Microseconds(), 10)}
+	if c.Patience > 0 {
+		h[HeaderPatience] = []string{strconv.FormatInt(c.Patience.Microseconds(), 10)}
+	}
+	if c.Aim > 0 {
+		h[HeaderAim] = []string{strconv.FormatInt(c.Aim.Microseconds(), 10)}
+	}
 	if c.Customer != "" {
 		h[HeaderCustomer] = []string{c.Customer}
 	}
@@ -149,6 +163,12 @@
 	if err != nil {
 		return Call{}, errors.Wrap(err, "read "+HeaderTimeLeft)
 	}
+	if call.Aim, err = decodeMicros(h, HeaderAim); err != nil {
+		return Call{}, err
+	}
+	if call.Patience, err = decodeMicros(h, HeaderPatience); err != nil {
+		return Call{}, err
+	}
 	call.TimeLeft = time.Duration(left) * time.Microsecond
 	if call.BackendServer == "" {
 		return Call{}, errors.New(HeaderBackendServer + " is missing")
@@ -156,6 +176,19 @@
 	return call, nil
 }
 
+// decodeMicros reads a header in microseconds; one that is missing is zero.
+func decodeMicros(h http.Header, name string) (time.Duration, error) {
+	text := h.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	micros, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, errors.Wrap(err, "read "+name)
+	}
+	return time.Duration(micros) * time.Microsecond, nil
+}
+
 // EncodeServed writes on an answer the load of the backend server and how long
 // the request waited for a slot.
 func EncodeServed(h http.Header, load float64, waited time.Duration) {
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -16,11 +16,19 @@
 // notReadyRetry is when to come back to a daemon without a declaration.
 const notReadyRetry = time.Second
 
+// patientPart is the part of its time that a request waits in a crowded queue.
+// Source: whoever is refused in the first half of its time can still do something
+// else; the rest is for the refusal's way.
+const patientPart = 0.45
+
 // request is a caller's request with what the declaration says of it.
 type request struct {
 	*http.Request
 	service  *service
 	name     string
+	began    time.Time
+	aim      time.Time // until when an answer is worth most
+	patient  time.Time // until when it waits in a crowded queue
 	deadline time.Time
 	customer string
 	once     bool
@@ -63,6 +71,9 @@
 		Request:  &own,
 		service:  current.services[name],
 		name:     name,
+		began:    now,
+		aim:      now.Add(min(match.Target, left)),
+		patient:  now.Add(time.Duration(patientPart * float64(left))),
 		deadline: now.Add(left),
 		customer: r.Header.Get(callers.CustomerHeader),
 		once:     !match.Repeatable(r.Method),
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/retry"
 	"github.com/tideliftd/tidelift/internal/sidecar"
+	"github.com/tideliftd/tidelift/internal/wait"
 )
 
 const (
@@ -36,6 +37,9 @@
 	var story trail
 	for {
 		next, ok := in.choose(r, &story)
+		if (!ok || next.insist) && in.waitABit(ctx, r) {
+			continue
+		}
 		if !ok {
 			return story.end(worst(story.mayHaveRun, noneAble(story.last)))
 		}
@@ -50,7 +54,7 @@
 			story.answer = response
 			err = result.New(result.ServerError).WithDetail("status %d", response.StatusCode)
 		}
-		story.add(next, result.From(err))
+		story.add(next, result.From(err), next.target.Placement().Host.DataCentre != in.config.DataCentre)
 		again := in.again(r, a, &story)
 		in.logAttempt(r, a, &story, again)
 		if !again {
@@ -60,6 +64,16 @@
 	}
 }
 
+// lookAgainAfter is the pause before a request that finds only doubted backend
+// servers looks again. Source: one is trusted again within some tens of
+// milliseconds of the first proof.
+const lookAgainAfter = 50 * time.Millisecond
+
+// waitABit waits before another look, if the request has time for one.
+func (in *Ingress) waitABit(ctx context.Context, r *request) bool {
+	return r.patience(time.Now()) > lookAgainAfter && wait.For(ctx, lookAgainAfter)
+}
+
 // mayImprove says whether another backend server may give a better answer than
 // this failure, which has been read whole.
 func mayImprove(r *request, response *http.Response) bool {
@@ -85,6 +99,7 @@
 func (in *Ingress) logAttempt(r *request, a *attempt, story *trail, again bool) {
 	event.Log(in.config.Logger, event.AttemptFailed,
 		"request", in.requestID(r.Request), "service", r.name, "backend_server", a.target.Name, "trial", a.trial,
+		"no_wait", a.noWait, "proven", a.proven, "insist", a.insist,
 		"tried", len(story.tried), "sent", story.sent, "once", r.once, "code", story.last.Code.Number, "result", story.last.Code.Name,
 		"why", story.last.Error(), "again", again)
 }
@@ -104,6 +119,9 @@
 	if r.body.Spent() {
 		return false
 	}
+	if retry.IsFull(story.last.Code) && time.Now().After(r.patient) {
+		return false // the others are as full, and it has waited for its time
+	}
 	decision := retry.Decide(retry.Attempt{Sent: story.sent, Most: r.attempts, Full: story.full, Once: r.once, Err: story.last})
 	switch decision {
 	case retry.Free:
@@ -186,6 +204,9 @@
 // observe takes the head of an answer as evidence.
 func (a *attempt) observe(answer sidecar.Answer, took time.Duration) {
 	a.request.service.pool.Report(a.target, answer.Load, time.Now())
+	if a.noWait {
+		a.request.service.pool.Looked(true)
+	}
 	outcome, seen := detect.FromAnswer(answer.Response)
 	if seen && outcome != detect.OK {
 		a.target.Fail()
@@ -205,15 +226,23 @@
 	switch {
 	case failure.Code.Number == result.Busy.Number:
 		pool.Report(a.target, 1, time.Now())
+		pool.Looked(false)
 	case failure.Code.Number == result.Doubted.Number:
 		pool.Doubt(a.target, time.Now().Add(pauseFor(failure)))
 	case takesNoWork(failure):
 		pool.Pause(a.target, time.Now().Add(pauseFor(failure)))
+	case isPathFailure(failure) && a.in.config.Ping != nil:
+		a.in.reach.lost(a.target.Placement().Host)
 	case failure.Code.Number == result.PeerUnreachable.Number, failure.Code.Number == result.ServerUnreachable.Number:
 		pool.Pause(a.target, time.Now().Add(unreachablePause))
 	}
 }
 
+// isPathFailure says whether the failure is one of the path to the host.
+func isPathFailure(failure *result.Error) bool {
+	return failure.Code.Number == result.PeerUnreachable.Number || failure.Code.Number == result.TicketUnanswered.Number
+}
+
 // tell gives the service's judge what the attempt saw.
 func (a *attempt) tell(saw detect.Observation, seen bool) {
 	if !seen && !a.trial {
--- a/internal/ingress/choose.go
+++ b/internal/ingress/choose.go
@@ -15,6 +15,17 @@
 // with a chance of a half, so that four leave one request in sixteen to wait.
 const maxLooks = 4
 
+// crowded is the share of busy answers from which fewer are asked. Source: where
+// three in four have no slot, asking another costs a round trip and finds little.
+const crowded = 0.75
+
+// crowdedLooks is how many are asked then.
+const crowdedLooks = 2
+
+// maxFarLooks is how many of them may be in other data centres, to which bytes are
+// dear and round trips long.
+const maxFarLooks = 2
+
 // maxUnproven is how many backend servers are asked for one that has just shown
 // that it is well, before any will do.
 const maxUnproven = 2
@@ -38,6 +49,7 @@
 	busy       []busyTarget      // those that had no free slot
 	unproven   []*balance.Target // that had not shown for a while that they are well
 	answer     *http.Response    // a failure of a backend server, if nothing better comes
+	busyFar    int               // how many of the busy ones were in other data centres
 	sent       int               // that reached a backend server
 	full       int               // that met a full queue
 	last       *result.Error
@@ -50,10 +62,13 @@
 	wait   time.Duration
 }
 
-func (t *trail) add(c choice, failure *result.Error) {
+func (t *trail) add(c choice, failure *result.Error, far bool) {
 	switch failure.Code.Number {
 	case result.Doubted.Number: // may be asked again, and is passed over until then
 	case result.Busy.Number:
+		if far {
+			t.busyFar++
+		}
 		t.busy = append(t.busy, busyTarget{c.target, failure.RetryAfter})
 		t.tried = append(t.tried, c.target)
 	case result.Unproven.Number:
@@ -89,7 +104,7 @@
 			return choice{target: target, noWait: true}, true
 		}
 	}
-	if len(story.busy) < maxLooks {
+	if len(story.busy) < lookCount(pool) && story.busyFar < maxFarLooks {
 		if c, ok := story.look(r, now); ok {
 			return c, true
 		}
@@ -97,10 +112,29 @@
 	if len(story.busy) > 0 {
 		return choice{target: story.leastBusy()}, true
 	}
+	if story.full > 0 {
+		return choice{}, false // a doubted one would most likely fail it, and a refusal is true
+	}
 	target, ok := pool.PickDoubted(now, story.tried)
 	return choice{target: target, insist: true}, ok
 }
 
+// patience is how long a request may look for a backend server that is not
+// doubted. Source: a refusal is best given within a quarter of the time in which
+// an answer is worth most.
+func (r *request) patience(now time.Time) time.Duration {
+	const part = 4
+	return r.aim.Sub(r.began)/part - now.Sub(r.began)
+}
+
+// lookCount returns how many are asked for a free slot.
+func lookCount(pool *balance.Pool) int {
+	if pool.BusyShare() > crowded {
+		return crowdedLooks
+	}
+	return maxLooks
+}
+
 // look chooses one to ask for a free slot.
 func (t *trail) look(r *request, now time.Time) (choice, bool) {
 	proven := (r.once || t.sent > 0) && len(t.unproven) < maxUnproven
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -79,6 +79,8 @@
 	Logger *slog.Logger
 	// Scope receives the metrics.
 	Scope tally.Scope
+	// Ping asks another host's daemon for any answer; nil if hosts are not asked.
+	Ping func(context.Context, fleet.Host) error
 	// Local runs a request on a backend server of the daemon's own host.
 	Local func(context.Context, hop.Call, *http.Request) (sidecar.Answer, error)
 }
@@ -89,6 +91,8 @@
 	transport *http.Transport
 	start     time.Time
 	metrics   metrics
+	reach     *reach
+	ended     context.Context // ends with the ingress
 	inFlight  atomic.Int64
 	stopping  atomic.Bool
 
@@ -140,7 +144,13 @@
 			seconds:  config.Scope.Histogram("ingress_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)),
 		},
 	}
-	return in, in.end
+	in.reach = &reach{in: in, away: make(map[string]bool)}
+	ended, cancel := context.WithCancel(context.Background())
+	in.ended = ended
+	return in, func() {
+		cancel()
+		in.end()
+	}
 }
 
 // Reconfigure puts a declaration in force. Requests that have begun go on
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -22,6 +22,8 @@
 	call := hop.Call{
 		BackendServer: target.Name,
 		TimeLeft:      time.Until(r.deadline),
+		Aim:           time.Until(r.aim),
+		Patience:      time.Until(r.patient),
 		Customer:      r.customer,
 		Once:          r.once,
 		Insist:        c.insist,
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -112,7 +112,14 @@
 
 // acquire waits for a slot until the task refuses or ctx ends.
 func (s *server) acquire(ctx context.Context, id uint64, call hop.Call, deadline time.Time) (*slot, error) {
-	request := admission.Request{ID: id, Customer: call.Customer, Priority: call.Priority, Deadline: deadline}
+	request := admission.Request{
+		ID:       id,
+		Customer: call.Customer,
+		Priority: call.Priority,
+		Aim:      deadline.Add(call.Aim - call.TimeLeft),
+		Patience: deadline.Add(call.Patience - call.TimeLeft),
+		Deadline: deadline,
+	}
 	reply := make(chan grant, 1)
 	if !s.send(offerMessage{request: request, call: call, reply: reply}) {
 		return nil, result.New(result.Leaving)
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -84,6 +84,8 @@
 		case message := <-t.server.mailbox:
 			t.handle(message)
 		case <-ticker.C:
+			t.noteSurvived(time.Now())
+			t.expire(time.Now())
 			t.judge(time.Now())
 		case <-t.server.ended:
 			return
@@ -165,6 +167,7 @@
 	if t.isLeaving(now) {
 		return false, result.New(result.Leaving)
 	}
+	t.noteSurvived(now)
 	if t.doubt.Doubted() {
 		return false, t.admitDoubted(now, m)
 	}
@@ -215,6 +218,23 @@
 	}
 	if t.doubt.Bad(now, weight) {
 		t.log(event.ServerDoubted, "outcome", saw.Outcome)
+		for _, id := range t.queue.Clear() { // they are better served elsewhere
+			t.reply(id, grant{err: refusal(result.Doubted, othersStayAway)})
+		}
+	}
+}
+
+// expire refuses the waiting requests that waited long enough.
+func (t *task) expire(now time.Time) {
+	for _, id := range t.queue.Expire(now) {
+		t.reply(id, grant{err: refusal(result.QueueTooSlow, t.queue.RetryAfter())})
+	}
+}
+
+// noteSurvived ends the doubt if a probe that still runs shows enough.
+func (t *task) noteSurvived(now time.Time) {
+	if t.doubt.Survived(now) {
+		t.trust(now)
 	}
 }
 
