fix(sidecar): a probe counts once it has a slot, three end the doubt

Cause: a probe that met no free slot counted as one that ran; two good probes in a row were chance once in four episodes; the ingress of one host made all probes and spent its own budget on them, so that its next failures were final. Change: probes are counted when granted, three end the doubt, every ingress of the data centre probes within its budget, and who has no retry left asks for a proof.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -45,6 +45,8 @@
 	// that the newest answer weighs.
 	busyUnit   = 1 << 20
 	busyWeight = 16
+	// probeLasts is how long one probe keeps others from the target.
+	probeLasts = 300 * time.Millisecond
 	// draws is how often a target is drawn before all are looked through.
 	draws = 6
 )
@@ -150,16 +152,18 @@
 // Trust lets the target be chosen again.
 func (p *Pool) Trust(t *Target) { t.doubtUntil.Store(0) }
 
-// PickProbe takes a target of the host that was doubted and may be tried again.
-// It says false if there is none.
-func (p *Pool) PickProbe(now time.Time, host string) (*Target, bool) {
+// PickProbe takes a target of the own data centre that was doubted and may be
+// tried again. It says false if there is none.
+func (p *Pool) PickProbe(now time.Time) (*Target, bool) {
 	since := int64(now.Sub(p.config.Start))
 	for _, t := range p.view.Load().own {
 		until := t.doubtUntil.Load()
-		if until == 0 || until > since || t.pausedUntil.Load() > since || t.placement.Load().Host.Name != host {
+		if until == 0 || until > since || t.pausedUntil.Load() > since {
 			continue
 		}
-		return t, true
+		if t.doubtUntil.CompareAndSwap(until, since+int64(probeLasts)) {
+			return t, true
+		}
 	}
 	return nil, false
 }
--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -42,15 +42,16 @@
 	enough = 1.0
 	// fade is what a good answer leaves of the sum.
 	fade = 0.4
-	// proofs is how many good answers in a row end the doubt. Source: of a
-	// backend server that fails six in seven, two in a row are good once in
-	// fifty times.
-	proofs = 2
+	// proofs is how many good answers in a row end the doubt. Source: a backend
+	// server that fails six in seven for nine seconds is probed some ten times;
+	// with two in a row one such time in four ended the doubt too early, with
+	// three one in thirty.
+	proofs = 3
 	// firstPause and longestPause bound the time between probes; each that fails
 	// doubles it. Source: failing probes are retries, which are a fifth of the
 	// requests at most; a server that is well again should not wait for seconds.
 	firstPause   = 200 * time.Millisecond
-	longestPause = 800 * time.Millisecond
+	longestPause = time.Second
 	// probeLasts is how long one probe keeps others from being sent.
 	probeLasts = time.Second
 	// survives is how long a request has to run to be a proof. Source: one that a
--- a/internal/doubt/doubt_test.go
+++ b/internal/doubt/doubt_test.go
@@ -26,9 +26,9 @@
 		{"one failure", []func(*doubt.Doubt){bad(doubt.Failed)}, false},
 		{"two failures in a row", []func(*doubt.Doubt){bad(doubt.Failed), bad(doubt.Failed)}, true},
 		{"two failures with a good answer between", []func(*doubt.Doubt){bad(doubt.Failed), good, bad(doubt.Failed)}, false},
-		{"one good answer after", []func(*doubt.Doubt){bad(doubt.Broken), good}, true},
-		{"two good answers after", []func(*doubt.Doubt){bad(doubt.Broken), good, good}, false},
-		{"good and bad by turns after", []func(*doubt.Doubt){bad(doubt.Broken), good, bad(doubt.Failed), good}, true},
+		{"two good answers after", []func(*doubt.Doubt){bad(doubt.Broken), good, good}, true},
+		{"three good answers after", []func(*doubt.Doubt){bad(doubt.Broken), good, good, good}, false},
+		{"a failure among them", []func(*doubt.Doubt){bad(doubt.Broken), good, good, bad(doubt.Failed), good}, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -67,3 +67,61 @@
 		}
 	})
 }
+
+// TestAProbeThatRunsIsCountedOnce counts a probe when it was not broken at once,
+// and not again when its answer comes.
+func TestAProbeThatRunsIsCountedOnce(t *testing.T) {
+	d := doubt.New()
+	d.Bad(epoch, doubt.Broken)
+	now := epoch
+	for range 2 {
+		d.Probe(now)
+		if d.Survived(now.Add(10 * time.Millisecond)) {
+			t.Fatal("a probe counts before it has survived")
+		}
+		now = now.Add(50 * time.Millisecond)
+		d.Survived(now)
+	}
+	d.Good(now)
+	d.Good(now)
+	if !d.Doubted() {
+		t.Fatal("two probes were counted as four")
+	}
+	d.Probe(now)
+	if !d.Survived(now.Add(50 * time.Millisecond)) {
+		t.Fatal("the third probe does not end the doubt")
+	}
+}
+
+// TestOnlyBreakingIsOutlived leaves a failure that comes as an answer to the
+// answers: a probe that runs proves nothing of it.
+func TestOnlyBreakingIsOutlived(t *testing.T) {
+	d := doubt.New()
+	d.Bad(epoch, doubt.Failed)
+	d.Bad(epoch, doubt.Failed)
+	for i := range 5 {
+		now := epoch.Add(time.Duration(i) * time.Second)
+		d.Probe(now)
+		if d.Survived(now.Add(time.Second)) {
+			t.Fatal("trusted without an answer")
+		}
+	}
+}
+
+func TestProofAge(t *testing.T) {
+	d := doubt.New()
+	if d.ProofAge(epoch) < time.Hour {
+		t.Fatal("a proof of nothing")
+	}
+	d.Began(epoch)
+	if d.ProofAge(epoch.Add(10*time.Millisecond)) < time.Hour {
+		t.Fatal("a request that has just begun proves something")
+	}
+	if got := d.ProofAge(epoch.Add(100 * time.Millisecond)); got != 100*time.Millisecond {
+		t.Fatalf("the proof is %s old, want 100ms", got)
+	}
+	d.Bad(epoch.Add(100*time.Millisecond), doubt.Broken)
+	if d.ProofAge(epoch.Add(100*time.Millisecond)) < time.Hour {
+		t.Fatal("a proof outlived a broken connection")
+	}
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,9 @@
 	// refusedPause is how long a target that takes no work is passed over
 	// when it does not say for how long.
 	refusedPause = time.Second
+	// farStaysAway is how long ingresses of other data centres keep away from a
+	// doubted target unless they are told earlier that it is trusted again.
+	farStaysAway = 4 * time.Second
 	// unreachablePause is how long a target that cannot be reached is passed over.
 	unreachablePause = 500 * time.Millisecond
 )
@@ -54,7 +58,7 @@
 			story.answer = response
 			err = result.New(result.ServerError).WithDetail("status %d", response.StatusCode)
 		}
-		story.add(next, result.From(err), next.target.Placement().Host.DataCentre != in.config.DataCentre)
+		story.add(next, result.From(err), a.far())
 		again := in.again(r, a, &story)
 		in.logAttempt(r, a, &story, again)
 		if !again {
@@ -228,7 +232,7 @@
 		pool.Report(a.target, 1, time.Now())
 		pool.Looked(false)
 	case failure.Code.Number == result.Doubted.Number:
-		pool.Doubt(a.target, time.Now().Add(pauseFor(failure)))
+		pool.Doubt(a.target, time.Now().Add(a.stayAway(failure)))
 	case takesNoWork(failure):
 		pool.Pause(a.target, time.Now().Add(pauseFor(failure)))
 	case isPathFailure(failure) && a.in.config.Ping != nil:
@@ -254,6 +258,21 @@
 	a.request.service.judge.record(observation{target: a.target, trial: a.trial, seen: seen, saw: saw})
 }
 
+// stayAway is how long to keep away from a doubted target. Those near it find out
+// when it is well again, each at a time of its own; whoever was turned away is
+// told then.
+func (a *attempt) stayAway(failure *result.Error) time.Duration {
+	if a.far() {
+		return farStaysAway
+	}
+	return failure.RetryAfter + rand.N(failure.RetryAfter+1)
+}
+
+// far says whether the target is in another data centre.
+func (a *attempt) far() bool {
+	return a.target.Placement().Host.DataCentre != a.in.config.DataCentre
+}
+
 func pauseFor(failure *result.Error) time.Duration {
 	if failure.RetryAfter > 0 {
 		return failure.RetryAfter
--- a/internal/ingress/choose.go
+++ b/internal/ingress/choose.go
@@ -100,7 +100,9 @@
 		if target, ok := pool.PickTrial(now); ok {
 			return choice{target: target, trial: true}, true
 		}
-		if target, ok := pool.PickProbe(now, in.config.Host); ok {
+	}
+	if !r.once && len(story.tried) == 0 && r.service.budget.Left() {
+		if target, ok := pool.PickProbe(now); ok {
 			return choice{target: target, noWait: true}, true
 		}
 	}
@@ -137,7 +139,8 @@
 
 // look chooses one to ask for a free slot.
 func (t *trail) look(r *request, now time.Time) (choice, bool) {
-	proven := (r.once || t.sent > 0) && len(t.unproven) < maxUnproven
+	mustNotFail := r.once || t.sent > 0 || !r.service.budget.Left()
+	proven := mustNotFail && len(t.unproven) < maxUnproven
 	if proven {
 		if target, ok := r.service.pool.Pick(now, slices.Concat(t.tried, t.unproven)); ok {
 			return choice{target: target, noWait: true, proven: true}, true
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -38,7 +38,7 @@
 	MaxQueues = 3
 	// safety is the part of the limit that is used. Source: calls of a run that
 	// was itself a repeat count as repeats too, and nobody here sees those.
-	safety = 0.7
+	safety = 0.8
 	// oneRetry is what a retry costs.
 	oneRetry = 1
 )
@@ -160,6 +160,13 @@
 	b.saved = min(b.saved+safety*b.size.Share, b.size.most())
 }
 
+// Left says whether there is a retry to spend.
+func (b *Budget) Left() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.saved >= oneRetry
+}
+
 // Spend takes one retry, or says that none is left.
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -26,10 +26,6 @@
 	// selfDrainFor is how long a backend server's own word that it is leaving
 	// counts.
 	selfDrainFor = 10 * time.Second
-	// othersStayAway is how long other hosts' ingresses keep away from a doubted
-	// backend server. They are told when it is trusted again; this is for those
-	// that do not hear it.
-	othersStayAway = 4 * time.Second
 	// provenWithin is how old the last proof may be for requests that ask for one.
 	// Source: a backend server gets some six requests a second, so that about half
 	// have a proof that young.
@@ -148,7 +144,7 @@
 	switch decision.Verdict {
 	case admission.Granted:
 		t.trying = t.trying || trial
-		t.doubt.Began(now)
+		t.began(now)
 		m.reply <- grant{trial: trial}
 	case admission.Queued:
 		t.waiting[m.request.ID] = m.reply
@@ -190,14 +186,10 @@
 		return nil
 	}
 	if !m.call.Once && t.doubt.MayProbe(now) {
-		t.doubt.Probe(now)
 		return nil
 	}
 	t.turnedAway[m.call.Host] = true
-	if m.call.Host == t.config.Host {
-		return refusal(result.Doubted, t.doubt.HeldFor(now))
-	}
-	return refusal(result.Doubted, othersStayAway)
+	return refusal(result.Doubted, t.doubt.HeldFor(now))
 }
 
 // weigh takes an outcome for the doubt.
@@ -219,7 +211,7 @@
 	if t.doubt.Bad(now, weight) {
 		t.log(event.ServerDoubted, "outcome", saw.Outcome)
 		for _, id := range t.queue.Clear() { // they are better served elsewhere
-			t.reply(id, grant{err: refusal(result.Doubted, othersStayAway)})
+			t.reply(id, grant{err: refusal(result.Doubted, t.doubt.HeldFor(now))})
 		}
 	}
 }
@@ -231,6 +223,14 @@
 	}
 }
 
+// began takes it that a request was given a slot.
+func (t *task) began(now time.Time) {
+	t.doubt.Began(now)
+	if t.doubt.Doubted() {
+		t.doubt.Probe(now)
+	}
+}
+
 // noteSurvived ends the doubt if a probe that still runs shows enough.
 func (t *task) noteSurvived(now time.Time) {
 	if t.doubt.Survived(now) {
@@ -295,7 +295,7 @@
 
 func (t *task) settle(now time.Time, granted, late []uint64) {
 	for _, id := range granted {
-		t.doubt.Began(now)
+		t.began(now)
 		t.reply(id, grant{})
 	}
 	for _, id := range late {
