perf(daemon): tell news of hosts in batches, compare them by one hash first

Change: news is gathered for 100 ms and told near by; only a host's own news goes to one host of each other data centre; polls carry one hash and a digest only where it differs; watches wait longer, at different times.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -93,9 +93,9 @@
 // Above is the parameter of MethodRevision.
 type Above struct {
 	Revision int64 `json:"revision"`
-	// Hosts is the digest of the hosts that the asking daemon knows; nil if it
-	// does not ask for hosts.
-	Hosts []uint64 `json:"hosts,omitempty"`
+	// Hosts is a hash of all that the asking daemon knows of hosts; zero if it
+	// does not ask for them.
+	Hosts uint64 `json:"hosts,omitempty"`
 }
 
 // Told is the parameter of MethodTold.
@@ -103,6 +103,14 @@
 	// Host is who tells.
 	Host  string        `json:"host"`
 	Hosts []member.Host `json:"hosts"`
+	// Digest is of all that it knows, by which it asks for the rest; it may be
+	// empty.
+	Digest []uint64 `json:"digest,omitempty"`
+}
+
+// Rest answers MethodTold with what the teller does not know.
+type Rest struct {
+	Hosts []member.Host `json:"hosts,omitempty"`
 }
 
 // Held answers MethodRevision.
@@ -112,10 +120,9 @@
 	Revision revision.Revision `json:"revision"`
 	// SilentMs is how long ago the peer knew the platform to answer.
 	SilentMs int64 `json:"silent_ms"`
-	// Hosts are what the asking daemon may not know, and Digest is of all that
-	// the peer knows; both are left out if the asking daemon knows the same.
-	Hosts  []member.Host `json:"hosts,omitempty"`
-	Digest []uint64      `json:"digest,omitempty"`
+	// Digest is of all that the peer knows of hosts; it is left out if the asking
+	// daemon knows the same.
+	Digest []uint64 `json:"digest,omitempty"`
 }
 
 // Ask is the parameter of MethodAsk.
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -9,6 +9,8 @@
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/floor"
+	"github.com/tideliftd/tidelift/internal/member"
+	"github.com/tideliftd/tidelift/internal/registry"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/sidecar"
 )
@@ -98,7 +100,11 @@
 		return nil, err
 	}
 	d.learn(told.Host, told.Hosts)
-	return done{}, nil
+	var rest control.Rest
+	if told.Digest != nil {
+		d.members.with(func(t *member.Table, _ *registry.Registry) { rest.Hosts = t.Missing(told.Digest) })
+	}
+	return rest, nil
 }
 
 func (d *daemon) callRevision(params json.RawMessage) (any, error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -102,6 +102,7 @@
 	live     atomic.Pointer[settings.Settings] // as the file says now
 	source   source
 	members  *members
+	news     chan news
 	plan     atomic.Pointer[spread.Plan]
 	watching atomic.Bool
 	lastSeen atomic.Int64 // when the platform was last known to answer, in Unix nanoseconds
@@ -122,7 +123,7 @@
 
 // Run runs a daemon until ctx ends and its planned stop is done.
 func Run(ctx context.Context, config Config) error {
-	d := &daemon{config: config, started: time.Now()}
+	d := &daemon{config: config, started: time.Now(), news: make(chan news, newsWaiting)}
 	d.live.Store(&config.Settings)
 	defer d.cleanUp()
 	d.setPlatform(platformUnknown)
--- a/internal/daemon/join.go
+++ b/internal/daemon/join.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,6 +25,12 @@
 	// renewEvery is how often the record is renewed. Source: two renewals may be
 	// lost.
 	renewEvery = 10 * time.Second
+	// newsDelay is how long news of hosts is gathered before it is told. Source: a
+	// start of many hosts is told in batches, and nobody waits for the news, since
+	// whoever has not heard that a backend server is gone learns it from a refusal.
+	newsDelay = 100 * time.Millisecond
+	// newsWaiting is how much news may wait to be gathered.
+	newsWaiting = 256
 )
 
 // registers says whether hosts and backend servers register themselves.
@@ -38,6 +46,7 @@
 // says is told from daemon to daemon; in the store it only lets a daemon that
 // knows nobody find some.
 func (d *daemon) join(ctx context.Context) {
+	go d.tellNews(ctx)
 	lease := d.writeRecord(ctx)
 	d.readRecords(ctx)
 	d.tell("", []member.Host{d.members.self()})
@@ -144,17 +153,74 @@
 	d.tell(from, news)
 }
 
-// tell tells a few other daemons of hosts.
-func (d *daemon) tell(except string, news []member.Host) {
+// news is what is to be told of hosts.
+type news struct {
+	hosts []member.Host
+	from  string // who told it here; empty if it is of the own host
+}
+
+// tell has a few other daemons told of hosts soon.
+func (d *daemon) tell(from string, hosts []member.Host) {
+	d.news <- news{hosts: hosts, from: from}
+}
+
+// tellNews tells other daemons of hosts until ctx ends. What comes within a
+// moment is told at once; what is of the own host is told to other data centres
+// too, where it is told on.
+func (d *daemon) tellNews(ctx context.Context) {
+	for {
+		select {
+		case first := <-d.news:
+			d.tellBatch(d.gatherNews(ctx, first))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// newsBatch is what is told at once.
+type newsBatch struct {
+	hosts map[string]member.Host
+	own   bool
+}
+
+func (b *newsBatch) add(n news) {
+	for _, h := range n.hosts {
+		b.hosts[h.Name] = h
+	}
+	b.own = b.own || n.from == ""
+}
+
+// gatherNews takes what comes within the moment.
+func (d *daemon) gatherNews(ctx context.Context, first news) newsBatch {
+	batch := newsBatch{hosts: make(map[string]member.Host)}
+	batch.add(first)
+	timer := time.NewTimer(newsDelay)
+	defer timer.Stop()
+	for {
+		select {
+		case next := <-d.news:
+			batch.add(next)
+		case <-timer.C:
+			return batch
+		case <-ctx.Done():
+			return batch
+		}
+	}
+}
+
+func (d *daemon) tellBatch(batch newsBatch) {
 	plan := d.plan.Load()
 	if plan == nil {
-		return
+		return // whoever is found later is told all
 	}
-	told := control.Told{Host: d.config.Settings.Name, Hosts: news}
-	for _, host := range plan.Notify() {
-		if host.Name != except {
-			go d.callPeer(d.controlOf(host), control.MethodTold, told)
-		}
+	told := control.Told{Host: d.config.Settings.Name, Hosts: slices.Collect(maps.Values(batch.hosts))}
+	whom := plan.Near()
+	if batch.own {
+		whom = append(whom, plan.OneOfEach()...)
+	}
+	for _, host := range whom {
+		go d.callPeer(d.controlOf(host), control.MethodTold, told)
 	}
 }
 
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/control"
@@ -59,7 +58,7 @@
 // declaration, then as the plan says.
 func (d *daemon) watches() bool {
 	plan := d.plan.Load()
-	return plan == nil || d.inForce.Load() == nil || plan.Watches(d.platformLastSeen(), time.Now())
+	return plan == nil || plan.Watches(d.platformLastSeen(), time.Now())
 }
 
 // platformLastSeen returns when the platform was last known to answer, here or
@@ -139,11 +138,11 @@
 	defer cancel()
 	var held control.Held
 	before := d.revision()
-	above := control.Above{Revision: before, Hosts: d.digest()}
+	above := control.Above{Revision: before, Hosts: d.hostsSum()}
 	if err := d.peers.Call(ctx, address, control.MethodRevision, above, &held); err != nil {
 		return false
 	}
-	d.exchangeHosts(address, held)
+	d.exchangeHosts(ctx, address, held)
 	d.notePlatform(time.Now().Add(-time.Duration(held.SilentMs) * time.Millisecond))
 	if held.Revision.Number > before {
 		d.take(held.Revision)
@@ -177,41 +176,42 @@
 	return held
 }
 
-// digest returns the hashes of the known hosts, if hosts register themselves.
-func (d *daemon) digest() []uint64 {
+// hostsSum returns the hash of the known hosts, if hosts register themselves.
+func (d *daemon) hostsSum() uint64 {
 	if !d.registers() {
-		return nil
+		return 0
 	}
-	var digest []uint64
-	d.members.with(func(t *member.Table, _ *registry.Registry) { digest = t.Digest() })
-	return digest
+	var sum uint64
+	d.members.with(func(t *member.Table, _ *registry.Registry) { sum = t.Sum() })
+	return sum
 }
 
-// answerHosts adds what the asking daemon does not know of hosts, and the digest
-// by which it finds what this one does not know.
+// answerHosts adds the digest of what is known here if the asking daemon does not
+// know the same.
 func (d *daemon) answerHosts(asked control.Above, held *control.Held) {
-	if asked.Hosts == nil || !d.registers() {
+	if asked.Hosts == 0 || !d.registers() || asked.Hosts == d.hostsSum() {
 		return
 	}
-	d.members.with(func(t *member.Table, _ *registry.Registry) {
-		held.Hosts = t.Missing(asked.Hosts)
-		if len(held.Hosts) > 0 || !slices.Equal(asked.Hosts, t.Digest()) {
-			held.Digest = t.Digest()
-		}
-	})
+	d.members.with(func(t *member.Table, _ *registry.Registry) { held.Digest = t.Digest() })
 }
 
-// exchangeHosts takes the hosts that a peer told, and tells it those it lacks.
-func (d *daemon) exchangeHosts(address string, held control.Held) {
+// exchangeHosts tells the peer what it does not know of hosts, and takes what it
+// answers with.
+func (d *daemon) exchangeHosts(ctx context.Context, address string, held control.Held) {
 	if held.Digest == nil {
 		return
 	}
-	d.learn("", held.Hosts)
-	var missing []member.Host
-	d.members.with(func(t *member.Table, _ *registry.Registry) { missing = t.Missing(held.Digest) })
-	if len(missing) > 0 {
-		d.callPeer(address, control.MethodTold, control.Told{Host: d.config.Settings.Name, Hosts: missing})
+	told := control.Told{Host: d.config.Settings.Name}
+	d.members.with(func(t *member.Table, _ *registry.Registry) {
+		told.Hosts = t.Missing(held.Digest)
+		told.Digest = t.Digest()
+	})
+	var rest control.Rest
+	if err := d.peers.Call(ctx, address, control.MethodTold, told, &rest); err != nil {
+		event.Log(d.config.Logger, event.PeerSilent, "address", address, "call", control.MethodTold, "error", err)
+		return
 	}
+	d.learn(address, rest.Hosts)
 }
 
 // receiveNotice fetches a revision that another daemon says it has.
--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -144,6 +144,9 @@
 // Doubted says whether the backend server is doubted.
 func (d *Doubt) Doubted() bool { return d.doubted }
 
+// GoodInARow returns how many proofs in a row there were since doubt began.
+func (d *Doubt) GoodInARow() int { return d.good }
+
 // MayProbe says whether a repeatable request may be sent to find out.
 func (d *Doubt) MayProbe(now time.Time) bool { return !now.Before(d.next) }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,6 +55,7 @@
 	FloorHeld      = Event{305, slog.LevelWarn, "floor held", "A backend server looks sick but stays, because the floor allows no more to be ejected."}
 	ServerLeaving  = Event{306, slog.LevelInfo, "backend server leaving", "The backend server takes no new work."}
 	ServerDoubted  = Event{308, slog.LevelInfo, "backend server doubted", "The backend server failed a request; others are asked first until repeatable requests succeed."}
+	ServerProbed   = Event{310, slog.LevelInfo, "backend server probed", "A doubted backend server was sent a request that finds out how it does."}
 	ServerTrusted  = Event{309, slog.LevelInfo, "backend server trusted again", "Repeatable requests succeeded, so that the backend server is no longer asked last."}
 	ServerBack     = Event{307, slog.LevelInfo, "backend server no longer leaving", "The backend server takes new work again."}
 )
@@ -82,7 +83,7 @@
 	return []Event{
 		DaemonStarted, DaemonStopping, DaemonStopped, StopCut, ServeFailed, SettingsTaken, SettingsRefused,
 		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers,
-		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerLeaving, ServerBack, ServerDoubted, ServerTrusted,
+		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerLeaving, ServerBack, ServerDoubted, ServerTrusted, ServerProbed,
 		RequestFailed, AttemptFailed, RequestRefused,
 		ServersRegistered, CheckInRefused, HostLearned, RecordRefused, PeerSilent, HostAway, HostBack,
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -187,6 +187,15 @@
 	return digest
 }
 
+// Sum returns one hash of every host.
+func (t *Table) Sum() uint64 {
+	sum := uint64(0)
+	for _, part := range t.Digest() {
+		sum ^= part
+	}
+	return sum
+}
+
 // Missing returns the hosts of the buckets that differ from the digest.
 func (t *Table) Missing(digest []uint64) []Host {
 	own := t.Digest()
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -35,9 +35,10 @@
 	// keptChanges is how many changes the root remembers by id.
 	keptChanges = 64
 	// watchWait is how long one watch waits. Source: a change has to be in force
-	// within two seconds also where a watch hears nothing of it, be it that its
-	// path was cut silently or that the store lost sight of it.
-	watchWait = 1500 * time.Millisecond
+	// within two seconds also where the watches hear nothing of it, be it that a
+	// path was cut silently or that the store lost sight of it; the several that
+	// watch end their waits at different times, and the first tells the others.
+	watchWait = 3 * time.Second
 	// lookups is how often a lost answer is looked up before giving up.
 	lookups = 4
 )
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -228,6 +228,7 @@
 	t.doubt.Began(now)
 	if t.doubt.Doubted() {
 		t.doubt.Probe(now)
+		t.log(event.ServerProbed, "good", t.doubt.GoodInARow())
 	}
 }
 
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -51,6 +51,9 @@
 	// StaleAfter is how long a daemon relies on others' watching. Source: all
 	// watchers may be lost at once, and a change has to be in force within seconds.
 	StaleAfter = 5 * time.Second
+	// maxFarTold bounds how many other data centres a host tells of its own news.
+	// Source: what is left out is asked for within seconds.
+	maxFarTold = 8
 	// farOneIn is how often a daemon asks one of another data centre.
 	farOneIn = 4
 )
@@ -111,6 +114,26 @@
 	return append(p.some(p.near, NotifyNear), p.some(p.far, NotifyFar)...)
 }
 
+// Near returns whom to tell of news of hosts in the own data centre.
+func (p *Plan) Near() []fleet.Host { return p.some(p.near, NotifyNear) }
+
+// OneOfEach returns one host of each of a few other data centres, to whom a host
+// tells news of its own. They tell it on to those near them.
+func (p *Plan) OneOfEach() []fleet.Host {
+	byDataCentre := make(map[string][]fleet.Host)
+	for _, h := range p.far {
+		byDataCentre[h.DataCentre] = append(byDataCentre[h.DataCentre], h)
+	}
+	var chosen []fleet.Host
+	for _, hosts := range byDataCentre { // in no order, so that the bound leaves out others each time
+		if len(chosen) == maxFarTold {
+			break
+		}
+		chosen = append(chosen, hosts[p.below(len(hosts))])
+	}
+	return chosen
+}
+
 // some returns a number of the hosts, chosen at random without repetition.
 func (p *Plan) some(hosts []fleet.Host, count int) []fleet.Host {
 	count = min(count, len(hosts))
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -23,7 +24,8 @@
 	Store Store
 	// Prefix is what the keys begin with.
 	Prefix string
-	// Wait is how long one watch waits. A cut is silent, so that a watch on a
+	// Wait is how long one watch waits at most; half of it is left to chance, so
+	// that watchers do not keep in step. A cut is silent, so that a watch on a
 	// lost path is noticed only after it.
 	Wait time.Duration
 	// Take is given the items that are there, once at the start and again when
@@ -65,7 +67,7 @@
 	if after == 0 {
 		batch, err = config.Store.List(ctx, config.Prefix)
 	} else {
-		batch, err = config.Store.Watch(ctx, config.Prefix, after, config.Wait)
+		batch, err = config.Store.Watch(ctx, config.Prefix, after, config.Wait/2+rand.N(config.Wait/2))
 	}
 	if err != nil {
 		return after, err
