fix(daemon): ask for a missed change at once and not of hosts that are away

Change: four near ones are told, questions go out twice a second, end after 0.4 s, pass over hosts that are away and give up a connection on which no answer came; a host that is silent for half a minute and whose record has lapsed is told of as gone.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -64,6 +64,9 @@
 		return result.Wrap(result.PeerSilent, errors.Wrapf(err, "connect to %s", address)).WithDetail("%s does not answer", address)
 	}
 	if err := conn.Call(ctx, string(method), params, answer); err != nil {
+		if ctx.Err() != nil {
+			c.drop(address, conn) // a silent path; the next call tries a new one
+		}
 		return decodeError(errors.Wrapf(err, "call %s of %s", method, address))
 	}
 	return nil
@@ -112,6 +115,16 @@
 	}
 }
 
+// drop closes a connection on which no answer came.
+func (c *Client) drop(address string, conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.conns[address]; ok && p.conn == conn {
+		delete(c.conns, address)
+	}
+	_ = conn.Close()
+}
+
 // sweep closes the connections that have not been used for a while, so that a
 // daemon that calls others at random does not keep one to each.
 func (c *Client) sweep(now time.Time) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -175,6 +175,7 @@
 		Scope:       metrics.Scope,
 		Local:       d.sidecar.Do,
 		Ping:        d.ping,
+		Silent:      d.checkGone,
 	})
 	d.atEnd(cleanUp)
 	return d.buildLedger()
--- a/internal/daemon/join.go
+++ b/internal/daemon/join.go
@@ -11,6 +11,7 @@
 
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/member"
 	"github.com/tideliftd/tidelift/internal/registry"
 	"github.com/tideliftd/tidelift/internal/settings"
@@ -139,6 +140,36 @@
 	return lease, nil
 }
 
+// checkGone takes it that a silent host is gone if its record in the store is too.
+// The store may take the record of a host that lives, and a host that lives may
+// not be reached from here; both together are rare, and the host then says so. Few
+// daemons look, since each look is a call.
+func (d *daemon) checkGone(host fleet.Host) {
+	plan := d.plan.Load()
+	if !d.registers() || plan == nil || !plan.IsWatcher() {
+		return
+	}
+	known, ok := d.members.host(host.Name)
+	if !ok || known.Gone {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	record, err := d.config.Store.Get(ctx, d.recordsPrefix()+host.Name)
+	if err != nil {
+		d.platformFailed(err)
+		return
+	}
+	if record.Data != nil {
+		return
+	}
+	if gone, ok := d.members.setGone(known); ok {
+		event.Log(d.config.Logger, event.HostGone, "host", host.Name, "life", known.Life, "version", known.Version)
+		d.retake()
+		d.tell("", []member.Host{gone})
+	}
+}
+
 // learn takes what another daemon or the store told of hosts, and tells it on.
 func (d *daemon) learn(from string, told []member.Host) {
 	news := d.members.merge(told)
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -41,6 +41,20 @@
 	return m.table.Hosts()
 }
 
+// host returns what is known of a host.
+func (m *members) host(name string) (member.Host, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Host(name)
+}
+
+// setGone takes it that a host is gone unless it has told of itself since.
+func (m *members) setGone(known member.Host) (member.Host, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.SetGone(known.Name, known.Life, known.Version)
+}
+
 // checkIn takes what a backend server says of itself, and says whether that
 // changes what others should know.
 func (m *members) checkIn(c registry.CheckIn) bool {
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -17,12 +17,18 @@
 const (
 	// peerTimeout bounds a call about revisions to another daemon.
 	peerTimeout = 2 * time.Second
+	// pollTimeout bounds the question which revision another daemon has. Source: a
+	// hundred round trips between data centres; a daemon that has missed a change
+	// has to have asked several others within two seconds.
+	pollTimeout = 400 * time.Millisecond
+	// pollTries is how often another daemon is drawn if one cannot be reached.
+	pollTries = 4
 	// watchEvery is how often it is looked at whether to watch the platform.
 	watchEvery = time.Second
 	// recently is how long what others said of the platform counts.
 	recently = 20 * time.Second
 	// pollAnyOneIn is how often any host that was ever told of is asked.
-	pollAnyOneIn = 4
+	pollAnyOneIn = 8
 )
 
 // follow brings revisions here until ctx ends: it watches the platform while
@@ -116,6 +122,12 @@
 		return "", false
 	}
 	host, ok := plan.Poll()
+	for range pollTries {
+		if !ok || !d.ingress.Away(host.Name) {
+			break
+		}
+		host, ok = plan.Poll()
+	}
 	return d.controlOf(host), ok
 }
 
@@ -134,7 +146,7 @@
 // fetch takes the revision of the daemon at the address, if it is higher than the
 // one here, and says whether it was.
 func (d *daemon) fetch(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	var held control.Held
 	before := d.revision()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -81,6 +81,8 @@
 	Scope tally.Scope
 	// Ping asks another host's daemon for any answer; nil if hosts are not asked.
 	Ping func(context.Context, fleet.Host) error
+	// Silent is told of a host that has not answered for long.
+	Silent func(fleet.Host)
 	// Local runs a request on a backend server of the daemon's own host.
 	Local func(context.Context, hop.Call, *http.Request) (sidecar.Answer, error)
 }
--- a/internal/ingress/reach.go
+++ b/internal/ingress/reach.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/tideliftd/tidelift/internal/balance"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/wait"
@@ -58,12 +57,17 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(x.in.ended, reachFor)
 	defer cancel()
-	for proofs := 0; proofs < reachProofs && wait.For(ctx, reachEvery); {
-		if x.answers(ctx, host) {
-			proofs++
+	proofs, ever := 0, false
+	for proofs < reachProofs && wait.For(ctx, reachEvery) {
+		if !x.answers(ctx, host) {
+			proofs = 0
 			continue
 		}
-		proofs = 0
+		proofs++
+		ever = true
+	}
+	if !ever && x.in.ended.Err() == nil {
+		x.in.config.Silent(host)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -93,9 +97,10 @@
 	}
 }
 
-// isAway says whether the target's host cannot be reached.
-func (x *reach) isAway(target *balance.Target) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.away[target.Placement().Host.Name]
+// Away says whether requests could not reach the host and it has not answered
+// since.
+func (in *Ingress) Away(host string) bool {
+	in.reach.mu.Lock()
+	defer in.reach.mu.Unlock()
+	return in.reach.away[host]
 }
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -43,11 +43,11 @@
 	WatchersEach = 2
 	// NotifyNear is how many others of its own data centre a daemon tells of a
 	// revision.
-	NotifyNear = 3
+	NotifyNear = 4
 	// NotifyFar is how many of other data centres.
 	NotifyFar = 2
 	// PollEvery is how often a daemon asks another for its revision.
-	PollEvery = time.Second
+	PollEvery = 500 * time.Millisecond
 	// StaleAfter is how long a daemon relies on others' watching. Source: all
 	// watchers may be lost at once, and a change has to be in force within seconds.
 	StaleAfter = 5 * time.Second
@@ -55,7 +55,7 @@
 	// Source: what is left out is asked for within seconds.
 	maxFarTold = 8
 	// farOneIn is how often a daemon asks one of another data centre.
-	farOneIn = 4
+	farOneIn = 8
 )
 
 // Config says whose plan it is.
@@ -109,6 +109,9 @@
 	return p.watcher || now.Sub(answered) > p.stale
 }
 
+// IsWatcher says whether the daemon is one of those that always watch.
+func (p *Plan) IsWatcher() bool { return p.watcher }
+
 // Notify returns whom to notify of a new revision.
 func (p *Plan) Notify() []fleet.Host {
 	return append(p.some(p.near, NotifyNear), p.some(p.far, NotifyFar)...)
