--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,261 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tideliftd/tidelift/internal/backend"
+)
+
+// answering is a backend server that answers each request of a connection with
+// the text that the function returns for it.
+type answering struct {
+	address     string
+	connections atomic.Int64
+}
+
+func newAnswering(t *testing.T, answer func(id string, n int) string) *answering {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	a := &answering{address: listener.Addr().String()}
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			a.connections.Add(1)
+			go serve(socket, answer)
+		}
+	}()
+	return a
+}
+
+func serve(socket net.Conn, answer func(id string, n int) string) {
+	defer func() { _ = socket.Close() }()
+	reader := bufio.NewReader(socket)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		text := answer(r.Header.Get("X-Id"), n)
+		_, _ = io.WriteString(socket, strings.TrimSuffix(text, "CLOSE"))
+		if strings.HasSuffix(text, "CLOSE") {
+			return
+		}
+	}
+}
+
+// reply is a whole answer to the request of that id.
+func reply(id, body, more string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, more, len(body), body)
+}
+
+// send sends a request and returns the body of its answer.
+func send(p *backend.Pool, id string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://backend/", nil)
+	if err != nil {
+		return "", err
+	}
+	r.Header.Set("X-Id", id)
+	response, err := p.Do(ctx, r, func(r *http.Response) bool { return r.Header.Get("X-Id") == id })
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+func newPool(t *testing.T, address string) *backend.Pool {
+	t.Helper()
+	p, cleanUp := backend.New(backend.Config{Address: address, Dial: (&net.Dialer{}).DialContext})
+	t.Cleanup(cleanUp)
+	return p
+}
+
+// TestAnswers sends five requests one after the other and looks at what each gets
+// and over how many connections.
+func TestAnswers(t *testing.T) {
+	tests := []struct {
+		name        string
+		answer      func(id string, n int) string
+		connections int64
+	}{
+		{"whole answers", func(id string, _ int) string { return reply(id, id, "") }, 1},
+		{"one that closes", func(id string, _ int) string { return reply(id, id, "Connection: close\r\n") }, 5},
+		{"no time to rest", func(id string, _ int) string { return reply(id, id, "Keep-Alive: timeout=0\r\n") }, 5},
+		{"a second answer after the first", func(id string, _ int) string { return reply(id, id, "") + reply(id, "surplus", "") }, 5},
+		{"bytes after the answer", func(id string, _ int) string { return reply(id, id, "") + "noise" }, 5},
+		{"an answer to another before it", func(id string, _ int) string { return reply("other", "surplus", "") + reply(id, id, "") }, 5},
+		{"an interim answer before it", func(id string, _ int) string {
+			return "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + reply(id, id, "")
+		}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			a := newAnswering(t, test.answer)
+			p := newPool(t, a.address)
+			for n := range 5 {
+				id := fmt.Sprintf("r%d", n)
+				if body, err := send(p, id); err != nil || body != id {
+					t.Fatalf("request %s got %q, %v", id, body, err)
+				}
+				time.Sleep(5 * time.Millisecond) // lets surplus bytes arrive
+			}
+			if got := a.connections.Load(); got != test.connections {
+				t.Fatalf("%d connections, want %d", got, test.connections)
+			}
+		})
+	}
+}
+
+// TestBrokenAnswersAreErrors never takes one for whole, nor a refused connection
+// for a request that was sent.
+func TestBrokenAnswersAreErrors(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+	}{
+		{"nothing", "CLOSE"},
+		{"half a head", "HTTP/1.1 200 OK\r\nX-IdCLOSE"},
+		{"half a body", "HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 9\r\n\r\nhalfCLOSE"},
+		{"a chunk too few", "HTTP/1.1 200 OK\r\nX-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nCLOSE"},
+		{"another protocol", "220 welcome\r\nCLOSE"},
+		{"only answers to others", strings.Repeat(reply("other", "x", ""), 4) + "CLOSE"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			a := newAnswering(t, func(string, int) string { return test.answer })
+			body, err := send(newPool(t, a.address), "r")
+			if err == nil {
+				t.Fatalf("got %q", body)
+			}
+			if errors.Is(err, backend.ErrNotSent) {
+				t.Fatalf("a request that was sent counts as not sent: %v", err)
+			}
+		})
+	}
+	if _, err := send(newPool(t, "127.0.0.1:1"), "r"); !errors.Is(err, backend.ErrNotSent) {
+		t.Fatalf("a refused connection gave %v", err)
+	}
+}
+
+// TestAnswerWithoutLengthEndsWithItsConnection takes an orderly end for the end.
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	a := newAnswering(t, func(id string, _ int) string { return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\n\r\nwhole" + "CLOSE" })
+	if body, err := send(newPool(t, a.address), "r"); err != nil || body != "whole" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+}
+
+// TestEndOfContextClosesTheConnection makes the backend server notice that nobody
+// waits any more.
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		socket, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(socket)
+		_, _ = http.ReadRequest(reader)
+		_, _ = reader.ReadByte() // returns when the connection ends
+		close(closed)
+	}()
+	p := newPool(t, listener.Addr().String())
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://backend/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := p.Do(ctx, r, func(*http.Response) bool { return true })
+	if err == nil {
+		_ = response.Body.Close()
+		t.Fatal("an answer came from nowhere")
+	}
+	if !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("the end of the context gave %v", err)
+	}
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection stays open")
+	}
+}
+
+// TestEarlyAnswerSpendsTheConnection answers a long request before it was read:
+// the rest of its body must not be taken for the next request.
+func TestEarlyAnswerSpendsTheConnection(t *testing.T) {
+	var connections atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				reader := bufio.NewReader(socket)
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(socket, reply(r.Header.Get("X-Id"), "early", ""))
+				_, _ = io.Copy(io.Discard, reader) // reads on later
+			}()
+		}
+	}()
+	p := newPool(t, listener.Addr().String())
+	for n := range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		body, hold := io.Pipe()
+		go func() { _, _ = hold.Write([]byte("first piece")) }()
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://backend/", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.ContentLength = 1 << 20
+		r.Header.Set("X-Id", "r")
+		response, err := p.Do(ctx, r, func(*http.Response) bool { return true })
+		if err != nil {
+			t.Fatalf("request %d: %v", n, err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		_ = hold.Close()
+		cancel()
+	}
+	if got := connections.Load(); got != 3 {
+		t.Fatalf("%d connections for 3 requests of which none was read to its end", got)
+	}
+}
--- /dev/null
+++ b/internal/control/client_test.go
@@ -0,0 +1,65 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/control"
+)
+
+// TestASilentConnectionIsGivenUp calls a peer behind a connection that goes silent:
+// the call after the one that ended without an answer takes a new connection.
+func TestASilentConnectionIsGivenUp(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(control.Serve(control.ServerConfig{
+		Listener: inner,
+		Handle: func(context.Context, control.Method, json.RawMessage) (any, error) {
+			return struct{}{}, nil
+		},
+	}))
+	outer, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = outer.Close() }()
+	go relay(outer, inner.Addr().String())
+	client, cleanUp := control.NewClient(control.ClientConfig{})
+	defer cleanUp()
+	ping := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		return client.Call(ctx, outer.Addr().String(), control.MethodPing, struct{}{}, nil)
+	}
+	if ping() == nil {
+		t.Fatal("a silent peer answered")
+	}
+	if err := ping(); err != nil {
+		t.Fatalf("the next call went the same way: %v", err)
+	}
+}
+
+// relay passes connections on, all but the first, which it leaves silent.
+func relay(listener net.Listener, address string) {
+	for n := 0; ; n++ {
+		in, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if n == 0 {
+			continue
+		}
+		out, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		go func() { _, _ = io.Copy(out, in) }()
+		go func() { _, _ = io.Copy(in, out) }()
+	}
+}
--- /dev/null
+++ b/internal/registry/main_test.go
@@ -0,0 +1,9 @@
+package registry_test
+
+import (
+	"testing"
+
+	"github.com/tideliftd/tidelift/test/property"
+)
+
+func TestMain(m *testing.M) { property.Main(m, "200") }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -75,6 +75,9 @@
 	if known && c.Sequence <= last.Sequence {
 		return false
 	}
+	if known && last.Address != c.Address && r.holders[last.Address] == c.Name {
+		delete(r.holders, last.Address)
+	}
 	r.servers[c.Name] = c
 	if r.holders[c.Address] != c.Name {
 		r.holders[c.Address] = c.Name
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,108 @@
+package registry_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/tideliftd/tidelift/internal/registry"
+)
+
+func checkIn(name, address string, sequence int64) registry.CheckIn {
+	return registry.CheckIn{Name: name, Service: "lookup", Address: address, Slots: 4, Sequence: sequence}
+}
+
+func serving(r *registry.Registry) []string {
+	var names []string
+	for _, c := range r.Serving() {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
+func TestWhoServes(t *testing.T) {
+	leaving := checkIn("a", "x", 9)
+	leaving.Leaving = true
+	type step func(*registry.Registry) bool
+	in := func(c registry.CheckIn) step { return func(r *registry.Registry) bool { return r.CheckIn(c) } }
+	out := func(name string) step { return func(r *registry.Registry) bool { return r.Leave(name) } }
+	tests := []struct {
+		name    string
+		steps   []step
+		changed bool // by the last step
+		want    string
+	}{
+		{"a first check-in", []step{in(checkIn("a", "x", 1))}, true, "a"},
+		{"the same again", []step{in(checkIn("a", "x", 1)), in(checkIn("a", "x", 2))}, false, "a"},
+		{"one that is leaving", []step{in(checkIn("a", "x", 1)), in(leaving)}, true, ""},
+		{"a late one after it left", []step{in(leaving), in(checkIn("a", "x", 10))}, false, ""},
+		{"a late one after it ended", []step{in(checkIn("a", "x", 3)), out("a"), in(checkIn("a", "x", 4))}, false, ""},
+		{"one that only ends", []step{in(checkIn("a", "x", 1)), out("a")}, true, ""},
+		{"one that ends and was never seen", []step{out("a"), in(checkIn("a", "x", 1))}, false, ""},
+		{"a new lifetime at the address", []step{in(checkIn("a", "x", 7)), in(checkIn("b", "x", 1))}, true, "b"},
+		{"a late one of the lifetime before", []step{in(checkIn("a", "x", 7)), in(checkIn("b", "x", 1)), in(checkIn("a", "x", 6))}, false, "b"},
+		{"the new one again after a late one that nobody knew", []step{in(checkIn("b", "x", 1)), in(checkIn("a", "x", 6)), in(checkIn("b", "x", 2))}, true, "b"},
+		{"the end of the lifetime before", []step{in(checkIn("a", "x", 7)), in(checkIn("b", "x", 1)), out("a")}, true, "b"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := registry.New()
+			changed := false
+			for _, s := range test.steps {
+				changed = s(r)
+			}
+			got := ""
+			for _, name := range serving(r) {
+				got += name
+			}
+			if got != test.want || changed != test.changed {
+				t.Fatalf("%q serves, changed %t; want %q, %t", got, changed, test.want, test.changed)
+			}
+		})
+	}
+}
+
+func TestWhatAnEarlierLifeConfirmedBinds(t *testing.T) {
+	r := registry.New()
+	if !r.Forbid([]string{"a"}) || r.Forbid([]string{"a"}) {
+		t.Fatal("the news is not told once")
+	}
+	if r.CheckIn(checkIn("a", "x", 1)); len(r.Serving()) != 0 {
+		t.Fatal("one that left in an earlier life serves again")
+	}
+}
+
+// TestLeavingIsFinal checks in and leaves at random: nobody serves after it left,
+// and at most one serves at an address.
+func TestLeavingIsFinal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := registry.New()
+		left := make(map[string]bool)
+		name := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		t.Repeat(map[string]func(*rapid.T){
+			"check in": func(t *rapid.T) {
+				c := checkIn(name.Draw(t, "name"), rapid.SampledFrom([]string{"x", "y"}).Draw(t, "address"), rapid.Int64Range(0, 9).Draw(t, "sequence"))
+				c.Leaving = rapid.IntRange(0, 4).Draw(t, "leaving") == 0
+				r.CheckIn(c)
+				left[c.Name] = left[c.Name] || c.Leaving
+			},
+			"leave": func(t *rapid.T) {
+				gone := name.Draw(t, "name")
+				r.Leave(gone)
+				left[gone] = true
+			},
+			"": func(t *rapid.T) {
+				addresses := make(map[string]bool)
+				for _, c := range r.Serving() {
+					if left[c.Name] {
+						t.Fatalf("%s serves after it left", c.Name)
+					}
+					if addresses[c.Address] {
+						t.Fatalf("two serve at %s", c.Address)
+					}
+					addresses[c.Address] = true
+				}
+			},
+		})
+	})
+}
--- a/internal/yamlfile/yamlfile.go
+++ b/internal/yamlfile/yamlfile.go
@@ -16,6 +16,7 @@
 
 import (
 	"fmt"
+	"regexp"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -72,14 +73,14 @@
 	if err == nil {
 		return nil
 	}
-	return &Error{Problems: []Problem{decodeProblem(file, err)}}
+	return &Error{Problems: []Problem{decodeProblem(file, data, err)}}
 }
 
-func decodeProblem(file string, err error) Problem {
+func decodeProblem(file string, data []byte, err error) Problem {
 	problem := Problem{File: file, Wrong: err.Error()}
 	var withToken yaml.Error
 	if !errors.As(err, &withToken) {
-		return problem
+		return valueProblem(problem, data)
 	}
 	problem.Wrong = withToken.GetMessage()
 	token := withToken.GetToken()
@@ -95,6 +96,47 @@
 	return problem
 }
 
+var quoted = regexp.MustCompile(`invalid duration "(.*)"`)
+
+// valueProblem finds the place of a value that its type refused. The decoder names
+// the value alone.
+func valueProblem(problem Problem, data []byte) Problem {
+	found := quoted.FindStringSubmatch(problem.Wrong)
+	if found == nil {
+		return problem
+	}
+	root, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return problem
+	}
+	place := &valueFinder{value: found[1]}
+	for _, doc := range root.Docs {
+		ast.Walk(place, doc.Body)
+	}
+	if place.node == nil {
+		return problem
+	}
+	problem.Line = place.node.GetToken().Position.Line
+	problem.Field = place.node.GetPath()
+	problem.Wrong = fmt.Sprintf("is %q", place.value)
+	problem.Want = "a duration with its unit such as 1500ms"
+	return problem
+}
+
+// valueFinder finds the first node that holds a value.
+type valueFinder struct {
+	value string
+	node  ast.Node
+}
+
+// Visit looks at one node.
+func (f *valueFinder) Visit(node ast.Node) ast.Visitor {
+	if f.node == nil && node.Type() == ast.StringType && node.GetToken().Value == f.value {
+		f.node = node
+	}
+	return f
+}
+
 // Checker collects the problems of one file.
 type Checker struct {
 	file     string
