fix(sidecar): without repeatable requests others find out; daemons tested on the stand-in

Cause (found by the new tests): where no request may run twice, a doubted backend server was never probed, and one without a recent proof never got a new one. Change: a probe that is two seconds overdue may be any request, and a proof that is two seconds old is not asked for. test/registered runs daemons whose hosts and backend servers register, against the stand-in of the store: outages, forgotten history, lapsed leases, a daemon that starts while the store is away, leaving in both ways across a restart, spoilt answers, a host that is away.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -331,7 +331,7 @@
 }
 
 func (q *Queue) remove(which func(Request) bool) []uint64 {
-	var removed []uint64
+	removed := make([]uint64, 0, q.waiting)
 	for _, l := range q.lines {
 		removed = append(removed, l.remove(which, func() { q.waiting-- })...)
 	}
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/tideliftd/tidelift/internal/daemon"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/settings"
+	"github.com/tideliftd/tidelift/internal/store"
 	"github.com/tideliftd/tidelift/internal/version"
 	"github.com/tideliftd/tidelift/platform"
 )
@@ -81,17 +82,24 @@
 	followed := &settingsFile{name: file, logger: logger, seen: data}
 	kv, closeStore := platform.NewStore(platform.StoreConfig{Address: s.Platform.Address})
 	defer closeStore()
-	return daemon.Run(ctx, daemon.Config{
+	config := DaemonConfig(s, kv)
+	config.Logger = logger
+	config.Level = level
+	config.Force = force
+	config.Reloads = followed.follow(ctx)
+	return daemon.Run(ctx, config)
+}
+
+// DaemonConfig returns what a daemon with these settings needs to meet the users'
+// platform: its store, the desired state there, check-ins and readiness.
+func DaemonConfig(s settings.Settings, kv store.Store) daemon.Config {
+	return daemon.Config{
 		Settings:     s,
-		Logger:       logger,
-		Level:        level,
-		Reloads:      followed.follow(ctx),
-		Force:        force,
 		Store:        kv,
 		Desired:      newDesired(),
 		CheckIns:     newCheckIns,
 		ReadyPattern: platform.ReadyPattern,
-	})
+	}
 }
 
 // newDesired reads the declaration that the platform's operator writes.
--- a/internal/daemon/join.go
+++ b/internal/daemon/join.go
@@ -172,7 +172,10 @@
 
 // learn takes what another daemon or the store told of hosts, and tells it on.
 func (d *daemon) learn(from string, told []member.Host) {
-	news := d.members.merge(told)
+	news, forbidden := d.members.merge(told)
+	if len(forbidden) > 0 {
+		event.Log(d.config.Logger, event.ServersRegistered, "why", "left in an earlier life", "left", forbidden, "from", from)
+	}
 	if len(news) == 0 {
 		return
 	}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -81,19 +81,20 @@
 	return true
 }
 
-// merge takes what others told and returns what is news. What they remember of
-// backend servers of this host that have left is taken back.
-func (m *members) merge(told []member.Host) []member.Host {
+// merge takes what others told and returns what is news, and which backend servers
+// of this host left in an earlier life of the daemon, as the others remember.
+func (m *members) merge(told []member.Host) (news []member.Host, forbidden []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	news := m.table.Merge(told)
+	news = m.table.Merge(told)
 	for _, h := range told {
 		if h.Name == m.table.Self().Name && m.registry.Forbid(h.Left) {
 			m.publish()
 			news = append(news, m.table.Self())
+			forbidden = append(forbidden, h.Left...)
 		}
 	}
-	return news
+	return news, forbidden
 }
 
 // complete returns the declaration with the hosts that are not gone and the
--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -54,6 +54,12 @@
 	longestPause = time.Second
 	// probeLasts is how long one probe keeps others from being sent.
 	probeLasts = time.Second
+	// riskAfter is how long a probe may be overdue before one that must not run
+	// twice makes it. Source: a service of which all requests are such must get
+	// its backend servers back; where some are repeatable one comes within it.
+	riskAfter = 2 * time.Second
+	// riskAgain is the same after a probe that went well.
+	riskAgain = 500 * time.Millisecond
 	// survives is how long a request has to run to be a proof. Source: one that a
 	// failing backend server breaks is broken within milliseconds; a ticket's
 	// request comes a round trip after its slot was granted.
@@ -150,6 +156,16 @@
 // MayProbe says whether a repeatable request may be sent to find out.
 func (d *Doubt) MayProbe(now time.Time) bool { return !now.Before(d.next) }
 
+// MayRisk says whether no repeatable request has come for so long that any other
+// may find out.
+func (d *Doubt) MayRisk(now time.Time) bool {
+	after := riskAfter
+	if d.good > 0 {
+		after = riskAgain
+	}
+	return !now.Before(d.next.Add(after))
+}
+
 // Probe takes it that one is being sent.
 func (d *Doubt) Probe(now time.Time) {
 	d.next = now.Add(probeLasts)
--- a/internal/doubt/doubt_test.go
+++ b/internal/doubt/doubt_test.go
@@ -125,3 +125,25 @@
 		t.Fatal("a proof outlived a broken connection")
 	}
 }
+
+// TestWithoutRepeatableRequestsOthersFindOut leaves a service with requests alone
+// that must not run twice.
+func TestWithoutRepeatableRequestsOthersFindOut(t *testing.T) {
+	d := doubt.New()
+	d.Bad(epoch, doubt.Broken)
+	if d.MayRisk(epoch.Add(time.Second)) {
+		t.Fatal("the first second is not for them")
+	}
+	now := epoch
+	for range 3 {
+		now = now.Add(5 * time.Second)
+		if !d.MayRisk(now) {
+			t.Fatal("nobody may find out")
+		}
+		d.Probe(now)
+		d.Good(now)
+	}
+	if d.Doubted() {
+		t.Fatal("three good answers are not enough")
+	}
+}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -13,8 +13,9 @@
 }
 
 func serving(r *registry.Registry) []string {
-	var names []string
-	for _, c := range r.Serving() {
+	serving := r.Serving()
+	names := make([]string, 0, len(serving))
+	for _, c := range serving {
 		names = append(names, c.Name)
 	}
 	return names
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -30,6 +30,10 @@
 	// Source: a backend server gets some six requests a second, so that about half
 	// have a proof that young.
 	provenWithin = 150 * time.Millisecond
+	// unprovenFor is how long a backend server without a new proof is passed over
+	// by requests that ask for one. Source: where there are repeatable requests one
+	// comes within it.
+	unprovenFor = 2 * time.Second
 	// trialRefusal is how long one stays away while a trial request runs.
 	trialRefusal = 200 * time.Millisecond
 )
@@ -128,7 +132,7 @@
 		m.reply <- grant{err: refused}
 		return
 	}
-	if m.call.Proven && t.doubt.ProofAge(now) > provenWithin {
+	if m.call.Proven && t.isUnproven(now) {
 		m.reply <- grant{err: result.New(result.Unproven)}
 		return
 	}
@@ -185,7 +189,7 @@
 	if m.call.Insist {
 		return nil
 	}
-	if !m.call.Once && t.doubt.MayProbe(now) {
+	if !m.call.Once && t.doubt.MayProbe(now) || t.doubt.MayRisk(now) {
 		return nil
 	}
 	t.turnedAway[m.call.Host] = true
@@ -223,6 +227,13 @@
 	}
 }
 
+// isUnproven says whether the last proof that the backend server is well is old. One
+// that is very old is no reason to refuse: nobody else would make a new one.
+func (t *task) isUnproven(now time.Time) bool {
+	age := t.doubt.ProofAge(now)
+	return !t.doubt.Doubted() && age > provenWithin && age < unprovenFor
+}
+
 // began takes it that a request was given a slot.
 func (t *task) began(now time.Time) {
 	t.doubt.Began(now)
--- /dev/null
+++ b/test/registered/fleet_test.go
@@ -0,0 +1,278 @@
+// Package registered tests daemons whose hosts and backend servers register
+// themselves, against the stand-in of the platform's store.
+package registered
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/cli"
+	"github.com/tideliftd/tidelift/internal/daemon"
+	"github.com/tideliftd/tidelift/internal/settings"
+	"github.com/tideliftd/tidelift/platform"
+	"github.com/tideliftd/tidelift/test/standin"
+)
+
+const (
+	// patience bounds waits that end much sooner when all is well.
+	patience = 20 * time.Second
+	// dataCentres is how many the hosts are spread over. Within one each backend
+	// server gets a part of the requests, by which the tests see whom a host knows.
+	dataCentres = 1
+)
+
+const settingsText = `name: host-%[1]d
+data-centre: dc%[2]d
+service: lookup
+listen: {callers: "%[3]s:1001", peers: "%[3]s:1002", control: "%[3]s:1003", operators: "127.0.0.1:0", check-ins: "%[3]s:1004", ready: "%[3]s:1005"}
+platform: {address: "%[4]s"}
+keys: {trusted-network: true}
+source: {declared: platform}
+limits: {stop: 3s}
+`
+
+const desiredText = `{"version":%d,
+"routes":[
+ {"name":"once","host":"a.example","path-prefix":"/once/","route-type":"non_idempotent","timeout-s":2,"target-latency-s":0.8,"priority":1,"service":"lookup","attempts":2},
+ {"name":"twice","host":"a.example","path-prefix":"%s","route-type":"idempotent","timeout-s":2,"target-latency-s":0.8,"priority":2,"service":"lookup","attempts":2}],
+"services":[{"name":"lookup"}],"limits":{"max-body-bytes":100000}}`
+
+// fleet is a few daemons, each with a backend server beside it.
+type fleet struct {
+	t        *testing.T
+	store    *standin.Standin
+	storeURL string
+	net      string // the first three numbers of the hosts' addresses
+	hosts    []*host
+}
+
+// host is a daemon and the backend server beside it.
+type host struct {
+	fleet    *fleet
+	number   int
+	stop     context.CancelFunc
+	ended    chan struct{}
+	backend  *httptest.Server
+	name     string // of the backend server's lifetime
+	sequence int64
+	served   atomic.Int64
+	work     atomic.Pointer[func(http.ResponseWriter, *http.Request)]
+	log      syncBuffer
+}
+
+// syncBuffer is a log that several goroutines write.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write appends to the log.
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) contains(text string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Contains(s.b.String(), text)
+}
+
+// newFleet starts daemons and their backend servers and waits until each serves.
+func newFleet(t *testing.T, count int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: standin.New(), net: fmt.Sprintf("127.%d.%d", 100+rand.N(100), 1+rand.N(250))}
+	server := httptest.NewServer(f.store.Handler())
+	t.Cleanup(server.CloseClientConnections)
+	f.storeURL = server.URL
+	f.desire(1, "/twice/")
+	for n := range count {
+		h := &host{fleet: f, number: n}
+		h.backend = httptest.NewServer(http.HandlerFunc(h.answer))
+		t.Cleanup(h.backend.Close)
+		f.hosts = append(f.hosts, h)
+		h.start()
+	}
+	for _, h := range f.hosts {
+		h.begin("first")
+	}
+	for _, h := range f.hosts {
+		h.awaitReady()
+		f.await("every backend server known to "+h.daemonName(), func() bool { return h.known() == count })
+	}
+	return f
+}
+
+func (f *fleet) desire(version int, path string) {
+	f.store.Write(platform.DesiredKey, fmt.Appendf(nil, desiredText, version, path))
+}
+
+func (f *fleet) await(what string, done func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(patience); !done(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			for _, h := range f.hosts {
+				f.t.Logf("log of %s:\n%s", h.daemonName(), h.log.b.String())
+			}
+			f.t.Fatalf("waited in vain: %s", what)
+		}
+	}
+}
+
+func (h *host) ip() string         { return fmt.Sprintf("%s.%d", h.fleet.net, h.number+1) }
+func (h *host) daemonName() string { return fmt.Sprintf("host-%d", h.number) }
+
+// start starts the host's daemon.
+func (h *host) start() {
+	h.fleet.t.Helper()
+	text := fmt.Sprintf(settingsText, h.number, h.number%dataCentres, h.ip(), h.fleet.storeURL)
+	s, err := settings.Parse("settings.yaml", []byte(text))
+	if err != nil {
+		h.fleet.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	kv, closeStore := platform.NewStore(platform.StoreConfig{Address: h.fleet.storeURL})
+	config := cli.DaemonConfig(s, kv)
+	config.Logger = slog.New(slog.NewJSONHandler(&h.log, nil))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer closeStore()
+		if err := daemon.Run(ctx, config); err != nil {
+			_, _ = fmt.Fprintf(&h.log, "ended with %v\n", err)
+		}
+	}()
+	h.stop, h.ended = stop, ended
+	h.fleet.t.Cleanup(h.end)
+}
+
+// end stops the daemon as planned.
+func (h *host) end() {
+	h.stop()
+	<-h.ended
+}
+
+// begin starts a lifetime of the backend server.
+func (h *host) begin(lifetime string) {
+	h.name = fmt.Sprintf("i-%s-%d", lifetime, h.number)
+	h.sequence = 0
+	h.checkIn("ready")
+}
+
+// checkIn says what the backend server says of itself, until it is confirmed.
+func (h *host) checkIn(state string) {
+	h.fleet.t.Helper()
+	h.sequence++
+	body := fmt.Sprintf(`{"service":"lookup","address":"%s","capacity":4,"state":"%s","call-seq":%d}`,
+		h.backend.Listener.Addr(), state, h.sequence)
+	h.tell(http.MethodPut, body)
+}
+
+func (h *host) tell(method, body string) {
+	h.fleet.t.Helper()
+	h.fleet.await(method+" of "+h.name, func() bool {
+		r, err := http.NewRequest(method, "http://"+h.ip()+":1004/v1/backend-servers/"+h.name, strings.NewReader(body))
+		if err != nil {
+			h.fleet.t.Fatal(err)
+		}
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+func (h *host) awaitReady() {
+	h.fleet.t.Helper()
+	h.fleet.await(h.daemonName()+" is ready", func() bool {
+		response, err := http.Get("http://" + h.ip() + ":1005/ready")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+// known returns how many backend servers take requests that come in here.
+func (h *host) known() int {
+	before := make([]int64, len(h.fleet.hosts))
+	for i, other := range h.fleet.hosts {
+		before[i] = other.served.Load()
+	}
+	for range 8 * len(h.fleet.hosts) {
+		h.get("/twice/x")
+	}
+	known := 0
+	for i, other := range h.fleet.hosts {
+		if other.served.Load() > before[i] {
+			known++
+		}
+	}
+	return known
+}
+
+// answer is the backend server's work.
+func (h *host) answer(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Target-Instance") != h.name {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	h.served.Add(1)
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	if work := h.work.Load(); work != nil {
+		(*work)(w, r)
+		return
+	}
+	time.Sleep(2 * time.Millisecond) // so that neighbours get a part of what comes at once
+	signed(w, http.StatusOK, "done")
+}
+
+func signed(w http.ResponseWriter, status int, body string) {
+	w.Header().Set("Response-Signature", "sum")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, body)
+}
+
+// does makes the backend server answer otherwise.
+func (h *host) does(work func(http.ResponseWriter, *http.Request)) { h.work.Store(&work) }
+
+var nextID atomic.Int64
+
+// get sends a request to the host's daemon and returns the status and body; the
+// status is 0 without an answer.
+func (h *host) get(path string) (int, string) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+net.JoinHostPort(h.ip(), "1001")+path, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	r.Host = "a.example"
+	r.Header.Set("Request-Id", fmt.Sprintf("id-%d", nextID.Add(1)))
+	r.Header.Set("Request-Deadline-Ms", "1500")
+	r.Header.Set("Caller-Service", "forged")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(body)
+}
--- /dev/null
+++ b/test/registered/registered_test.go
@@ -0,0 +1,214 @@
+package registered
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestRequestsCarryWhatTheySay looks at a request as the backend server gets it.
+func TestRequestsCarryWhatTheySay(t *testing.T) {
+	f := newFleet(t, 2)
+	var wrong atomic.Pointer[string]
+	for _, h := range f.hosts {
+		h.does(func(w http.ResponseWriter, r *http.Request) {
+			left, err := strconv.Atoi(r.Header.Get("Request-Deadline-Ms"))
+			if err != nil || left <= 0 || left > 1500 || r.Header.Get("Caller-Service") != "lookup" || r.Host != "a.example" || r.URL.Path != "/once/x" {
+				text := r.Host + r.URL.Path + " " + r.Header.Get("Request-Deadline-Ms") + " " + r.Header.Get("Caller-Service")
+				wrong.Store(&text)
+			}
+			for name := range r.Header {
+				if strings.HasPrefix(name, "Tidelift-") {
+					wrong.Store(&name)
+				}
+			}
+			signed(w, http.StatusCreated, "made")
+		})
+	}
+	for _, h := range f.hosts {
+		for range 10 {
+			if status, body := h.get("/once/x"); status != http.StatusCreated || body != "made" {
+				t.Fatalf("%d %q", status, body)
+			}
+		}
+	}
+	if text := wrong.Load(); text != nil {
+		t.Fatalf("a backend server got %s", *text)
+	}
+	if status, _ := f.hosts[0].get("/other/x"); status != http.StatusNotFound {
+		t.Fatalf("a path without a route got %d", status)
+	}
+}
+
+// TestAnOutageOfTheStoreStopsNothing changes backend servers while the store is
+// away, and the desired state once it is back.
+func TestAnOutageOfTheStoreStopsNothing(t *testing.T) {
+	f := newFleet(t, 4)
+	f.store.SetOutage(true)
+	f.hosts[0].begin("second")
+	f.await("a new lifetime known to others", func() bool { return f.hosts[1].known() == 4 && f.hosts[3].known() == 4 })
+	f.store.LapseLeases()
+	f.store.Forget()
+	f.desire(2, "/changed/")
+	f.store.SetOutage(false)
+	for _, h := range f.hosts {
+		f.await("the change in force at "+h.daemonName(), func() bool {
+			status, _ := h.get("/changed/x")
+			return status == http.StatusOK
+		})
+	}
+	f.await("the hosts' records back in the store", func() bool {
+		for _, h := range f.hosts {
+			if _, ok := f.store.Value("tidelift/hosts/" + h.daemonName()); !ok {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestADaemonWithoutTheStoreIsFoundByTheOthers starts one anew while the store is
+// away: it knows nobody and has no desired state.
+func TestADaemonWithoutTheStoreIsFoundByTheOthers(t *testing.T) {
+	f := newFleet(t, 3)
+	f.store.SetOutage(true)
+	restarted := f.hosts[1]
+	restarted.end()
+	restarted.start()
+	restarted.checkIn("ready")
+	restarted.awaitReady()
+	f.await("it reaches all", func() bool { return restarted.known() == 3 })
+	f.await("all reach it", func() bool { return f.hosts[0].known() == 3 })
+}
+
+// TestLeavingBinds tells that a backend server leaves, in both ways, and starts its
+// daemon anew: nothing reaches it from the confirmation on, whatever late check-in
+// comes.
+func TestLeavingBinds(t *testing.T) {
+	f := newFleet(t, 3)
+	leave := map[string]func(*host){
+		"first says so": func(h *host) { h.checkIn("draining") },
+		"only ends":     func(h *host) { h.tell(http.MethodDelete, "") },
+	}
+	number := 0
+	for name, how := range leave {
+		h := f.hosts[number]
+		number++
+		t.Run(name, func(t *testing.T) {
+			how(h)
+			served := h.served.Load()
+			for range 30 {
+				if status, _ := f.hosts[2].get("/once/x"); status != http.StatusOK {
+					t.Fatalf("a request got %d", status)
+				}
+				h.get("/twice/x")
+			}
+			h.checkIn("ready")
+			h.end()
+			h.start()
+			h.awaitReady()
+			f.await("it hears that the backend server left", func() bool { return h.log.contains(`"why":"left in an earlier life"`) })
+			h.checkIn("ready")
+			for range 30 {
+				h.get("/twice/x")
+			}
+			if got := h.served.Load(); got != served {
+				t.Fatalf("%d requests reached a backend server that left", got-served)
+			}
+		})
+	}
+}
+
+// TestAnswers gives one backend server answers that are not to be passed on as
+// they are: repeatable requests are answered by the other, one that must not run
+// twice fails clearly or is tried elsewhere if it has not run.
+func TestAnswers(t *testing.T) {
+	f := newFleet(t, 2)
+	bad, good := f.hosts[0], f.hosts[1]
+	var name atomic.Pointer[string]
+	good.does(func(w http.ResponseWriter, _ *http.Request) { signed(w, http.StatusOK, "good") })
+	tests := []struct {
+		name   string
+		answer func(http.ResponseWriter)
+		once   int // the status of one that must not run twice and got this answer
+	}{
+		{"no digest", func(w http.ResponseWriter) { _, _ = w.Write([]byte("bad")) }, http.StatusBadGateway},
+		{"a coding that nobody asked for", func(w http.ResponseWriter) {
+			w.Header().Set("Content-Encoding", "gzip")
+			signed(w, http.StatusOK, "bad")
+		}, http.StatusBadGateway},
+		{"a refusal that promises nothing", func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }, http.StatusBadGateway},
+		{"a refusal that promises", func(w http.ResponseWriter) {
+			w.Header().Set("Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, http.StatusOK},
+		{"another lifetime at the address", func(w http.ResponseWriter) { w.WriteHeader(http.StatusMisdirectedRequest) }, http.StatusOK},
+		{"an answer to another request", func(w http.ResponseWriter) {
+			w.Header().Set("Request-Id", "other")
+			signed(w, http.StatusOK, "bad")
+		}, http.StatusGatewayTimeout}, // its own may still come, so it is waited for
+		{"a failure of its own", func(w http.ResponseWriter) { signed(w, http.StatusInternalServerError, "bad") }, http.StatusInternalServerError},
+		{"an answer that breaks off", func(w http.ResponseWriter) {
+			w.Header().Set("Content-Length", "99")
+			signed(w, http.StatusOK, "bad")
+			panic(http.ErrAbortHandler)
+		}, http.StatusBadGateway},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			name.Store(&test.name)
+			met := make(chan struct{}, 100)
+			bad.does(func(w http.ResponseWriter, _ *http.Request) {
+				met <- struct{}{}
+				test.answer(w)
+			})
+			for end := time.Now().Add(patience); ; {
+				status, body := good.get("/twice/x")
+				if status != http.StatusOK || body != "good" {
+					t.Fatalf("a repeatable request got %d %q", status, body)
+				}
+				once, body := good.get("/once/x")
+				if once != http.StatusOK && (once != test.once || strings.Contains(body, "bad") && once < http.StatusInternalServerError) {
+					t.Fatalf("one that must not run twice got %d %q, want %d", once, body, test.once)
+				}
+				if len(met) > 0 || time.Now().After(end) {
+					break
+				}
+			}
+			if len(met) == 0 {
+				t.Fatal("no request met the answer")
+			}
+			bad.does(func(w http.ResponseWriter, _ *http.Request) { signed(w, http.StatusOK, "good") })
+			f.await("it is trusted again", func() bool {
+				before := bad.served.Load()
+				for range 4 {
+					good.get("/once/x")
+				}
+				return bad.served.Load() > before
+			})
+		})
+	}
+}
+
+// TestHostsOutOfReachAreNotWaitedFor takes a host away without a word: requests go
+// elsewhere, each in good time.
+func TestHostsOutOfReachAreNotWaitedFor(t *testing.T) {
+	f := newFleet(t, 3)
+	f.hosts[2].end()
+	slow := 0
+	for range 60 {
+		began := time.Now()
+		if status, body := f.hosts[0].get("/once/x"); status != http.StatusOK {
+			t.Fatalf("got %d %q", status, body)
+		}
+		if time.Since(began) > 300*time.Millisecond {
+			slow++
+		}
+	}
+	if slow > 3 {
+		t.Fatalf("%d of 60 requests waited for a host that is away", slow)
+	}
+}
