feat(log): a bounded log that never keeps anybody waiting

Cause: a line was written to standard output by whoever had it to say, so that a reader that stopped reading stopped requests too. Change: lines go through a bounded buffer and a rate; what is dropped is counted and said. Tested with a full pipe.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/tideliftd/tidelift/internal/daemon"
 	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/logline"
 	"github.com/tideliftd/tidelift/internal/settings"
 	"github.com/tideliftd/tidelift/internal/store"
 	"github.com/tideliftd/tidelift/internal/version"
@@ -78,7 +79,9 @@
 	debug.SetMemoryLimit(memoryLimit)
 	ctx, force, cleanUp := stopSignals(ctx)
 	defer cleanUp()
-	logger, level := newLogger(c.Root().Writer, s)
+	lines, endLog := logline.New(logline.Config{Out: c.Root().Writer, PerSecond: s.Log.PerSecond})
+	defer endLog()
+	logger, level := newLogger(lines, s)
 	followed := &settingsFile{name: file, logger: logger, seen: data}
 	kv, closeStore := platform.NewStore(platform.StoreConfig{Address: s.Platform.Address})
 	defer closeStore()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -115,7 +115,8 @@
 
 // Log says what is logged.
 type Log struct {
-	Level string `yaml:"level" json:"level,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error,description=The least level that is logged. Default info."`
+	PerSecond int    `yaml:"per-second" json:"per-second,omitempty" jsonschema:"description=The most lines of a second; what goes beyond is dropped and counted. Default 500."`
+	Level     string `yaml:"level" json:"level,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error,description=The least level that is logged. Default info."`
 }
 
 // Equal says whether two settings are the same.
