--- a/internal/ingress/choose.go
+++ b/internal/ingress/choose.go
@@ -24,7 +24,7 @@
 
 // maxFarLooks is how many of them may be in other data centres, to which bytes are
 // dear and round trips long.
-const maxFarLooks = 2
+const maxFarLooks = 1
 
 // maxUnproven is how many backend servers are asked for one that has just shown
 // that it is well, before any will do.
