feat(cli): tidelift request tells from logs what became of a request

The logs of several hosts are put together by time; with each attempt stands the last change of state of the backend server that it met.

--- /dev/null
+++ b/internal/cli/request.go
@@ -0,0 +1,53 @@
+package cli
+
+import (
+	"context"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/tideliftd/tidelift/internal/story"
+)
+
+// newRequest returns the command that tells the story of one request.
+func newRequest() *cli.Command {
+	return &cli.Command{
+		Name:      "request",
+		Usage:     "tell from logs what became of a request",
+		ArgsUsage: "REQUEST-ID [LOG...]",
+		Description: "The logs of several hosts are put together by time; without LOG standard input\n" +
+			"is read. docs/OPERATIONS.md shows how to get from the story to the cause.",
+		Action: runRequest,
+	}
+}
+
+func runRequest(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return errors.Wrap(errUsage, "request wants the request's id, and logs or standard input")
+	}
+	told := story.New(c.Args().First())
+	if c.Args().Len() == 1 {
+		if err := told.Read(os.Stdin); err != nil {
+			return err
+		}
+	}
+	for _, name := range c.Args().Tail() {
+		if err := readLog(told, name); err != nil {
+			return err
+		}
+	}
+	return told.Write(c.Root().Writer)
+}
+
+func readLog(told *story.Story, name string) error {
+	log, err := os.Open(name)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	defer func() { _ = log.Close() }()
+	if err := told.Read(log); err != nil {
+		return errors.Wrapf(err, "log %s", name)
+	}
+	return nil
+}
