feat(sidecar): a backend server far slower than the others is asked last

Change: three answers in a row that take three times as long as others typically do begin doubt. Ruled out: weighing load by speed, which the ingresses forget within a second.

--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -38,6 +38,11 @@
 	// Overdue is the weight of a request that takes far longer than others.
 	Overdue = 0.5
 
+	// Slow is the weight of a good answer that took far longer than others'. Source:
+	// a few in a hundred do at a backend server that is well, three in a row hardly
+	// ever.
+	Slow = 0.4
+
 	// enough is the sum of weights from which a backend server is doubted.
 	enough = 1.0
 	// fade is what a good answer leaves of the sum.
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -197,14 +197,15 @@
 }
 
 // weigh takes an outcome for the doubt.
-func (t *task) weigh(now time.Time, saw detect.Observation) {
+func (t *task) weigh(now time.Time, saw detect.Observation, others detect.Reference) {
 	weight := 0.0
 	switch saw.Outcome {
 	case detect.OK:
-		if t.doubt.Good(now) {
-			t.trust(now)
+		if !t.declared.rules.IsSlow(saw.Took, others.Typical) {
+			t.noteGood(now)
+			return
 		}
-		return
+		weight = doubt.Slow
 	case detect.Refused, detect.Lost:
 		weight = doubt.Broken
 	case detect.Error:
@@ -250,6 +251,12 @@
 	}
 }
 
+func (t *task) noteGood(now time.Time) {
+	if t.doubt.Good(now) {
+		t.trust(now)
+	}
+}
+
 // trust ends the doubt, and an ejection that began meanwhile: the answers that
 // end the one are proof enough for the other.
 func (t *task) trust(now time.Time) {
@@ -276,7 +283,7 @@
 }
 
 func (t *task) observe(now time.Time, m observeMessage) {
-	t.weigh(now, m.observation)
+	t.weigh(now, m.observation, m.others)
 	if t.declared.adoption() == fleet.AdoptionOff || t.subject.State(now) != detect.Serving {
 		return
 	}
--- a/test/registered/registered_test.go
+++ b/test/registered/registered_test.go
@@ -212,3 +212,26 @@
 		t.Fatalf("%d of 60 requests waited for a host that is away", slow)
 	}
 }
+
+// TestASlowOneIsAskedLast makes one backend server twenty times slower than the
+// others: soon few requests meet it.
+func TestASlowOneIsAskedLast(t *testing.T) {
+	f := newFleet(t, 3)
+	slow := f.hosts[0]
+	slow.does(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(60 * time.Millisecond) // not long enough to be overdue
+		signed(w, http.StatusOK, "slow")
+	})
+	const lastOnes = 60
+	f.await("few meet the slow one", func() bool {
+		before := slow.served.Load()
+		for range lastOnes {
+			f.hosts[1].get("/once/x")
+			f.hosts[2].get("/twice/x")
+		}
+		return slow.served.Load()-before <= 2*lastOnes/20
+	})
+	if !slow.log.contains(`"msg":"backend server doubted"`) {
+		t.Fatal("it was not doubted")
+	}
+}
