fix(sidecar): slow is what is past its route's target; proofs are asked for from the first request

Change: an answer is slow if it took longer than the target of its own route; a backend server without a new proof refuses those that ask for one for half a second.

--- a/internal/detect/detect.go
+++ b/internal/detect/detect.go
@@ -77,6 +77,8 @@
 	Took time.Duration
 	// WasOverdue says that the request was observed as overdue before.
 	WasOverdue bool
+	// PastTarget says that the answer took longer than the route's target.
+	PastTarget bool
 }
 
 // failed says whether the observation is a failure that was not counted yet.
--- a/internal/detect/rules.go
+++ b/internal/detect/rules.go
@@ -92,12 +92,6 @@
 	return time.Duration(float64(typical)*r.SlowFactor) + r.SlowSlack
 }
 
-// IsSlow says whether an answer took far longer than others typically do; nothing
-// is slow while that is not known.
-func (r Rules) IsSlow(took, typical time.Duration) bool {
-	return typical > 0 && took > r.slowLimit(typical)
-}
-
 // OverdueLimit is how long a request may take before it counts as overdue;
 // zero without a typical time to compare with.
 func (r Rules) OverdueLimit(typical time.Duration) time.Duration {
--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -38,9 +38,9 @@
 	// Overdue is the weight of a request that takes far longer than others.
 	Overdue = 0.5
 
-	// Slow is the weight of a good answer that took far longer than others'. Source:
-	// a few in a hundred do at a backend server that is well, three in a row hardly
-	// ever.
+	// Slow is the weight of a good answer that took longer than its route's target, or
+	// to a request that was overdue before. Source: at a backend server that is well
+	// a few in a hundred take that long, three in a row hardly ever.
 	Slow = 0.4
 
 	// enough is the sum of weights from which a backend server is doubted.
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -34,6 +34,7 @@
 	HeaderBackendServer = "Tidelift-Backend-Server"
 	HeaderTimeLeft      = "Tidelift-Time-Left-Us"
 	HeaderAim           = "Tidelift-Aim-Us"
+	HeaderTarget        = "Tidelift-Target-Us"
 	HeaderPatience      = "Tidelift-Patience-Us"
 	HeaderCustomer      = "Tidelift-Customer"
 	HeaderOnce          = "Tidelift-Once"
@@ -61,6 +62,9 @@
 	// Aim is what is left of the time in which an answer is worth most; zero or
 	// less if that is over.
 	Aim time.Duration
+	// Target is the time within which the route's answers are worth most; zero if it
+	// is not known.
+	Target time.Duration
 	// Patience is how long it may wait in a crowded queue; zero or less if it may
 	// not.
 	Patience time.Duration
@@ -96,6 +100,9 @@
 func (c Call) Encode(h http.Header) {
 	h[HeaderBackendServer] = []string{c.BackendServer}
 	h[HeaderTimeLeft] = []string{strconv.FormatInt(c.TimeLeft.Microseconds(), 10)}
+	if c.Target > 0 {
+		h[HeaderTarget] = []string{strconv.FormatInt(c.Target.Microseconds(), 10)}
+	}
 	if c.Patience > 0 {
 		h[HeaderPatience] = []string{strconv.FormatInt(c.Patience.Microseconds(), 10)}
 	}
@@ -166,6 +173,9 @@
 	if call.Aim, err = decodeMicros(h, HeaderAim); err != nil {
 		return Call{}, err
 	}
+	if call.Target, err = decodeMicros(h, HeaderTarget); err != nil {
+		return Call{}, err
+	}
 	if call.Patience, err = decodeMicros(h, HeaderPatience); err != nil {
 		return Call{}, err
 	}
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -24,6 +24,7 @@
 		TimeLeft:      time.Until(r.deadline),
 		Aim:           time.Until(r.aim),
 		Patience:      time.Until(r.patient),
+		Target:        r.aim.Sub(r.began),
 		Customer:      r.customer,
 		Once:          r.once,
 		Insist:        c.insist,
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -181,6 +181,7 @@
 	server  *server
 	trial   bool
 	others  detect.Reference
+	target  time.Duration // of the request's route; zero if it is not known
 	started time.Time
 	overdue *time.Timer
 	late    atomic.Bool
@@ -189,7 +190,8 @@
 }
 
 // begin starts the clock of the request, and of its being overdue.
-func (s *slot) begin(others detect.Reference) {
+func (s *slot) begin(others detect.Reference, target time.Duration) {
+	s.target = target
 	s.others = others
 	s.started = time.Now()
 	limit := s.server.declared.Load().rules.OverdueLimit(others.Typical)
@@ -224,6 +226,7 @@
 		s.overdue.Stop()
 	}
 	s.saw.WasOverdue = s.late.Load()
+	s.saw.PastTarget = s.target > 0 && s.saw.Took > s.target
 	if s.seen && !s.trial {
 		s.server.send(observeMessage{observation: s.saw, others: s.others})
 	}
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -30,10 +30,10 @@
 	// Source: a backend server gets some six requests a second, so that about half
 	// have a proof that young.
 	provenWithin = 150 * time.Millisecond
-	// unprovenFor is how long a backend server without a new proof is passed over
-	// by requests that ask for one. Source: where there are repeatable requests one
-	// comes within it.
-	unprovenFor = 2 * time.Second
+	// unprovenFor is how long a backend server without a new proof refuses requests
+	// that ask for one, from the first that does. Source: where there are repeatable
+	// requests one comes within it.
+	unprovenFor = 500 * time.Millisecond
 	// trialRefusal is how long one stays away while a trial request runs.
 	trialRefusal = 200 * time.Millisecond
 )
@@ -53,6 +53,7 @@
 	selfDrainUntil time.Time // until when its own word that it is leaving counts
 	trying         bool      // a trial request runs
 	doubt          *doubt.Doubt
+	unproven       time.Time       // since when requests that ask for a proof are refused; zero if they are not
 	turnedAway     map[string]bool // hosts whose requests were refused for doubt
 }
 
@@ -197,11 +198,11 @@
 }
 
 // weigh takes an outcome for the doubt.
-func (t *task) weigh(now time.Time, saw detect.Observation, others detect.Reference) {
+func (t *task) weigh(now time.Time, saw detect.Observation) {
 	weight := 0.0
 	switch saw.Outcome {
 	case detect.OK:
-		if !t.declared.rules.IsSlow(saw.Took, others.Typical) {
+		if !saw.WasOverdue && !saw.PastTarget {
 			t.noteGood(now)
 			return
 		}
@@ -228,11 +229,17 @@
 	}
 }
 
-// isUnproven says whether the last proof that the backend server is well is old. One
-// that is very old is no reason to refuse: nobody else would make a new one.
+// isUnproven says whether the last proof that the backend server is well is old. It
+// is no reason to refuse for long: then nobody else would make a new one.
 func (t *task) isUnproven(now time.Time) bool {
-	age := t.doubt.ProofAge(now)
-	return !t.doubt.Doubted() && age > provenWithin && age < unprovenFor
+	if t.doubt.Doubted() || t.doubt.ProofAge(now) <= provenWithin {
+		t.unproven = time.Time{}
+		return false
+	}
+	if t.unproven.IsZero() {
+		t.unproven = now
+	}
+	return now.Sub(t.unproven) < unprovenFor
 }
 
 // began takes it that a request was given a slot.
@@ -283,7 +290,7 @@
 }
 
 func (t *task) observe(now time.Time, m observeMessage) {
-	t.weigh(now, m.observation, m.others)
+	t.weigh(now, m.observation)
 	if t.declared.adoption() == fleet.AdoptionOff || t.subject.State(now) != detect.Serving {
 		return
 	}
