refactor(sidecar): one file for each theme of a backend server's task

task.go keeps the message loop; slots, doubt and proofs, leaving and the report have files of their own, and two long functions are split. Behaviour is unchanged.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -3,7 +3,18 @@
 //
 // That makes slots, the queue, leaving, ejecting, and whether a request
 // was run facts of one process. One task for each backend server owns them and
-// talks by messages.
+// talks by messages. What it does is in files by theme:
+//
+//	task.go     takes the messages
+//	slots.go    gives, queues or refuses a slot
+//	leaving.go  takes no new work while the backend server leaves
+//	doubt.go    passes a backend server over at the first sign of failing
+//	eject.go    takes a sick one out of service, if the floor allows it
+//	report.go   describes the backend server to operators
+//	ticket.go   keeps a slot for a request that must not run twice
+//	server.go   is the handle of the task for everybody else
+//	exchange.go sends the request and checks the answer
+//	handler.go  takes requests from other daemons
 //
 // # Usage
 //
--- /dev/null
+++ b/internal/sidecar/slots.go
@@ -0,0 +1,150 @@
+package sidecar
+
+import (
+	"math"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/admission"
+	"github.com/tideliftd/tidelift/internal/detect"
+	"github.com/tideliftd/tidelift/internal/result"
+)
+
+const (
+	// longestRefusal is the longest that a refusal for being ejected tells an
+	// ingress to stay away. The floor may call the backend server back at any
+	// time, and it should then get work soon.
+	longestRefusal = time.Second
+	// trialRefusal is how long one stays away while a trial request runs.
+	trialRefusal = 200 * time.Millisecond
+)
+
+// offer decides on one request: first whether the backend server takes work at
+// all, then whether there is a slot.
+func (t *task) offer(now time.Time, m offerMessage) {
+	trial, refused := t.admit(now, m)
+	if refused != nil {
+		m.reply <- grant{err: refused}
+		return
+	}
+	if m.call.Proven && t.isUnproven(now) {
+		m.reply <- grant{err: result.New(result.Unproven)}
+		return
+	}
+	t.queue.Resize(t.size(now))
+	if m.call.NoWait && !t.queue.HasSlot() {
+		m.reply <- grant{err: refusal(result.Busy, t.queue.RetryAfter())}
+		return
+	}
+	t.place(now, m, trial)
+}
+
+// place gives the request a slot or a place in the queue, or refuses it for want
+// of one.
+func (t *task) place(now time.Time, m offerMessage, trial bool) {
+	decision := t.queue.Offer(now, m.request)
+	if decision.Evicted != 0 {
+		t.reply(decision.Evicted, grant{err: refusal(result.PlaceLost, t.queue.RetryAfter())})
+	}
+	switch decision.Verdict {
+	case admission.Granted:
+		t.trying = t.trying || trial
+		t.began(now)
+		m.reply <- grant{trial: trial}
+	case admission.Queued:
+		t.waiting[m.request.ID] = m.reply
+	case admission.RefusedFull:
+		m.reply <- grant{err: refusal(result.QueueFull, decision.RetryAfter)}
+	case admission.RefusedLate:
+		m.reply <- grant{err: refusal(result.QueueTooSlow, decision.RetryAfter)}
+	case admission.RefusedShare:
+		m.reply <- grant{err: refusal(result.CustomerShare, decision.RetryAfter)}
+	}
+}
+
+// admit says whether the backend server takes the request, and whether as a
+// trial.
+func (t *task) admit(now time.Time, m offerMessage) (trial bool, refused *result.Error) {
+	if t.isLeaving(now) {
+		return false, result.New(result.Leaving)
+	}
+	t.noteSurvived(now)
+	if t.doubt.Doubted() {
+		return false, t.admitDoubted(now, m)
+	}
+	if !t.isEjected(now) {
+		return false, nil
+	}
+	if t.subject.State(now) == detect.Ejected {
+		return false, refusal(result.Ejected, min(t.subject.HeldFor(now), longestRefusal))
+	}
+	if m.call.Once || t.trying {
+		return false, refusal(result.Ejected, trialRefusal)
+	}
+	return true, nil
+}
+
+// size is the backend server's slots, fewer for a while after a return.
+func (t *task) size(now time.Time) admission.Config {
+	size := t.declared.size()
+	if share := t.subject.Share(now); share > 0 {
+		size.Slots = max(1, int(math.Ceil(float64(size.Slots)*share)))
+	}
+	return size
+}
+
+// release takes a slot back and gives it to those that wait. A trial request also
+// shows whether the backend server has recovered.
+func (t *task) release(now time.Time, m releaseMessage) {
+	granted, late := t.queue.Done(now, m.took)
+	t.settle(now, granted, late)
+	if !m.trial {
+		return
+	}
+	t.trying = false
+	if !m.seen || !t.isEjected(now) {
+		return
+	}
+	if t.subject.Try(now, m.saw, m.others) {
+		t.comeBack("passed its trial")
+	}
+}
+
+// settle answers waiting requests: those that got a slot, and those whose deadline
+// is too near to run.
+func (t *task) settle(now time.Time, granted, late []uint64) {
+	for _, id := range granted {
+		t.began(now)
+		t.reply(id, grant{})
+	}
+	for _, id := range late {
+		t.reply(id, grant{err: result.New(result.DeadlineBeforeRun)})
+	}
+}
+
+// expire refuses the waiting requests that waited long enough.
+func (t *task) expire(now time.Time) {
+	for _, id := range t.queue.Expire(now) {
+		t.reply(id, grant{err: refusal(result.QueueTooSlow, t.queue.RetryAfter())})
+	}
+}
+
+// cancel takes a request out of the queue and answers whether it was there.
+func (t *task) cancel(m cancelMessage) {
+	wasWaiting := t.queue.Cancel(m.request.Customer, m.request.ID)
+	delete(t.waiting, m.request.ID)
+	m.reply <- wasWaiting
+}
+
+// reply answers a waiting request, if it still waits.
+func (t *task) reply(id uint64, g grant) {
+	reply, ok := t.waiting[id]
+	if !ok {
+		return
+	}
+	delete(t.waiting, id)
+	reply <- g
+}
+
+func refusal(code result.Code, after time.Duration) *result.Error {
+	return result.New(code).WithRetryAfter(after)
+}
