--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -13,6 +13,8 @@
 // must not run twice are best sent where that is young, since whoever is first to
 // meet a backend server that has just begun to fail is lost.
 //
+// Doubt and its end are in doubt.go, the age of the last proof in proof.go.
+//
 // A Doubt is the aggregate of one backend server. It takes outcomes and the time;
 // it has no clock, goroutine or socket. The sidecar's task owns it.
 //
@@ -60,12 +62,6 @@
 	riskAfter = 2 * time.Second
 	// riskAgain is the same after a probe that went well.
 	riskAgain = 500 * time.Millisecond
-	// survives is how long a request has to run to be a proof. Source: one that a
-	// failing backend server breaks is broken within milliseconds; a ticket's
-	// request comes a round trip after its slot was granted.
-	survives = 40 * time.Millisecond
-	// keptBegun bounds how many beginnings are remembered.
-	keptBegun = 8
 )
 
 // Doubt is what is held against one backend server.
@@ -79,9 +75,7 @@
 	probed  time.Time // when a probe began of which nothing is known yet
 	// survived counts the probes that were counted before their answers came.
 	survived int
-
-	begun    []time.Time // when the last requests were given their slots
-	lastGood time.Time
+	proof    proof
 }
 
 // New returns the doubt of a backend server that nothing is held against.
@@ -90,31 +84,33 @@
 // Bad takes a bad outcome of that weight and says whether doubt begins with it.
 func (d *Doubt) Bad(now time.Time, weight float64) bool {
 	d.sum += weight
-	d.begun = nil
-	d.lastGood = time.Time{}
+	d.proof = proof{}
 	d.broke = weight >= Broken
 	d.probed = time.Time{}
 	d.survived = 0
 	if d.doubted {
-		d.good = 0
-		d.pause = min(2*d.pause, longestPause)
-		d.next = now.Add(d.pause)
+		d.waitFor(now, min(2*d.pause, longestPause))
 		return false
 	}
 	if d.sum < enough {
 		return false
 	}
 	d.doubted = true
-	d.good = 0
-	d.pause = firstPause
-	d.next = now.Add(firstPause)
+	d.waitFor(now, firstPause)
 	return true
 }
 
+// waitFor puts the next probe off, after which proofs are counted anew.
+func (d *Doubt) waitFor(now time.Time, pause time.Duration) {
+	d.good = 0
+	d.pause = pause
+	d.next = now.Add(pause)
+}
+
 // Good takes a good answer and says whether doubt ends with it.
 func (d *Doubt) Good(now time.Time) bool {
 	d.sum *= fade
-	d.lastGood = now
+	d.proof.lastGood = now
 	if !d.doubted {
 		return false
 	}
@@ -125,8 +121,8 @@
 	return d.count(now)
 }
 
-// Survived counts a probe that has not been broken for long enough, if broken
-// connections were what began the doubt, and says whether doubt ends with it.
+// Survived counts a probe that has not been broken for long enough, if the last bad
+// outcome was a broken connection, and says whether doubt ends with it.
 func (d *Doubt) Survived(now time.Time) bool {
 	if !d.doubted || !d.broke || d.probed.IsZero() || now.Sub(d.probed) < survives {
 		return false
@@ -135,6 +131,7 @@
 	return d.count(now)
 }
 
+// count counts a proof and says whether doubt ends with it.
 func (d *Doubt) count(now time.Time) bool {
 	d.probed = time.Time{}
 	d.good++
@@ -174,20 +171,3 @@
 
 // HeldFor returns when to come back with a request.
 func (d *Doubt) HeldFor(now time.Time) time.Duration { return max(firstPause, d.next.Sub(now)) }
-
-// Began takes it that a request was given a slot.
-func (d *Doubt) Began(now time.Time) {
-	d.begun = append(d.begun, now)
-	d.begun = d.begun[max(0, len(d.begun)-keptBegun):]
-}
-
-// ProofAge returns how old the last proof is that the backend server is well.
-func (d *Doubt) ProofAge(now time.Time) time.Duration {
-	last := d.lastGood
-	for _, at := range d.begun {
-		if now.Sub(at) >= survives && at.After(last) {
-			last = at
-		}
-	}
-	return now.Sub(last)
-}
