--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -12,7 +12,11 @@
 //	switch decision.Verdict { ... }
 //	granted, late := q.Done(now, took)
 //
-// Rules:
+// The queue and an offer to it are in admission.go, what happens when the places
+// run short in crowded.go, who gets a slot that is freed in grant.go, who is taken
+// out in remove.go, and the requests of one priority in line.go.
+//
+// # Rules
 //
 //   - A free slot is given at once.
 //   - A request that could not start before its deadline, by the time that
@@ -22,9 +26,10 @@
 //     starves. It may take the place of another that has just come.
 //   - Of one customer's requests those that can still meet their aim are served
 //     before those that come late in any case.
-//   - Waiting customers of one priority take turns. A customer that has its fair part of the queue
-//     leaves a place free for each other that was seen in the last ActiveFor, so
-//     that whoever floods is refused at once and the others still find a place.
+//   - Waiting customers of one priority take turns. A customer that has its fair
+//     part of the queue leaves a place free for each other that was seen in the last
+//     ActiveFor, so that whoever floods is refused at once and the others still find
+//     a place.
 //   - When the queue is full all the same, a customer who waits with more requests
 //     than another gives up its newest place, if it has had that for EvictWithin at
 //     most: who has waited longer is not refused after it.
@@ -67,18 +72,6 @@
 	averageWeight = 16
 	// initialServiceTime is assumed until a request has been run.
 	initialServiceTime = 10 * time.Millisecond
-	// ActiveFor is how long a customer counts as active after a request.
-	ActiveFor = 2 * time.Second
-	// UrgentGrants is how many grants go to the more urgent while the less urgent
-	// wait, before one goes to those. Source: what is less urgent must get a
-	// quarter of the share that the rest gets at the least.
-	UrgentGrants = 3
-	// EvictLessUrgentWithin is how long a waiting request can lose its place to a
-	// more urgent one. Source: a refusal should come within a quarter of the time
-	// in which an answer is hoped for, some hundreds of milliseconds.
-	EvictLessUrgentWithin = 50 * time.Millisecond
-	// EvictWithin is how long a waiting request can lose its place.
-	EvictWithin = 10 * time.Millisecond
 )
 
 // Config is the size of a backend server.
@@ -174,15 +167,6 @@
 	return Decision{Verdict: Queued}
 }
 
-// leavesRoom says whether the bucket may take another place: if it has less than
-// its fair part of them, or a place stays free for each other that is active.
-func (q *Queue) leavesRoom(now time.Time, bucket, priority int) bool {
-	others := q.activeOthers(now, bucket)
-	fair := max(1, q.config.Depth/(others+1))
-	free := q.config.Depth - q.waiting
-	return len(q.line(priority).buckets[bucket]) < fair || free > others
-}
-
 // before returns how many wait that are served before one of that priority.
 func (q *Queue) before(priority int) int {
 	waiting := 0
@@ -203,153 +187,6 @@
 	return q.lines[at]
 }
 
-func (q *Queue) activeOthers(now time.Time, bucket int) int {
-	others := 0
-	for i := range q.seen {
-		if i != bucket && now.Sub(q.seen[i]) < ActiveFor {
-			others++
-		}
-	}
-	return others
-}
-
-// offerFull lets a more urgent request take the newest place of the least urgent,
-// and a customer with a short queue that of the customer with the longest.
-func (q *Queue) offerFull(now time.Time, bucket int, r Request) Decision {
-	own := q.line(r.Priority)
-	if least := q.leastUrgent(); least.priority > r.Priority {
-		out := least.longest()
-		if now.Sub(least.newest(out).since) <= EvictLessUrgentWithin {
-			return q.exchange(now, least, out, bucket, r)
-		}
-	}
-	longest := own.longest()
-	if longest == bucket && len(own.buckets[bucket]) < own.waiting {
-		return Decision{Verdict: RefusedShare, RetryAfter: q.RetryAfter()}
-	}
-	if longest == bucket || len(own.buckets[longest]) <= len(own.buckets[bucket])+1 {
-		return Decision{Verdict: RefusedFull, RetryAfter: q.RetryAfter()}
-	}
-	if now.Sub(own.newest(longest).since) > EvictWithin {
-		return Decision{Verdict: RefusedFull, RetryAfter: q.RetryAfter()}
-	}
-	return q.exchange(now, own, longest, bucket, r)
-}
-
-// exchange gives the newest place of a bucket to the request.
-func (q *Queue) exchange(now time.Time, from *line, evicted, bucket int, r Request) Decision {
-	out := from.popNewest(evicted)
-	q.waiting--
-	q.push(now, bucket, r)
-	return Decision{Verdict: Queued, Evicted: out.ID}
-}
-
-// leastUrgent returns the least urgent line in which somebody waits. The queue
-// is not empty.
-func (q *Queue) leastUrgent() *line {
-	for _, l := range slices.Backward(q.lines) {
-		if l.waiting > 0 {
-			return l
-		}
-	}
-	return q.lines[0]
-}
-
-// next takes the request that is served next. The queue is not empty.
-func (q *Queue) next(now time.Time) Request {
-	q.waiting--
-	return q.nextLine().popTurn(now.Add(q.serviceTime))
-}
-
-// nextLine returns the line that is served next: the most urgent, or after
-// UrgentGrants of those the next one that waits.
-func (q *Queue) nextLine() *line {
-	first := -1
-	for i, l := range q.lines {
-		if l.waiting == 0 {
-			continue
-		}
-		if first >= 0 {
-			q.urgentGrants = 0
-			return l
-		}
-		first = i
-		if q.urgentGrants < UrgentGrants {
-			break
-		}
-	}
-	q.urgentGrants++
-	return q.lines[first]
-}
-
-// Done frees a slot after a request that took so long, and returns the
-// requests that get a slot and those that can no longer make their deadline.
-// A request that was granted a slot and never sent has taken zero, which the
-// average leaves out.
-func (q *Queue) Done(now time.Time, took time.Duration) (granted, late []uint64) {
-	q.running--
-	if took > 0 {
-		q.serviceTime += (took - q.serviceTime) / averageWeight
-	}
-	return q.grant(now)
-}
-
-func (q *Queue) grant(now time.Time) (granted, late []uint64) {
-	for q.running < q.config.Slots && q.waiting > 0 {
-		next := q.next(now)
-		if q.isHopeless(now, next) {
-			late = append(late, next.ID)
-			continue
-		}
-		q.running++
-		granted = append(granted, next.ID)
-	}
-	return granted, late
-}
-
-// hopelessPart is the part of the usual service time that has to be left for a
-// request to be run at all.
-const hopelessPart = 2
-
-func (q *Queue) isHopeless(now time.Time, r Request) bool {
-	return now.Add(q.serviceTime / hopelessPart).After(r.Deadline)
-}
-
-// Expire takes out the waiting requests that have no hope or, in a crowded queue,
-// no patience left, and returns them. A queue is crowded while more wait than
-// there are slots.
-func (q *Queue) Expire(now time.Time) []uint64 {
-	return q.remove(func(r Request) bool {
-		impatient := !r.Patience.IsZero() && now.After(r.Patience) && q.waiting > q.config.Slots
-		return impatient || q.isHopeless(now, r)
-	})
-}
-
-// Clear takes out every waiting request and returns them.
-func (q *Queue) Clear() []uint64 {
-	return q.remove(func(Request) bool { return true })
-}
-
-func (q *Queue) remove(which func(Request) bool) []uint64 {
-	removed := make([]uint64, 0, q.waiting)
-	for _, l := range q.lines {
-		removed = append(removed, l.remove(which, func() { q.waiting-- })...)
-	}
-	return removed
-}
-
-// Cancel takes a waiting request out and says whether it was waiting.
-func (q *Queue) Cancel(customer string, id uint64) bool {
-	bucket := q.bucketOf(customer)
-	for _, l := range q.lines {
-		if l.cancel(bucket, id) {
-			q.waiting--
-			return true
-		}
-	}
-	return false
-}
-
 // wait returns how long the request at that place in the queue waits.
 func (q *Queue) wait(place int) time.Duration {
 	over := q.running + place - q.config.Slots
--- /dev/null
+++ b/internal/admission/crowded.go
@@ -0,0 +1,79 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// ActiveFor is how long a customer counts as active after a request.
+	ActiveFor = 2 * time.Second
+	// EvictLessUrgentWithin is how long a waiting request can lose its place to a
+	// more urgent one. Source: a refusal should come within a quarter of the time
+	// in which an answer is hoped for, some hundreds of milliseconds.
+	EvictLessUrgentWithin = 50 * time.Millisecond
+	// EvictWithin is how long a waiting request can lose its place.
+	EvictWithin = 10 * time.Millisecond
+)
+
+// leavesRoom says whether the bucket may take another place: if it has less than
+// its fair part of them, or a place stays free for each other that is active.
+func (q *Queue) leavesRoom(now time.Time, bucket, priority int) bool {
+	others := q.activeOthers(now, bucket)
+	fair := max(1, q.config.Depth/(others+1))
+	free := q.config.Depth - q.waiting
+	return len(q.line(priority).buckets[bucket]) < fair || free > others
+}
+
+// activeOthers counts the other buckets whose customers asked lately.
+func (q *Queue) activeOthers(now time.Time, bucket int) int {
+	others := 0
+	for i := range q.seen {
+		if i != bucket && now.Sub(q.seen[i]) < ActiveFor {
+			others++
+		}
+	}
+	return others
+}
+
+// offerFull lets a more urgent request take the newest place of the least urgent,
+// and a customer with a short queue that of the customer with the longest.
+func (q *Queue) offerFull(now time.Time, bucket int, r Request) Decision {
+	own := q.line(r.Priority)
+	if least := q.leastUrgent(); least.priority > r.Priority {
+		out := least.longest()
+		if now.Sub(least.newest(out).since) <= EvictLessUrgentWithin {
+			return q.exchange(now, least, out, bucket, r)
+		}
+	}
+	longest := own.longest()
+	if longest == bucket && len(own.buckets[bucket]) < own.waiting {
+		return Decision{Verdict: RefusedShare, RetryAfter: q.RetryAfter()}
+	}
+	if longest == bucket || len(own.buckets[longest]) <= len(own.buckets[bucket])+1 {
+		return Decision{Verdict: RefusedFull, RetryAfter: q.RetryAfter()}
+	}
+	if now.Sub(own.newest(longest).since) > EvictWithin {
+		return Decision{Verdict: RefusedFull, RetryAfter: q.RetryAfter()}
+	}
+	return q.exchange(now, own, longest, bucket, r)
+}
+
+// exchange gives the newest place of a bucket to the request.
+func (q *Queue) exchange(now time.Time, from *line, evicted, bucket int, r Request) Decision {
+	out := from.popNewest(evicted)
+	q.waiting--
+	q.push(now, bucket, r)
+	return Decision{Verdict: Queued, Evicted: out.ID}
+}
+
+// leastUrgent returns the least urgent line in which somebody waits. The queue
+// is not empty.
+func (q *Queue) leastUrgent() *line {
+	for _, l := range slices.Backward(q.lines) {
+		if l.waiting > 0 {
+			return l
+		}
+	}
+	return q.lines[0]
+}
