--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -9,8 +9,6 @@
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/floor"
-	"github.com/tideliftd/tidelift/internal/member"
-	"github.com/tideliftd/tidelift/internal/registry"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/sidecar"
 )
@@ -102,7 +100,7 @@
 	d.learn(told.Host, told.Hosts)
 	var rest control.Rest
 	if told.Digest != nil {
-		d.members.with(func(t *member.Table, _ *registry.Registry) { rest.Hosts = t.Missing(told.Digest) })
+		rest.Hosts = d.members.missing(told.Digest)
 	}
 	return rest, nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,15 +8,37 @@
 // flight is finished, and the listeners close. Force, or the settings' stop
 // limit, ends it earlier and cuts what is left.
 //
-// The steps of a start, in order: metrics, sidecar, ingress, platform, operator
-// API, listeners, declaration. Without a declaration the daemon answers callers
-// with the result code not-ready.
+// The steps of a start, in order: keys, metrics, sidecar, ingress, ledger, table of
+// hosts, listeners with the operator API, declaration, and last, if hosts register
+// themselves, the record in the store. Without a declaration the daemon answers
+// callers with the result code not-ready.
+//
+// One theme is in one file:
+//
+//	daemon.go   makes the parts and runs them
+//	listen.go   the listeners and the planned stop
+//	calls.go    control calls, taken and made
+//	keys.go     certificates and tokens
+//	reload.go   settings that change in a running daemon
+//	source.go   whether operators or the platform declare
+//	inforce.go  puts a revision in force in every part
+//	watch.go    watches the platform while that is this daemon's part
+//	platform.go whether the platform answers, here or elsewhere
+//	spread.go   tells others of a revision
+//	poll.go     asks others for theirs
+//	hosts.go    the list of leaving hosts in the store
+//	members.go  what is known of hosts and of the own backend servers
+//	checkins.go check-ins of the own backend servers
+//	join.go     the order in which a daemon that registers itself joins
+//	record.go   this host's record in the store, and the others' at the start
+//	news.go     tells others of hosts
+//	digest.go   finds what two daemons know differently of hosts
+//	gone.go     takes a silent host for gone
 package daemon
 
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -112,15 +134,6 @@
 	tokens       *keys.Tokens       // nil without tokens
 }
 
-// platformState is what the platform's last answer showed.
-type platformState string
-
-const (
-	platformUnknown platformState = "unknown"
-	platformUp      platformState = "up"
-	platformDown    platformState = "down"
-)
-
 // Run runs a daemon until ctx ends and its planned stop is done.
 func Run(ctx context.Context, config Config) error {
 	d := &daemon{config: config, started: time.Now(), news: make(chan news, newsWaiting)}
@@ -178,10 +191,13 @@
 		Silent:      d.checkGone,
 	})
 	d.atEnd(cleanUp)
-	return d.buildLedger()
+	d.buildLedger()
+	d.buildMembers()
+	return nil
 }
 
-func (d *daemon) buildLedger() error {
+// buildLedger makes what brings hosts and revisions here from the platform.
+func (d *daemon) buildLedger() {
 	s := d.config.Settings
 	d.hosts = newHostList(d.config.Store, s.Platform.Prefix)
 	d.ledger = revision.New(revision.Config{
@@ -191,6 +207,11 @@
 		OnAnswer: d.platformAnswered,
 	})
 	d.source = d.newSource()
+}
+
+// buildMembers makes the table of hosts, in which this one begins a new life.
+func (d *daemon) buildMembers() {
+	s := d.config.Settings
 	d.members = newMembers(member.Host{
 		Name:       s.Name,
 		DataCentre: s.DataCentre,
@@ -198,9 +219,9 @@
 		Control:    s.Listen.Control,
 		Start:      uuid.NewString(),
 	})
-	return nil
 }
 
+// atEnd keeps a function for cleanUp, which calls the last one first.
 func (d *daemon) atEnd(cleanUp func()) { d.cleanUps = append(d.cleanUps, cleanUp) }
 
 func (d *daemon) cleanUp() {
@@ -209,89 +230,7 @@
 	}
 }
 
-func (d *daemon) setPlatform(state platformState) platformState {
-	old := d.platform.Swap(&state)
-	if old == nil {
-		return state
-	}
-	return *old
-}
-
-func (d *daemon) platformFailed(err error) {
-	d.notePlatform(d.platformLastSeen())
-	if d.setPlatform(platformDown) != platformDown {
-		event.Log(d.config.Logger, event.PlatformUnreachable, "error", err)
-	}
-}
-
-func (d *daemon) platformAnswered() {
-	if d.setPlatform(platformUp) == platformDown {
-		event.Log(d.config.Logger, event.PlatformReachable)
-	}
-}
-
-// take puts a revision in force, if it is above the one that is.
-func (d *daemon) take(r revision.Revision) {
-	d.taking.Lock()
-	defer d.taking.Unlock()
-	if current := d.inForce.Load(); current != nil && current.Revision.Number >= r.Number {
-		return
-	}
-	declaration, err := d.source.parse(r.YAML)
-	if err != nil {
-		event.Log(d.config.Logger, event.DeclarationRefused, "revision", r.Number, "error", err)
-		return
-	}
-	d.declared = declaration
-	d.putInForce(r)
-	d.notifyPeers(r, d.plan.Load())
-	event.Log(d.config.Logger, event.DeclarationInForce, "revision", r.Number, "change", r.Accepted.ID,
-		"author", r.Accepted.Author, "reason", r.Accepted.Reason)
-}
-
-// retake puts the declaration in force again with the hosts and backend servers
-// that are known now.
-func (d *daemon) retake() {
-	d.taking.Lock()
-	defer d.taking.Unlock()
-	if current := d.inForce.Load(); current != nil {
-		d.putInForce(current.Revision)
-		return
-	}
-	d.planWith(d.members.complete(fleet.Declaration{}).Hosts)
-}
-
-// planWith makes the plan of whom to tell of news.
-func (d *daemon) planWith(hosts []fleet.Host) {
-	d.plan.Store(spread.NewPlan(spread.Config{
-		Host:       d.config.Settings.Name,
-		DataCentre: d.config.Settings.DataCentre,
-		Random:     rand.Uint64,
-	}, hosts))
-}
-
-// putInForce makes the index of what is declared and registered, and gives it to
-// every part. The caller holds taking.
-func (d *daemon) putInForce(r revision.Revision) {
-	index := fleet.NewIndex(d.members.complete(d.declared))
-	d.sidecar.Reconfigure(index)
-	d.ingress.Reconfigure(index)
-	d.planWith(index.Declaration.Hosts)
-	d.inForce.Store(&operator.InForce{Revision: r, Index: index})
-}
-
-// publish makes an operator's change the next revision, and puts it in force
-// here at once, so that the operator's next question sees it.
-func (d *daemon) publish(ctx context.Context, change revision.Change) (revision.Accepted, error) {
-	accepted, err := d.ledger.Publish(ctx, change)
-	if err != nil {
-		return revision.Accepted{}, err
-	}
-	event.Log(d.config.Logger, event.DeclarationAccepted, "revision", accepted.Revision, "change", accepted.ID, "author", accepted.Author)
-	d.take(revision.Revision{Number: accepted.Revision, YAML: change.YAML, Accepted: accepted})
-	return accepted, nil
-}
-
+// status is the state of this daemon for operators.
 func (d *daemon) status() operatorapi.Status {
 	status := operatorapi.Status{
 		Daemon:     d.config.Settings.Name,
@@ -308,11 +247,3 @@
 	}
 	return status
 }
-
-func (d *daemon) currentDeclaration() (operator.InForce, bool) {
-	current := d.inForce.Load()
-	if current == nil {
-		return operator.InForce{}, false
-	}
-	return *current, true
-}
--- /dev/null
+++ b/internal/daemon/digest.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/tideliftd/tidelift/internal/control"
+	"github.com/tideliftd/tidelift/internal/event"
+)
+
+// hostsSum returns the hash of the known hosts, if hosts register themselves.
+func (d *daemon) hostsSum() uint64 {
+	if !d.registers() {
+		return 0
+	}
+	return d.members.sum()
+}
+
+// answerHosts adds the digest of what is known here if the asking daemon does not
+// know the same.
+func (d *daemon) answerHosts(asked control.Above, held *control.Held) {
+	if asked.Hosts == 0 || !d.registers() || asked.Hosts == d.hostsSum() {
+		return
+	}
+	held.Digest = d.members.digest()
+}
+
+// exchangeHosts tells the peer what it does not know of hosts, and takes what it
+// answers with.
+func (d *daemon) exchangeHosts(ctx context.Context, address string, held control.Held) {
+	if held.Digest == nil {
+		return
+	}
+	told := control.Told{Host: d.config.Settings.Name}
+	told.Hosts, told.Digest = d.members.compare(held.Digest)
+	var rest control.Rest
+	if err := d.peers.Call(ctx, address, control.MethodTold, told, &rest); err != nil {
+		event.Log(d.config.Logger, event.PeerSilent, "address", address, "call", control.MethodTold, "error", err)
+		return
+	}
+	d.learn(address, rest.Hosts)
+}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -20,11 +20,33 @@
 	return &members{table: member.NewTable(self), registry: registry.New()}
 }
 
-// with calls the function while nobody else changes anything.
-func (m *members) with(f func(*member.Table, *registry.Registry)) {
+// sum returns a hash of what is known of all hosts.
+func (m *members) sum() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	f(m.table, m.registry)
+	return m.table.Sum()
+}
+
+// digest returns hashes by which two daemons find where they differ.
+func (m *members) digest() []uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Digest()
+}
+
+// missing returns the hosts that a daemon with that digest may not know as they are
+// known here.
+func (m *members) missing(digest []uint64) []member.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Missing(digest)
+}
+
+// compare returns the same and the digest of what is known here at that moment.
+func (m *members) compare(digest []uint64) ([]member.Host, []uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Missing(digest), m.table.Digest()
 }
 
 // self returns what is told of the own host.
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -37,20 +37,3 @@
 	next.Log, next.Source, next.Limits.Stop = old.Log, old.Source, old.Limits.Stop
 	return !next.Equal(old)
 }
-
-// reparse reads the declaration in force again, with other settings.
-func (d *daemon) reparse() {
-	d.taking.Lock()
-	defer d.taking.Unlock()
-	current := d.inForce.Load()
-	if current == nil {
-		return
-	}
-	declaration, err := d.source.parse(current.Revision.YAML)
-	if err != nil {
-		event.Log(d.config.Logger, event.DeclarationRefused, "revision", current.Revision.Number, "error", err)
-		return
-	}
-	d.declared = declaration
-	d.putInForce(current.Revision)
-}
