refactor(ingress): one job a file, shorter choice and loop of attempts

attempt.go, choose.go and ingress.go are split into the loop, one attempt, the choice, the trail, the evidence and the services; the package comment lists the steps as they are, and a comment named the wrong hosts. Behaviour is unchanged.

--- /dev/null
+++ b/internal/ingress/attempts.go
@@ -0,0 +1,120 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/retry"
+	"github.com/tideliftd/tidelift/internal/wait"
+)
+
+const (
+	// noneAbleRetry is when to come back to a service that nobody can serve.
+	noneAbleRetry = time.Second
+	// lookAgainAfter is the pause before a request that finds only doubted backend
+	// servers, or none, looks again. Source: one is trusted again within some tens
+	// of milliseconds of the first proof.
+	lookAgainAfter = 50 * time.Millisecond
+)
+
+// attempts tries the request on one backend server after another until one
+// answers or the failure is final.
+func (in *Ingress) attempts(ctx context.Context, r *request) (*http.Response, error) {
+	r.service.budget.Earn()
+	var story trail
+	for {
+		next, ok := in.next(ctx, r, &story)
+		if !ok {
+			return story.end(worst(story.mayHaveRun, noneAble(story.last)))
+		}
+		a := &attempt{in: in, request: r, choice: next, first: story.sent == 0}
+		response, err := a.run(ctx)
+		if err == nil && !mayImprove(r, response) {
+			story.drop()
+			return response, nil
+		}
+		if err == nil {
+			err = story.keep(response)
+		}
+		story.add(next, result.From(err), a.far())
+		again := in.again(r, a, &story)
+		in.logAttempt(r, a, &story, again)
+		if !again {
+			return story.end(worst(story.mayHaveRun, story.last))
+		}
+		in.metrics.retried.Inc(story.last.Code)
+	}
+}
+
+// next says whom to ask next. While there are only doubted backend servers, or
+// none, it looks again as long as the request has time for that.
+func (in *Ingress) next(ctx context.Context, r *request, story *trail) (choice, bool) {
+	for {
+		c, ok := in.choose(r, story)
+		found := ok && !c.insist
+		if found || !in.waitABit(ctx, r) {
+			return c, ok
+		}
+	}
+}
+
+// waitABit waits before another look, if the request has time for one.
+func (in *Ingress) waitABit(ctx context.Context, r *request) bool {
+	return r.patience(time.Now()) > lookAgainAfter && wait.For(ctx, lookAgainAfter)
+}
+
+// mayImprove says whether another backend server may give a better answer than
+// this failure, which has been read whole.
+func mayImprove(r *request, response *http.Response) bool {
+	return !r.once && response.StatusCode >= http.StatusInternalServerError && response.ContentLength >= 0
+}
+
+// logAttempt leaves a line on a failed attempt.
+func (in *Ingress) logAttempt(r *request, a *attempt, story *trail, again bool) {
+	event.Log(in.config.Logger, event.AttemptFailed,
+		"request", in.requestID(r.Request), "service", r.name, "backend_server", a.target.Name, "trial", a.trial,
+		"no_wait", a.noWait, "proven", a.proven, "insist", a.insist,
+		"tried", len(story.tried), "sent", story.sent, "once", r.once, "code", story.last.Code.Number, "result", story.last.Code.Name,
+		"why", story.last.Error(), "again", again)
+}
+
+// worst is the failure to tell the caller: "not run" is true only if it is true
+// of every attempt, so one that may have run goes first. When to come back is
+// what the last one said.
+func worst(mayHaveRun, last *result.Error) *result.Error {
+	if mayHaveRun == nil || last.Code.Ran == result.RanUnknown {
+		return last
+	}
+	return mayHaveRun.WithRetryAfter(last.RetryAfter)
+}
+
+// again says whether the last failed attempt may be followed by another.
+func (in *Ingress) again(r *request, a *attempt, story *trail) bool {
+	if r.body.Spent() {
+		return false
+	}
+	if retry.IsFull(story.last.Code) && time.Now().After(r.patient) {
+		return false // the others are as full, and it has waited for its time
+	}
+	decision := retry.Decide(retry.Attempt{Sent: story.sent, Most: r.attempts, Full: story.full, Once: r.once, Err: story.last})
+	switch decision {
+	case retry.Free:
+		return true
+	case retry.Again:
+		return a.spent.Load() || r.service.budget.Spend()
+	case retry.Final:
+	}
+	return false
+}
+
+// noneAble is the answer when no target is left to try: the last failure if
+// there was one.
+func noneAble(last *result.Error) *result.Error {
+	if last == nil || takesNoWork(last) {
+		return result.New(result.NoneAble).WithRetryAfter(noneAbleRetry)
+	}
+	return last
+}
--- a/internal/ingress/choose.go
+++ b/internal/ingress/choose.go
@@ -1,34 +1,29 @@
 package ingress
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/balance"
-	"github.com/tideliftd/tidelift/internal/result"
-	"github.com/tideliftd/tidelift/internal/retry"
 )
 
-// maxLooks is how many backend servers are asked for a free slot before the
-// request waits at one. Source: at four fifths of the load each has a free slot
-// with a chance of a half, so that four leave one request in sixteen to wait.
-const maxLooks = 4
-
-// crowded is the share of busy answers from which fewer are asked. Source: where
-// three in four have no slot, asking another costs a round trip and finds little.
-const crowded = 0.75
-
-// crowdedLooks is how many are asked then.
-const crowdedLooks = 2
-
-// maxFarLooks is how many of them may be in other data centres, to which bytes are
-// dear and round trips long.
-const maxFarLooks = 1
-
-// maxUnproven is how many backend servers are asked for one that has just shown
-// that it is well, before any will do.
-const maxUnproven = 2
+const (
+	// maxLooks is how many backend servers are asked for a free slot before the
+	// request waits at one. Source: at four fifths of the load each has a free slot
+	// with a chance of a half, so that four leave one request in sixteen to wait.
+	maxLooks = 4
+	// crowded is the share of busy answers from which fewer are asked. Source: where
+	// three in four have no slot, asking another costs a round trip and finds little.
+	crowded = 0.75
+	// crowdedLooks is how many are asked then.
+	crowdedLooks = 2
+	// maxFarLooks is how many of them may be in other data centres, to which bytes
+	// are dear and round trips long.
+	maxFarLooks = 1
+	// maxUnproven is how many backend servers are asked for one that has just shown
+	// that it is well, before any will do.
+	maxUnproven = 2
+)
 
 // choice is whom to ask next, and how.
 type choice struct {
@@ -43,67 +38,17 @@
 	insist bool
 }
 
-// trail is what became of a request's attempts so far.
-type trail struct {
-	tried      []*balance.Target
-	busy       []busyTarget      // those that had no free slot
-	unproven   []*balance.Target // that had not shown for a while that they are well
-	answer     *http.Response    // a failure of a backend server, if nothing better comes
-	busyFar    int               // how many of the busy ones were in other data centres
-	sent       int               // that reached a backend server
-	full       int               // that met a full queue
-	last       *result.Error
-	mayHaveRun *result.Error // the last that may have run; nil if none may
-}
-
-// busyTarget is a target without a free slot, and how long a wait for one is.
-type busyTarget struct {
-	target *balance.Target
-	wait   time.Duration
-}
-
-func (t *trail) add(c choice, failure *result.Error, far bool) {
-	switch failure.Code.Number {
-	case result.Doubted.Number: // may be asked again, and is passed over until then
-	case result.Busy.Number:
-		if far {
-			t.busyFar++
-		}
-		t.busy = append(t.busy, busyTarget{c.target, failure.RetryAfter})
-		t.tried = append(t.tried, c.target)
-	case result.Unproven.Number:
-		t.unproven = append(t.unproven, c.target)
-	default:
-		t.tried = append(t.tried, c.target)
-	}
-	t.last = failure
-	if failure.Code.Ran == result.RanUnknown {
-		t.mayHaveRun = failure
-	}
-	if retry.Reached(failure.Code) {
-		t.sent++
-	}
-	if retry.IsFull(failure.Code) {
-		t.full++
-	}
-}
-
 // choose says whom to ask next: first for a free slot, then where the wait for
 // one is shortest, and one that is doubted if nobody else is left. A first
-// attempt that may be repeated goes to one on trial or in doubt on this host, if
-// there is one; what must not be lost goes to one that has just shown that it is
-// well, if that is soon found.
+// attempt that may be repeated goes to one on trial or in doubt, if there is one;
+// what must not be lost goes to one that has just shown that it is well, if that
+// is soon found.
 func (in *Ingress) choose(r *request, story *trail) (choice, bool) {
 	now := time.Now()
 	pool := r.service.pool
 	if !r.once && len(story.tried) == 0 {
-		if target, ok := pool.PickTrial(now); ok {
-			return choice{target: target, trial: true}, true
-		}
-	}
-	if !r.once && len(story.tried) == 0 && r.service.budget.Left() {
-		if target, ok := pool.PickProbe(now); ok {
-			return choice{target: target, noWait: true}, true
+		if c, ok := r.service.findOut(now); ok {
+			return c, true
 		}
 	}
 	if len(story.busy) < lookCount(pool) && story.busyFar < maxFarLooks {
@@ -121,6 +66,20 @@
 	return choice{target: target, insist: true}, ok
 }
 
+// findOut chooses a target of which a request shows whether it is well again: one on
+// trial, or one of this data centre that was doubted and may be tried again, if
+// there is a retry left for a failure.
+func (s *service) findOut(now time.Time) (choice, bool) {
+	if target, ok := s.pool.PickTrial(now); ok {
+		return choice{target: target, trial: true}, true
+	}
+	if !s.budget.Left() {
+		return choice{}, false
+	}
+	target, ok := s.pool.PickProbe(now)
+	return choice{target: target, noWait: true}, ok
+}
+
 // patience is how long a request may look for a backend server that is not
 // doubted. Source: a refusal is best given within a quarter of the time in which
 // an answer is worth most.
@@ -149,16 +108,3 @@
 	target, ok := r.service.pool.Pick(now, t.tried)
 	return choice{target: target, noWait: true}, ok
 }
-
-// leastBusy takes the target out where the wait is shortest.
-func (t *trail) leastBusy() *balance.Target {
-	best := 0
-	for i := range t.busy {
-		if t.busy[i].wait < t.busy[best].wait {
-			best = i
-		}
-	}
-	target := t.busy[best].target
-	t.busy = slices.Delete(t.busy, best, best+1)
-	return target
-}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -12,11 +12,18 @@
 //
 // A request passes these steps, each in a file of its own:
 //
-//	check    refuses what is malformed, ambiguous or too large       (check.go)
-//	admit    finds the route, the deadline and the customer          (admit.go)
-//	attempt  chooses a backend server and tries, again where allowed (attempt.go)
-//	send     passes the request to the backend server's sidecar      (send.go)
-//	answer   passes the answer on, or the failure with its code      (ingress.go)
+//	check    refuses what is malformed, ambiguous or too large        (check.go)
+//	admit    finds the route, the deadline and the customer           (admit.go)
+//	attempts tries, and again where allowed                           (attempts.go)
+//	choose   says whom to ask next, by what was tried so far          (choose.go, trail.go)
+//	attempt  is one sending, watched for being overdue                (attempt.go, clock.go)
+//	send     passes the request to the backend server's sidecar       (send.go)
+//	learn    takes what became of an attempt as evidence              (learn.go, judge.go)
+//	answer   passes the answer on, or the failure with its code       (ingress.go)
+//
+// Beside requests, the daemons of hosts that cannot be reached are asked until they
+// answer (reach.go), and each declaration renews what is kept of the services
+// (service.go).
 //
 // A caller gets the whole answer to its own request or a failure whose code
 // says what is known. Nothing that has been given up is held back.
@@ -26,7 +33,6 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -45,8 +51,6 @@
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/metric"
 	"github.com/tideliftd/tidelift/internal/result"
-	"github.com/tideliftd/tidelift/internal/retry"
-	"github.com/tideliftd/tidelift/internal/route"
 	"github.com/tideliftd/tidelift/internal/sidecar"
 )
 
@@ -102,21 +106,6 @@
 	state atomic.Pointer[state]
 }
 
-// state is what requests read; it does not change once stored.
-type state struct {
-	index    *fleet.Index
-	routes   *route.Table
-	services map[string]*service
-}
-
-// service is what the ingress keeps of one service.
-type service struct {
-	pool   *balance.Pool
-	budget *retry.Budget
-	judge  *judge
-	rules  detect.Rules
-}
-
 type metrics struct {
 	requests tally.Counter
 	refused  metric.Reasons
@@ -155,34 +144,6 @@
 	}
 }
 
-// Reconfigure puts a declaration in force. Requests that have begun go on
-// under the one before.
-func (in *Ingress) Reconfigure(index *fleet.Index) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	next := &state{
-		index:    index,
-		routes:   route.NewTable(index.Declaration.Routes),
-		services: make(map[string]*service, len(index.Declaration.Services)),
-	}
-	for _, declared := range index.Declaration.Services {
-		next.services[declared.Name] = in.reconfigureService(declared, index)
-	}
-	old := in.state.Swap(next)
-	if old != nil {
-		endRemoved(old, next)
-	}
-}
-
-// endRemoved ends the judges of services that are no longer declared.
-func endRemoved(old, next *state) {
-	for name, s := range old.services {
-		if _, ok := next.services[name]; !ok {
-			s.judge.end()
-		}
-	}
-}
-
 // end ends the judges and closes the connections.
 func (in *Ingress) end() {
 	in.mu.Lock()
@@ -193,32 +154,6 @@
 	in.transport.CloseIdleConnections()
 }
 
-func (in *Ingress) reconfigureService(declared fleet.Service, index *fleet.Index) *service {
-	s := &service{
-		pool:   balance.NewPool(balance.Config{DataCentre: in.config.DataCentre, Random: rand.Uint64, Start: in.start}),
-		budget: retry.NewBudget(),
-		rules:  detect.RulesOf(declared.Detection),
-	}
-	if old, ok := in.service(declared.Name); ok {
-		s.pool = old.pool
-		s.judge = old.judge
-		s.budget = old.budget
-	}
-	s.budget.Resize(retry.Size{Share: declared.RetryShare, Slack: declared.RetrySlack, Daemons: len(index.Declaration.Hosts)})
-	s.pool.Reconfigure(declared, index)
-	if s.judge == nil {
-		s.judge = newJudge(in.config, s.pool)
-	}
-	s.judge.reconfigure(declared)
-	return s
-}
-
-// overdueLimit is how long an attempt at the target may take before it counts
-// as overdue; zero without others to compare with.
-func (s *service) overdueLimit(target *balance.Target) time.Duration {
-	return s.rules.OverdueLimit(target.Typical())
-}
-
 func (in *Ingress) service(name string) (*service, bool) {
 	current := in.state.Load()
 	if current == nil {
--- /dev/null
+++ b/internal/ingress/learn.go
@@ -0,0 +1,104 @@
+package ingress
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/detect"
+	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/retry"
+	"github.com/tideliftd/tidelift/internal/sidecar"
+)
+
+const (
+	// refusedPause is how long a target that takes no work is passed over
+	// when it does not say for how long.
+	refusedPause = time.Second
+	// farStaysAway is how long ingresses of other data centres keep away from a
+	// doubted target unless they are told earlier that it is trusted again.
+	farStaysAway = 4 * time.Second
+	// unreachablePause is how long a target that cannot be reached is passed over.
+	unreachablePause = 500 * time.Millisecond
+)
+
+// takesNoWork says whether the target refused because it gets no work now, be it from
+// anybody or from this one.
+func takesNoWork(failure *result.Error) bool {
+	switch failure.Code.Number {
+	case result.Leaving.Number, result.Stopping.Number, result.UnknownServer.Number, result.Ejected.Number, result.Doubted.Number:
+		return true
+	default:
+		return false
+	}
+}
+
+// observe takes the head of an answer as evidence.
+func (a *attempt) observe(answer sidecar.Answer, took time.Duration) {
+	a.request.service.pool.Report(a.target, answer.Load, time.Now())
+	if a.noWait {
+		a.request.service.pool.Looked(true)
+	}
+	outcome, seen := detect.FromAnswer(answer.Response)
+	if seen && outcome != detect.OK {
+		a.target.Fail()
+	}
+	a.tell(detect.Observation{Outcome: outcome, Took: took, WasOverdue: a.overdue.Load()}, seen)
+}
+
+// learn takes a failure as evidence, and keeps away from a target that refuses
+// for a while.
+func (a *attempt) learn(failure *result.Error, took time.Duration) {
+	if retry.Reached(failure.Code) {
+		a.target.Fail()
+	}
+	outcome, seen := detect.FromResult(failure.Code)
+	a.tell(detect.Observation{Outcome: outcome, Took: took, WasOverdue: a.overdue.Load()}, seen)
+	pool := a.request.service.pool
+	switch {
+	case failure.Code.Number == result.Busy.Number:
+		pool.Report(a.target, 1, time.Now())
+		pool.Looked(false)
+	case failure.Code.Number == result.Doubted.Number:
+		pool.Doubt(a.target, time.Now().Add(a.stayAway(failure)))
+	case takesNoWork(failure):
+		pool.Pause(a.target, time.Now().Add(pauseFor(failure)))
+	case isPathFailure(failure) && a.in.config.Ping != nil:
+		a.in.reach.lost(a.target.Placement().Host)
+	case failure.Code.Number == result.PeerUnreachable.Number, failure.Code.Number == result.ServerUnreachable.Number:
+		pool.Pause(a.target, time.Now().Add(unreachablePause))
+	}
+}
+
+// isPathFailure says whether the failure is one of the path to the host.
+func isPathFailure(failure *result.Error) bool {
+	return failure.Code.Number == result.PeerUnreachable.Number || failure.Code.Number == result.TicketUnanswered.Number
+}
+
+// tell gives the service's judge what the attempt saw.
+func (a *attempt) tell(saw detect.Observation, seen bool) {
+	if !seen && !a.trial {
+		return
+	}
+	if a.trial && saw.Outcome == detect.Overdue {
+		return // the trial's end says more
+	}
+	a.request.service.judge.record(observation{target: a.target, trial: a.trial, seen: seen, saw: saw})
+}
+
+// stayAway is how long to keep away from a doubted target. Those near it find out
+// when it is well again, each at a time of its own; whoever was turned away is
+// told then.
+func (a *attempt) stayAway(failure *result.Error) time.Duration {
+	if a.far() {
+		return farStaysAway
+	}
+	return failure.RetryAfter + rand.N(failure.RetryAfter+1)
+}
+
+// pauseFor is how long to pass over a target that takes no work.
+func pauseFor(failure *result.Error) time.Duration {
+	if failure.RetryAfter > 0 {
+		return failure.RetryAfter
+	}
+	return refusedPause
+}
--- /dev/null
+++ b/internal/ingress/service.go
@@ -0,0 +1,83 @@
+package ingress
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/balance"
+	"github.com/tideliftd/tidelift/internal/detect"
+	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/retry"
+	"github.com/tideliftd/tidelift/internal/route"
+)
+
+// state is what requests read; it does not change once stored.
+type state struct {
+	index    *fleet.Index
+	routes   *route.Table
+	services map[string]*service
+}
+
+// service is what the ingress keeps of one service.
+type service struct {
+	pool   *balance.Pool
+	budget *retry.Budget
+	judge  *judge
+	rules  detect.Rules
+}
+
+// Reconfigure puts a declaration in force. Requests that have begun go on
+// under the one before.
+func (in *Ingress) Reconfigure(index *fleet.Index) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	next := &state{
+		index:    index,
+		routes:   route.NewTable(index.Declaration.Routes),
+		services: make(map[string]*service, len(index.Declaration.Services)),
+	}
+	for _, declared := range index.Declaration.Services {
+		next.services[declared.Name] = in.reconfigureService(declared, index)
+	}
+	old := in.state.Swap(next)
+	if old != nil {
+		endRemoved(old, next)
+	}
+}
+
+// endRemoved ends the judges of services that are no longer declared.
+func endRemoved(old, next *state) {
+	for name, s := range old.services {
+		if _, ok := next.services[name]; !ok {
+			s.judge.end()
+		}
+	}
+}
+
+// reconfigureService returns the service as it is declared now, with what was
+// learned of it before.
+func (in *Ingress) reconfigureService(declared fleet.Service, index *fleet.Index) *service {
+	s := &service{
+		pool:   balance.NewPool(balance.Config{DataCentre: in.config.DataCentre, Random: rand.Uint64, Start: in.start}),
+		budget: retry.NewBudget(),
+		rules:  detect.RulesOf(declared.Detection),
+	}
+	if old, ok := in.service(declared.Name); ok {
+		s.pool = old.pool
+		s.judge = old.judge
+		s.budget = old.budget
+	}
+	s.budget.Resize(retry.Size{Share: declared.RetryShare, Slack: declared.RetrySlack, Daemons: len(index.Declaration.Hosts)})
+	s.pool.Reconfigure(declared, index)
+	if s.judge == nil {
+		s.judge = newJudge(in.config, s.pool)
+	}
+	s.judge.reconfigure(declared)
+	return s
+}
+
+// overdueLimit is how long an attempt at the target may take before it counts
+// as overdue; zero without others to compare with.
+func (s *service) overdueLimit(target *balance.Target) time.Duration {
+	return s.rules.OverdueLimit(target.Typical())
+}
--- /dev/null
+++ b/internal/ingress/trail.go
@@ -0,0 +1,94 @@
+package ingress
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/balance"
+	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/retry"
+)
+
+// trail is what became of a request's attempts so far.
+type trail struct {
+	tried      []*balance.Target
+	busy       []busyTarget      // those that had no free slot
+	unproven   []*balance.Target // that had not shown for a while that they are well
+	answer     *http.Response    // a failure of a backend server, if nothing better comes
+	busyFar    int               // how many of the busy ones were in other data centres
+	sent       int               // that reached a backend server
+	full       int               // that met a full queue
+	last       *result.Error
+	mayHaveRun *result.Error // the last that may have run; nil if none may
+}
+
+// busyTarget is a target without a free slot, and how long a wait for one is.
+type busyTarget struct {
+	target *balance.Target
+	wait   time.Duration
+}
+
+// add takes the failure of an attempt.
+func (t *trail) add(c choice, failure *result.Error, far bool) {
+	switch failure.Code.Number {
+	case result.Doubted.Number: // may be asked again, and is passed over until then
+	case result.Busy.Number:
+		if far {
+			t.busyFar++
+		}
+		t.busy = append(t.busy, busyTarget{c.target, failure.RetryAfter})
+		t.tried = append(t.tried, c.target)
+	case result.Unproven.Number:
+		t.unproven = append(t.unproven, c.target)
+	default:
+		t.tried = append(t.tried, c.target)
+	}
+	t.last = failure
+	if failure.Code.Ran == result.RanUnknown {
+		t.mayHaveRun = failure
+	}
+	if retry.Reached(failure.Code) {
+		t.sent++
+	}
+	if retry.IsFull(failure.Code) {
+		t.full++
+	}
+}
+
+// leastBusy takes the target out where the wait is shortest.
+func (t *trail) leastBusy() *balance.Target {
+	best := 0
+	for i := range t.busy {
+		if t.busy[i].wait < t.busy[best].wait {
+			best = i
+		}
+	}
+	target := t.busy[best].target
+	t.busy = slices.Delete(t.busy, best, best+1)
+	return target
+}
+
+// keep keeps a failure of a backend server as the answer if nothing better comes,
+// in place of the one before, and returns it as a failure.
+func (t *trail) keep(answer *http.Response) *result.Error {
+	t.drop()
+	t.answer = answer
+	return result.New(result.ServerError).WithDetail("status %d", answer.StatusCode)
+}
+
+// end returns the answer of a backend server if there is one, and else the
+// failure.
+func (t *trail) end(failure *result.Error) (*http.Response, error) {
+	if t.answer != nil {
+		return t.answer, nil
+	}
+	return nil, failure
+}
+
+// drop closes the answer that is not needed any more.
+func (t *trail) drop() {
+	if t.answer != nil {
+		_ = t.answer.Body.Close() // it was read whole
+	}
+}
