--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -11,7 +11,7 @@
 //	changed = r.Leave("i-7f3a")
 //	for _, server := range r.Serving() { ... }
 //
-// Rules:
+// # Rules
 //
 //   - Each start of a backend server is a lifetime with a name of its own.
 //   - Leaving is final: whoever has said that it leaves never serves again under
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -9,20 +9,22 @@
 //
 //	budget := retry.NewBudget()
 //	budget.Resize(retry.Size{Share: 0.2, Slack: 56, Daemons: 21})
-//	budget.Earn()
+//	budget.Earn()                  // for each request
+//	if budget.Left() { ... }       // a retry may be spent on a failure
 //	switch retry.Decide(retry.Attempt{Sent: 1, Most: 2, Once: true, Err: refusal}) {
 //	case retry.Again:
 //		if !budget.Spend() { ... }
 //	}
 //
-// Rules:
+// # Rules
 //
 //   - A refusal by a sidecar cost the backend servers nothing, so another may be
 //     asked without drawing on the budget; a few times if queues are full, as
 //     long as there is one if the refusing one takes no work at all.
 //   - What reached a backend server is tried elsewhere within the route's
 //     attempts and the budget, and only if it did not run or may run twice.
-//   - The customer's own limits and the deadline are final.
+//   - What another backend server would not change is final: the customer's own
+//     limits, the deadline, a caller that went away, a malformed request.
 package retry
 
 import (
@@ -91,6 +93,7 @@
 	}
 }
 
+// isFinal says whether the failure is the answer, whoever else might be asked.
 func isFinal(code result.Code) bool {
 	switch code.Number {
 	case result.CustomerShare.Number, result.PlaceLost.Number, result.DeadlineBeforeRun.Number, result.CancelledBefore.Number,
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -1,6 +1,6 @@
-// Package spread decides how a revision of the declaration reaches every
-// daemon: who watches the platform, whom a daemon tells of a new revision, and
-// whom it asks now and then whether there is one.
+// Package spread decides how a revision of the declaration and news of hosts
+// reach every daemon: who watches the platform, whom a daemon tells of what is new,
+// and whom it asks now and then for what it missed.
 //
 // A Plan is read-only and made anew with each declaration. It has no clock,
 // goroutine or socket; the daemon's task owns what it is used for.
@@ -10,7 +10,9 @@
 //	plan := spread.NewPlan(spread.Config{Host: "csepel-1", DataCentre: "csepel", Random: rand.Uint64}, hosts)
 //	if plan.Watches(freshAt, now) { ... }   // watch the platform oneself
 //	for _, host := range plan.Notify() { ... } // a new revision: tell these
-//	host, ok := plan.Poll()                   // every PollEvery or so
+//	for _, host := range plan.Near() { ... }   // news of hosts: tell these,
+//	for _, host := range plan.OneOfEach() { ... } // and these of the own host
+//	host, ok := plan.Poll()                    // every PollEvery or so
 //
 // # Rules
 //
@@ -20,6 +22,9 @@
 //     own data centre and outside, each of whom fetches it and tells a few in
 //     turn. So it spreads in a number of steps that grows with the logarithm of
 //     the daemons, also round a cut.
+//   - News of hosts is told to a few in the own data centre. What a host has to tell
+//     of itself goes to one host each of a few other data centres too, who tell it on
+//     near them.
 //   - Every PollEvery a daemon asks one other at random which revision it has, for
 //     what was lost on the way. The answer also says how long ago the other knew
 //     the platform to answer.
@@ -66,7 +71,7 @@
 	Random func() uint64
 }
 
-// Plan is what one daemon does to spread revisions.
+// Plan is what one daemon does to spread revisions and news of hosts.
 type Plan struct {
 	config  Config
 	near    []fleet.Host
@@ -95,6 +100,7 @@
 	return p
 }
 
+// isWatcher says whether the host is one of those of its data centre that watch.
 func isWatcher(host string, own []fleet.Host) bool {
 	slices.SortFunc(own, func(a, b fleet.Host) int {
 		return cmp.Compare(xxhash.Sum64String(b.Name), xxhash.Sum64String(a.Name))
