refactor(daemon): the planned stop and the start of a daemon in short functions

stop.go is split from listen.go, the servers are made in a function of their own, and the command's reading of settings is apart from the run. Behaviour is unchanged.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -57,16 +57,13 @@
 	}
 }
 
+// runDaemon reads the settings and checks them or runs a daemon with them.
 func runDaemon(ctx context.Context, c *cli.Command) error {
 	if c.Args().Len() > 0 {
 		return errors.Wrapf(errUsage, "%q is not a command", c.Args().First())
 	}
 	file := c.String(flagSettings)
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return errors.Wrap(err, "read settings")
-	}
-	s, err := settings.Parse(file, data)
+	s, data, err := readSettings(file)
 	if err != nil {
 		return err
 	}
@@ -74,15 +71,28 @@
 		_, err := fmt.Fprintf(c.Root().Writer, "%s is right: daemon %s in data centre %s\n", file, s.Name, s.DataCentre)
 		return err
 	}
-	runtime.GOMAXPROCS(s.Processors)
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(memoryLimit)
+	return startDaemon(ctx, c.Root().Writer, s, &settingsFile{name: file, seen: data})
+}
+
+// readSettings reads the settings file and returns what is in it, too.
+func readSettings(file string) (settings.Settings, []byte, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return settings.Settings{}, nil, errors.Wrap(err, "read settings")
+	}
+	s, err := settings.Parse(file, data)
+	return s, data, err
+}
+
+// startDaemon runs a daemon with these settings until it is told to stop.
+func startDaemon(ctx context.Context, out io.Writer, s settings.Settings, followed *settingsFile) error {
+	limitResources(s)
 	ctx, force, cleanUp := stopSignals(ctx)
 	defer cleanUp()
-	lines, endLog := logline.New(logline.Config{Out: c.Root().Writer, PerSecond: s.Log.PerSecond})
+	lines, endLog := logline.New(logline.Config{Out: out, PerSecond: s.Log.PerSecond})
 	defer endLog()
 	logger, level := newLogger(lines, s)
-	followed := &settingsFile{name: file, logger: logger, seen: data}
+	followed.logger = logger
 	kv, closeStore := platform.NewStore(platform.StoreConfig{Address: s.Platform.Address})
 	defer closeStore()
 	config := DaemonConfig(s, kv)
@@ -93,6 +103,13 @@
 	return daemon.Run(ctx, config)
 }
 
+// limitResources bounds what the process takes of the host.
+func limitResources(s settings.Settings) {
+	runtime.GOMAXPROCS(s.Processors)
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimit)
+}
+
 // DaemonConfig returns what a daemon with these settings needs to meet the users'
 // platform: its store, the desired state there, check-ins and readiness.
 func DaemonConfig(s settings.Settings, kv store.Store) daemon.Config {
@@ -121,6 +138,7 @@
 	}
 }
 
+// newCheckIns returns the handler for the check-ins of the platform's format.
 func newCheckIns(c daemon.CheckIns) http.Handler {
 	return platform.NewCheckIns(platform.CheckInsConfig{CheckIn: c.CheckIn, Leave: c.Leave, OnError: c.OnError})
 }
--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -68,6 +68,7 @@
 	return s, true
 }
 
+// refuse leaves a line on a file that changes nothing.
 func (f *settingsFile) refuse(err error) {
 	event.Log(f.logger, event.SettingsRefused, "file", f.name, "error", err)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,7 +16,8 @@
 // One theme is in one file:
 //
 //	daemon.go   makes the parts and runs them
-//	listen.go   the listeners and the planned stop
+//	listen.go   the listeners and what they serve
+//	stop.go     the planned stop
 //	calls.go    control calls, taken and made
 //	keys.go     certificates and tokens
 //	reload.go   settings that change in a running daemon
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -10,7 +9,6 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tideliftd/tidelift/internal/control"
-	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/framing"
 	"github.com/tideliftd/tidelift/internal/operator"
 	"github.com/tideliftd/tidelift/internal/result"
@@ -21,8 +19,6 @@
 	peerIdleTimeout = 90 * time.Second
 	// peerHeaderTimeout bounds how long a peer may take to send its headers.
 	peerHeaderTimeout = 5 * time.Second
-	// settleFor is how long a planned stop waits before it closes connections.
-	settleFor = time.Second
 	// headerSlack is added to the limit on headers, so that the ingress, not
 	// net/http, refuses those just above it and says why.
 	headerSlack = 32 << 10
@@ -54,7 +50,27 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &listeners{
+	l := d.newListeners(operators)
+	sockets, err := openAll(s.Listen.Callers, s.Listen.Peers, s.Listen.Operators, s.Listen.Control)
+	if err != nil {
+		return nil, err
+	}
+	if err := d.listenForHost(l); err != nil {
+		closeAll(sockets)
+		return nil, err
+	}
+	l.sockets = sockets[:2]
+	l.serve(l.callers, framing.Listen(sockets[0]))
+	l.serve(l.peers, d.daemonsOnly(sockets[1]))
+	l.serve(l.operators, sockets[2])
+	d.atEnd(control.Serve(control.ServerConfig{Listener: d.daemonsOnly(sockets[3]), Handle: d.handleControl}))
+	return l, nil
+}
+
+// newListeners returns the servers, which do not serve yet.
+func (d *daemon) newListeners(operators http.Handler) *listeners {
+	s := d.config.Settings
+	return &listeners{
 		callers: &http.Server{
 			Handler:           d.closeWhenStopping(d.ingress),
 			ReadHeaderTimeout: s.Limits.HeaderTimeout,
@@ -72,20 +88,6 @@
 		operators: &http.Server{Handler: operators, ReadHeaderTimeout: peerHeaderTimeout},
 		failed:    make(chan error, 5),
 	}
-	sockets, err := openAll(s.Listen.Callers, s.Listen.Peers, s.Listen.Operators, s.Listen.Control)
-	if err != nil {
-		return nil, err
-	}
-	if err := d.listenForHost(l); err != nil {
-		closeAll(sockets)
-		return nil, err
-	}
-	l.sockets = sockets[:2]
-	l.serve(l.callers, framing.Listen(sockets[0]))
-	l.serve(l.peers, d.daemonsOnly(sockets[1]))
-	l.serve(l.operators, sockets[2])
-	d.atEnd(control.Serve(control.ServerConfig{Listener: d.daemonsOnly(sockets[3]), Handle: d.handleControl}))
-	return l, nil
 }
 
 // listenForHost opens what only this host's own programs and its platform call.
@@ -109,6 +111,7 @@
 	return nil
 }
 
+// openAll opens a listener at each address, or none.
 func openAll(addresses ...string) ([]net.Listener, error) {
 	var sockets []net.Listener
 	for _, address := range addresses {
@@ -128,6 +131,7 @@
 	}
 }
 
+// serve serves the socket; a failure that is not the stop ends the daemon.
 func (l *listeners) serve(server *http.Server, socket net.Listener) {
 	go func() {
 		err := server.Serve(socket)
@@ -160,6 +164,7 @@
 	return mux, nil
 }
 
+// serveReady answers whether the daemon takes callers' requests.
 func (d *daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
 	switch status := d.status(); {
 	case status.Ready:
@@ -170,65 +175,3 @@
 		result.Write(w, result.New(result.NotReady).WithRetryAfter(time.Second))
 	}
 }
-
-// stop ends the daemon: callers first, then peers, then operators, each after
-// finishing what it has begun.
-func (d *daemon) stop(l *listeners) error {
-	event.Log(d.config.Logger, event.DaemonStopping, "in_flight", d.ingress.InFlight())
-	d.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), d.live.Load().Limits.Stop)
-	defer cancel()
-	go d.forceStop(cancel)
-	d.sidecar.Stop()
-	l.refuse()
-	d.settle(ctx)
-	d.ingress.Stop()
-	err := errors.Join(
-		shutDown(ctx, l.callers, "callers"),
-		shutDown(ctx, l.peers, "peers"),
-		shutDown(ctx, l.operators, "operators"),
-	)
-	if err != nil {
-		event.Log(d.config.Logger, event.StopCut, "in_flight", d.ingress.InFlight(), "error", err)
-		return err
-	}
-	event.Log(d.config.Logger, event.DaemonStopped, "uptime", time.Since(d.started).Round(time.Millisecond))
-	return nil
-}
-
-// settle lets callers and peers learn of the stop while their connections are
-// still open: each answer from now on asks them to close, so that few of them
-// send a request on a connection that is just being closed.
-func (d *daemon) settle(ctx context.Context) {
-	settling, cancel := context.WithTimeout(ctx, settleFor)
-	defer cancel()
-	d.notifyLeaving(settling)
-	<-settling.Done()
-}
-
-// closeWhenStopping asks the other side to close its connection once the daemon
-// is stopping.
-func (d *daemon) closeWhenStopping(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
-	})
-}
-
-func (d *daemon) forceStop(cancel func()) {
-	if d.config.Force == nil {
-		return
-	}
-	<-d.config.Force
-	cancel()
-}
-
-func shutDown(ctx context.Context, server *http.Server, name string) error {
-	if err := server.Shutdown(ctx); err != nil {
-		_ = server.Close()
-		return errors.Wrapf(err, "stop serving %s", name)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/daemon/stop.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tideliftd/tidelift/internal/event"
+)
+
+// settleFor is how long a planned stop waits before it closes connections.
+const settleFor = time.Second
+
+// stop ends the daemon: callers first, then peers, then operators, each after
+// finishing what it has begun.
+func (d *daemon) stop(l *listeners) error {
+	event.Log(d.config.Logger, event.DaemonStopping, "in_flight", d.ingress.InFlight())
+	d.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), d.live.Load().Limits.Stop)
+	defer cancel()
+	go d.forceStop(cancel)
+	d.sidecar.Stop()
+	l.refuse()
+	d.settle(ctx)
+	d.ingress.Stop()
+	err := errors.Join(
+		shutDown(ctx, l.callers, "callers"),
+		shutDown(ctx, l.peers, "peers"),
+		shutDown(ctx, l.operators, "operators"),
+	)
+	if err != nil {
+		event.Log(d.config.Logger, event.StopCut, "in_flight", d.ingress.InFlight(), "error", err)
+		return err
+	}
+	event.Log(d.config.Logger, event.DaemonStopped, "uptime", time.Since(d.started).Round(time.Millisecond))
+	return nil
+}
+
+// settle lets callers and peers learn of the stop while their connections are
+// still open: each answer from now on asks them to close, so that few of them
+// send a request on a connection that is just being closed.
+func (d *daemon) settle(ctx context.Context) {
+	settling, cancel := context.WithTimeout(ctx, settleFor)
+	defer cancel()
+	d.notifyLeaving(settling)
+	<-settling.Done()
+}
+
+// closeWhenStopping asks the other side to close its connection once the daemon
+// is stopping.
+func (d *daemon) closeWhenStopping(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// forceStop ends the planned stop at once when it is told to.
+func (d *daemon) forceStop(cancel func()) {
+	if d.config.Force == nil {
+		return
+	}
+	<-d.config.Force
+	cancel()
+}
+
+// shutDown ends a server once it has finished what it has begun, or cuts that when
+// ctx ends.
+func shutDown(ctx context.Context, server *http.Server, name string) error {
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+		return errors.Wrapf(err, "stop serving %s", name)
+	}
+	return nil
+}
