--- /dev/null
+++ b/internal/balance/busy.go
@@ -0,0 +1,26 @@
+package balance
+
+const (
+	// busyUnit is a share of one in BusyShare's counting, and busyWeight the part
+	// that the newest answer weighs.
+	busyUnit   = 1 << 20
+	busyWeight = 16
+)
+
+// Looked takes whether a target had a free slot when it was asked for one.
+func (p *Pool) Looked(free bool) {
+	for {
+		old := p.busyShare.Load()
+		next := old - old/busyWeight
+		if !free {
+			next += busyUnit / busyWeight
+		}
+		if p.busyShare.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// BusyShare returns how many of the last targets asked had no free slot, from 0
+// to 1.
+func (p *Pool) BusyShare() float64 { return float64(p.busyShare.Load()) / busyUnit }
