--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -29,13 +29,14 @@
 const maxKept = 64 << 10
 
 // readSlack is how long after the request's deadline a body that streams through
-// may still be read. net/http takes a read that failed for a caller that went away; the deadline
-// itself has to come first.
+// may still be read. net/http takes a read that failed for a caller that went away;
+// the deadline itself has to come first.
 const readSlack = time.Second
 
 // ErrTooLong means that the body is longer than its limit.
 var ErrTooLong = errors.New("request body is longer than the route allows")
 
+// errTakenBack means that a later attempt has the body.
 var errTakenBack = errors.New("request body is being sent elsewhere")
 
 // Body lets each attempt read the caller's body from its start, as long as what
@@ -85,6 +86,7 @@
 	return b.readAll()
 }
 
+// readAll reads the whole body, which is then kept.
 func (b *Body) readAll() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -162,6 +164,7 @@
 	return n, err
 }
 
+// keep keeps a piece for later attempts, as long as all of it fits.
 func (b *Body) keep(piece []byte) {
 	if b.lost || len(b.kept)+len(piece) > maxKept {
 		b.lost = b.lost || len(piece) > 0
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -58,7 +58,12 @@
 	if config.OnDrop == nil {
 		config.OnDrop = func() {}
 	}
-	w := &Writer{config: config, lines: make(chan []byte, buffered), ending: make(chan struct{}), ended: make(chan struct{})}
+	w := &Writer{
+		config: config,
+		lines:  make(chan []byte, buffered),
+		ending: make(chan struct{}),
+		ended:  make(chan struct{}),
+	}
 	go w.run()
 	return w, w.end
 }
@@ -77,12 +82,13 @@
 	return len(line), nil
 }
 
+// drop counts a line that is not written.
 func (w *Writer) drop() {
 	w.dropped.Add(1)
 	w.config.OnDrop()
 }
 
-// withinRate counts a line in its second.
+// withinRate counts a line in its second and says whether it may be written.
 func (w *Writer) withinRate(second int64) bool {
 	if old := w.second.Load(); old != second && w.second.CompareAndSwap(old, second) {
 		w.taken.Store(0)
@@ -90,6 +96,7 @@
 	return w.taken.Add(1) <= int64(w.config.PerSecond)
 }
 
+// run writes the buffered lines until the log ends.
 func (w *Writer) run() {
 	defer close(w.ended)
 	for {
@@ -103,6 +110,7 @@
 	}
 }
 
+// writeRest writes what is buffered without waiting for more.
 func (w *Writer) writeRest() {
 	for {
 		select {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -110,6 +110,7 @@
 	t.setSelf(self)
 }
 
+// setSelf takes a new version of the own host's record.
 func (t *Table) setSelf(self Host) {
 	self.Version++
 	t.hosts[t.self] = self
@@ -209,6 +210,7 @@
 	return missing
 }
 
+// bucketOf returns the bucket of a host.
 func bucketOf(name string) int { return int(xxhash.Sum64String(name) % buckets) }
 
 // hash is of what orders records; the rest follows from it.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -105,6 +105,7 @@
 	return changed
 }
 
+// leave takes a backend server out for good.
 func (r *Registry) leave(name string) {
 	r.left = append(r.left, name)
 	r.left = r.left[max(0, len(r.left)-keptLeft):]
