refactor(internal): control, revision and settings in files by theme

control's server, revision's root and parts and the checks of the settings are apart; two usage examples that did not compile are right. Behaviour is unchanged.

--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -8,30 +8,25 @@
 //
 //	ledger := revision.New(revision.Config{Store: store, Prefix: "tidelift"})
 //	accepted, err := ledger.Publish(ctx, revision.Change{ID: id, Base: 3, YAML: text})
-//	err = ledger.Follow(ctx, 0, func(r revision.Revision) { ... })
+//	ledger.Follow(ctx, 0, func(r revision.Revision) { ... })
 //
 // A change carries an id. One whose answer was lost is looked up by its id and
 // never written again blindly: publishing the same id twice is one change.
+//
+// A declaration that somebody else keeps whole under one key is followed by
+// FollowKey (key.go); nothing of it is written here.
 package revision
 
 import (
 	"context"
-	"encoding/json"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 
-	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/store"
 )
 
 const (
-	// partSize is the largest part, in bytes, under the platform's limit.
-	partSize = 256 << 10
-	// maxParts bounds a declaration to 16 MiB.
-	maxParts = 64
 	// keptChanges is how many changes the root remembers by id.
 	keptChanges = 64
 	// watchWait is how long one watch waits. Source: a change has to be in force
@@ -78,28 +73,6 @@
 	Parts []string `json:"parts"`
 }
 
-// root is the value of the root key.
-type root struct {
-	Revision int64      `json:"revision"`
-	Changes  []Accepted `json:"changes"` // the newest last; it made the revision
-}
-
-func (r root) find(id string) (Accepted, bool) {
-	for _, change := range r.Changes {
-		if change.ID == id {
-			return change, true
-		}
-	}
-	return Accepted{}, false
-}
-
-func (r root) last() Accepted {
-	if len(r.Changes) == 0 {
-		return Accepted{}
-	}
-	return r.Changes[len(r.Changes)-1]
-}
-
 // Config says where the revisions are kept.
 type Config struct {
 	// Store is the platform's key-value service.
@@ -131,38 +104,6 @@
 	return &Ledger{config: config}
 }
 
-func (l *Ledger) rootKey() string { return l.config.Prefix + "/root" }
-
-func (l *Ledger) partKey(hash string) string { return l.config.Prefix + "/parts/" + hash }
-
-func (l *Ledger) readRoot(ctx context.Context) (root, int64, error) {
-	value, err := l.config.Store.Get(ctx, l.rootKey())
-	if err != nil {
-		return root{}, 0, err
-	}
-	current, err := parseRoot(value)
-	return current, value.Revision, err
-}
-
-func parseRoot(value store.Item) (root, error) {
-	var r root
-	if value.Data == nil {
-		return r, nil
-	}
-	if err := json.Unmarshal(value.Data, &r); err != nil {
-		return root{}, errors.Wrap(err, "read root")
-	}
-	return r, nil
-}
-
-func (l *Ledger) writeRoot(ctx context.Context, next root, index int64) (bool, error) {
-	data, err := json.Marshal(next)
-	if err != nil {
-		return false, errors.Wrap(err, "encode root")
-	}
-	return l.write(ctx, l.rootKey(), data, index)
-}
-
 // write writes a key if it still has the revision, and says whether it did.
 func (l *Ledger) write(ctx context.Context, key string, data []byte, expected int64) (bool, error) {
 	_, err := l.config.Store.Commit(ctx, store.Change{
@@ -174,60 +115,3 @@
 	}
 	return err == nil, err
 }
-
-// part is a piece of a declaration with the hash that names it.
-type part struct {
-	hash string
-	data []byte
-}
-
-func split(text string) ([]part, error) {
-	if len(text) > partSize*maxParts {
-		return nil, result.New(result.ValueTooLarge).WithDetail("%d bytes; at most %d", len(text), partSize*maxParts)
-	}
-	var parts []part
-	for piece := range slices.Chunk([]byte(text), partSize) {
-		parts = append(parts, part{hash: contentHash(string(piece)), data: piece})
-	}
-	return parts, nil
-}
-
-// writeParts writes the parts that are not there yet. Since their names say
-// what they hold, one that is there already is as good.
-func (l *Ledger) writeParts(ctx context.Context, parts []part) error {
-	for _, p := range parts {
-		if err := l.writePart(ctx, p); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// writePart writes one part. If the answer is lost, it looks whether the part
-// is there.
-func (l *Ledger) writePart(ctx context.Context, p part) error {
-	_, err := l.write(ctx, l.partKey(p.hash), p.data, 0)
-	if err == nil || errors.Is(err, store.ErrNotDone) {
-		return err
-	}
-	value, readErr := l.config.Store.Get(ctx, l.partKey(p.hash))
-	if readErr != nil || contentHash(string(value.Data)) != p.hash {
-		return errors.Join(err, readErr)
-	}
-	return nil
-}
-
-func (l *Ledger) readParts(ctx context.Context, hashes []string) (string, error) {
-	var text strings.Builder
-	for _, hash := range hashes {
-		value, err := l.config.Store.Get(ctx, l.partKey(hash))
-		if err != nil {
-			return "", err
-		}
-		if contentHash(string(value.Data)) != hash {
-			return "", errors.Errorf("part %s does not hold what its name says", hash)
-		}
-		text.Write(value.Data)
-	}
-	return text.String(), nil
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,10 +14,7 @@
 package settings
 
 import (
-	"fmt"
 	"log/slog"
-	"net/netip"
-	"net/url"
 	"os"
 	"reflect"
 	"time"
@@ -191,100 +188,3 @@
 		s.Processors = DefaultProcessors
 	}
 }
-
-func (s *Settings) check(c *yamlfile.Checker) error {
-	required(c, "$.name", s.Name, "the name of a declared host")
-	required(c, "$.data-centre", s.DataCentre, "the name of a data centre")
-	address(c, "$.listen.callers", s.Listen.Callers)
-	address(c, "$.listen.peers", s.Listen.Peers)
-	address(c, "$.listen.control", s.Listen.Control)
-	address(c, "$.listen.operators", s.Listen.Operators)
-	if s.Listen.CheckIns != "" {
-		address(c, "$.listen.check-ins", s.Listen.CheckIns)
-	}
-	if s.Listen.Ready != "" {
-		address(c, "$.listen.ready", s.Listen.Ready)
-	}
-	platform(c, s.Platform.Address)
-	s.Source.check(c)
-	s.Keys.check(c, s.Listen)
-	for i, seed := range s.Seeds {
-		address(c, fmt.Sprintf("$.seeds[%d]", i), seed)
-	}
-	positive(c, "$.limits.stop", s.Limits.Stop)
-	positive(c, "$.limits.header-timeout", s.Limits.HeaderTimeout)
-	positive(c, "$.limits.idle-timeout", s.Limits.IdleTimeout)
-	if s.Limits.HeaderBytes < 1024 {
-		c.Add("$.limits.header-bytes", fmt.Sprintf("is %d", s.Limits.HeaderBytes), "1024 or more")
-	}
-	if s.Processors < 1 {
-		c.Add("$.processors", fmt.Sprintf("is %d", s.Processors), "1 or more")
-	}
-	var level slog.Level
-	if err := level.UnmarshalText([]byte(s.Log.Level)); err != nil {
-		c.Add("$.log.level", fmt.Sprintf("is %q", s.Log.Level), "debug, info, warn or error")
-	}
-	return c.Err()
-}
-
-func (s Source) check(c *yamlfile.Checker) {
-	if s.Declared != DeclaredByOperators && s.Declared != DeclaredByPlatform {
-		c.Add("$.source.declared", fmt.Sprintf("is %q", s.Declared), "operators or platform")
-	}
-	share(c, "$.source.floor-share", s.FloorShare)
-	share(c, "$.source.retry-share", s.RetryShare)
-	if s.RetrySlack < 0 {
-		c.Add("$.source.retry-slack", fmt.Sprintf("is %g", s.RetrySlack), "0 or more")
-	}
-	positive(c, "$.source.retry-window", s.RetryWindow)
-}
-
-func share(c *yamlfile.Checker, path string, value float64) {
-	if value < 0 || value > 1 {
-		c.Add(path, fmt.Sprintf("is %g", value), "0 to 1")
-	}
-}
-
-func (k Keys) check(c *yamlfile.Checker, listen Listen) {
-	if some := k.Certificate + k.Key + k.Authority; some != "" && (k.Certificate == "" || k.Key == "" || k.Authority == "") {
-		c.Add("$.keys", "names some of certificate, key and authority", "all three or none")
-	}
-	if !k.MutualTLS() && !k.TrustedNet && !isLoopback(listen.Control) {
-		c.Add("$.listen.control", fmt.Sprintf("is %q without certificates", listen.Control), "a loopback address, keys.certificate, keys.key and keys.authority, or keys.trusted-network")
-	}
-	if k.Tokens == "" && !isLoopback(listen.Operators) {
-		c.Add("$.listen.operators", fmt.Sprintf("is %q without tokens", listen.Operators), "a loopback address, or keys.tokens")
-	}
-}
-
-// isLoopback says whether the address is on loopback; one that cannot be read is
-// refused elsewhere.
-func isLoopback(value string) bool {
-	parsed, err := netip.ParseAddrPort(value)
-	return err != nil || parsed.Addr().IsLoopback()
-}
-
-func required(c *yamlfile.Checker, path, value, want string) {
-	if value == "" {
-		c.Add(path, "is missing", want)
-	}
-}
-
-func address(c *yamlfile.Checker, path, value string) {
-	if _, err := netip.ParseAddrPort(value); err != nil {
-		c.Add(path, fmt.Sprintf("is %q", value), "an IP address and port such as 127.0.0.1:7400")
-	}
-}
-
-func positive(c *yamlfile.Checker, path string, value time.Duration) {
-	if value < 0 {
-		c.Add(path, "is "+value.String(), "a duration above zero such as 30s")
-	}
-}
-
-func platform(c *yamlfile.Checker, value string) {
-	u, err := url.Parse(value)
-	if err != nil || u.Scheme == "" || u.Host == "" {
-		c.Add("$.platform.address", fmt.Sprintf("is %q", value), "a URL such as http://127.0.0.1:8500")
-	}
-}
