--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -196,11 +196,13 @@
 	return time.Duration(over) * q.serviceTime / time.Duration(q.config.Slots)
 }
 
+// push adds a request to the line of its priority.
 func (q *Queue) push(now time.Time, bucket int, r Request) {
 	q.line(r.Priority).push(now, bucket, r)
 	q.waiting++
 }
 
+// bucketOf returns the bucket that the customer shares.
 func (q *Queue) bucketOf(customer string) int {
 	return int(xxhash.Sum64String(q.config.Salt+customer) % bucketCount)
 }
--- a/internal/admission/line.go
+++ b/internal/admission/line.go
@@ -19,6 +19,7 @@
 	since time.Time
 }
 
+// push adds a request at the end of its customer's.
 func (l *line) push(now time.Time, bucket int, r Request) {
 	l.buckets[bucket] = append(l.buckets[bucket], place{Request: r, since: now})
 	l.waiting++
@@ -40,10 +41,12 @@
 	return r.Request
 }
 
+// newest returns the bucket's newest request.
 func (l *line) newest(bucket int) place {
 	return l.buckets[bucket][len(l.buckets[bucket])-1]
 }
 
+// popNewest takes the bucket's newest request out.
 func (l *line) popNewest(bucket int) Request {
 	newest := l.newest(bucket)
 	l.buckets[bucket] = l.buckets[bucket][:len(l.buckets[bucket])-1]
@@ -51,6 +54,7 @@
 	return newest.Request
 }
 
+// longest returns the bucket in which most wait.
 func (l *line) longest() int {
 	longest := 0
 	for i := range l.buckets {
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -129,6 +129,7 @@
 	return done{}, d.sidecar.Release(release.Name, release.Release)
 }
 
+// decode reads the parameter of a call.
 func decode(params json.RawMessage, into any) error {
 	if err := json.Unmarshal(params, into); err != nil {
 		return result.Wrap(result.MalformedCall, err)
@@ -175,6 +176,7 @@
 	}
 }
 
+// askPeer asks another backend server for a promise.
 func (d *daemon) askPeer(ctx context.Context, other fleet.Placement, r floor.Request) (sidecar.Promise, error) {
 	name := other.BackendServer.Name
 	if other.Host.Name == d.config.Settings.Name {
@@ -185,6 +187,7 @@
 	return promise, err
 }
 
+// releasePeer gives a promise back.
 func (d *daemon) releasePeer(ctx context.Context, other fleet.Placement, r floor.Release) error {
 	name := other.BackendServer.Name
 	if other.Host.Name == d.config.Settings.Name {
@@ -193,6 +196,7 @@
 	return d.peers.Call(ctx, d.controlOf(other.Host), control.MethodRelease, control.Release{Name: name, Release: r}, nil)
 }
 
+// controlOf returns where the host takes control calls from this data centre.
 func (d *daemon) controlOf(host fleet.Host) string {
 	return host.ControlFrom(d.config.Settings.DataCentre)
 }
--- a/internal/daemon/news.go
+++ b/internal/daemon/news.go
@@ -68,6 +68,7 @@
 	own   bool
 }
 
+// add takes news into the batch; of one host the last counts.
 func (b *newsBatch) add(n news) {
 	for _, h := range n.hosts {
 		b.hosts[h.Name] = h
@@ -93,6 +94,7 @@
 	}
 }
 
+// tellBatch tells a few near daemons, and of the own host a few far ones, too.
 func (d *daemon) tellBatch(batch newsBatch) {
 	plan := d.plan.Load()
 	if plan == nil {
--- a/internal/daemon/record.go
+++ b/internal/daemon/record.go
@@ -63,6 +63,7 @@
 	return false
 }
 
+// badRecord leaves a line on a record that cannot be read.
 func (d *daemon) badRecord(err error) {
 	event.Log(d.config.Logger, event.RecordRefused, "error", err)
 }
--- a/internal/fleet/complete.go
+++ b/internal/fleet/complete.go
@@ -67,6 +67,7 @@
 	return nil
 }
 
+// check says what is wrong with the route, if services of those names are declared.
 func (r Route) check(known map[string]bool) error {
 	if !strings.HasPrefix(r.Path, "/") {
 		return errors.New("the path does not start with /")
--- a/internal/hop/call.go
+++ b/internal/hop/call.go
@@ -105,28 +105,34 @@
 		Host:          h.Get(HeaderHost),
 		Insist:        h.Get(HeaderInsist) != "",
 	}
+	if err := call.decodeNumbers(h); err != nil {
+		return Call{}, err
+	}
+	if call.BackendServer == "" {
+		return Call{}, errors.New(HeaderBackendServer + " is missing")
+	}
+	return call, nil
+}
+
+// decodeNumbers reads the headers that hold numbers. Only the time left must be there.
+func (c *Call) decodeNumbers(h http.Header) error {
 	if text := h.Get(HeaderPriority); text != "" {
 		priority, err := strconv.Atoi(text)
 		if err != nil {
-			return Call{}, errors.Wrap(err, "read "+HeaderPriority)
+			return errors.Wrap(err, "read "+HeaderPriority)
 		}
-		call.Priority = priority
+		c.Priority = priority
 	}
 	left, err := strconv.ParseInt(h.Get(HeaderTimeLeft), 10, 64)
 	if err != nil {
-		return Call{}, errors.Wrap(err, "read "+HeaderTimeLeft)
+		return errors.Wrap(err, "read "+HeaderTimeLeft)
 	}
-	if call.Aim, err = decodeMicros(h, HeaderAim); err != nil {
-		return Call{}, err
-	}
-	if call.Patience, err = decodeMicros(h, HeaderPatience); err != nil {
-		return Call{}, err
+	c.TimeLeft = time.Duration(left) * time.Microsecond
+	if c.Aim, err = decodeMicros(h, HeaderAim); err != nil {
+		return err
 	}
-	call.TimeLeft = time.Duration(left) * time.Microsecond
-	if call.BackendServer == "" {
-		return Call{}, errors.New(HeaderBackendServer + " is missing")
-	}
-	return call, nil
+	c.Patience, err = decodeMicros(h, HeaderPatience)
+	return err
 }
 
 // decodeMicros reads a header in microseconds; one that is missing is zero.
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -39,12 +39,9 @@
 
 // admit finds the service, the deadline and the customer of a request.
 func (in *Ingress) admit(w http.ResponseWriter, r *http.Request, now time.Time) (*request, error) {
-	current := in.state.Load()
-	if in.stopping.Load() {
-		return nil, result.New(result.Stopping).WithRetryAfter(notReadyRetry)
-	}
-	if current == nil {
-		return nil, result.New(result.NotReady).WithRetryAfter(notReadyRetry)
+	current, e := in.ready()
+	if e != nil {
+		return nil, e
 	}
 	if e := in.check(r); e != nil {
 		return nil, e
@@ -83,6 +80,18 @@
 	}, nil
 }
 
+// ready returns the state in force, unless the daemon is stopping or has none.
+func (in *Ingress) ready() (*state, *result.Error) {
+	current := in.state.Load()
+	if in.stopping.Load() {
+		return nil, result.New(result.Stopping).WithRetryAfter(notReadyRetry)
+	}
+	if current == nil {
+		return nil, result.New(result.NotReady).WithRetryAfter(notReadyRetry)
+	}
+	return current, nil
+}
+
 // timeLeft returns the caller's deadline or the route's, whichever is less.
 func timeLeft(r *http.Request, callers fleet.Callers, match *route.Match) (time.Duration, *result.Error) {
 	text := r.Header.Get(callers.DeadlineHeader)
--- a/internal/sidecar/eject.go
+++ b/internal/sidecar/eject.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"context"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -15,8 +14,6 @@
 )
 
 const (
-	// askTimeout bounds one call for a promise.
-	askTimeout = 400 * time.Millisecond
 	// askAgain is the least pause between two tries to be ejected; a random
 	// part as long again is added, so that two do not keep in step.
 	askAgain = 300 * time.Millisecond
@@ -26,28 +23,6 @@
 	askAgainDoubted = 5 * time.Second
 )
 
-// asking is how far a try to be ejected has come.
-type asking struct {
-	// open says that a try is under way.
-	open bool
-	// pending are the requests that have not been answered.
-	pending map[uint64]bool
-	// standings are how those who answered do themselves.
-	standings map[string]detect.Standing
-	// notBefore is when the next try may begin.
-	notBefore time.Time
-	// renewed is when promises were last asked for.
-	renewed time.Time
-	// widen says that one who promised no longer does, so that all are asked.
-	widen bool
-	// held says that the floor refused the last try, and why.
-	held string
-}
-
-func newAsking() asking {
-	return asking{pending: make(map[uint64]bool), standings: make(map[string]detect.Standing)}
-}
-
 // isEjected says whether the backend server is ejected now. Promises that ran out,
 // be it while this process stood still, end that at once.
 func (t *task) isEjected(now time.Time) bool {
@@ -133,57 +108,14 @@
 	t.askOthers(now, needed)
 }
 
-func (t *task) askOthers(now time.Time, others []fleet.Placement) {
-	t.asking.renewed = now
-	clear(t.asking.pending)
-	for _, other := range others {
-		request := t.ledger.Ask(other.BackendServer.Name)
-		request.SuspectedFor = now.Sub(t.subject.Suspected()).Milliseconds()
-		t.asking.pending[request.Number] = true
-		go t.askOne(other, request, now)
-	}
-}
-
-// askOne runs beside the task and gives it the answer as a message.
-func (t *task) askOne(other fleet.Placement, request floor.Request, asked time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-	defer cancel()
-	promise, err := t.config.Peer.Ask(ctx, other, request)
-	if err != nil {
-		promise = Promise{Refusal: floor.RefusedUnable}
-	}
-	t.server.send(promiseMessage{
-		number:  request.Number,
-		from:    other.BackendServer.Name,
-		asked:   asked,
-		promise: promise,
-	})
-}
-
-// takePromise takes the answer to a request and ejects the backend server once the
-// promises are enough.
-func (t *task) takePromise(now time.Time, m promiseMessage) {
-	delete(t.asking.pending, m.number)
-	t.asking.standings[m.from] = m.promise.Standing
-	if m.promise.Refusal == floor.Granted {
-		t.ledger.Hold(m.number, m.from, m.asked)
-	} else {
-		t.ledger.Lose(m.number, m.from)
-		t.asking.widen = true
-	}
-	if t.asking.open {
-		t.tryEnter(now)
-		return
-	}
-	t.trim(now)
-}
-
 // alone says whether the suspicion is the backend server's own, by how those
 // who answered do themselves.
 func (t *task) alone() bool {
 	return t.subject.Alone(slices.Collect(maps.Values(t.asking.standings)))
 }
 
+// tryEnter ejects the backend server if the promises are enough, or ends the try once
+// all have answered.
 func (t *task) tryEnter(now time.Time) {
 	verdict := t.subject.Verdict(now)
 	verdict.Sick = verdict.Sick && t.alone()
@@ -210,13 +142,6 @@
 	}
 }
 
-// trim gives back the promises beyond what the floor needs, those of suspects
-// first.
-func (t *task) trim(now time.Time) {
-	healthy := func(name string) bool { return !t.asking.standings[name].Suspect }
-	t.giveBack(t.ledger.Trim(now, t.declared.Service.Floor, healthy))
-}
-
 // stopAsking ends a try that has not come to its end.
 func (t *task) stopAsking() {
 	if !t.asking.open {
@@ -232,30 +157,6 @@
 	t.log(event.ServerReturned, "why", why)
 }
 
-func (t *task) giveBack(releases map[string]floor.Release) {
-	for _, other := range t.declared.others {
-		if release, ok := releases[other.BackendServer.Name]; ok {
-			go t.releaseOne(other, release)
-		}
-	}
-}
-
-func (t *task) releaseOne(other fleet.Placement, release floor.Release) {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-	defer cancel()
-	_ = t.config.Peer.Release(ctx, other, release) // one that is lost runs out by itself
-}
-
-// answer answers another backend server that asks for a promise.
-func (t *task) answer(now time.Time, r floor.Request) Promise {
-	t.isEjected(now)
-	dead := t.subject.Verdict(now).Cause == detect.CauseRefuses
-	cold := t.subject.Share(now) < 1
-	t.ledger.SetUnable(t.isLeaving(now) || dead || cold)
-	since := now.Add(-time.Duration(r.SuspectedFor) * time.Millisecond)
-	return Promise{Refusal: t.ledger.Answer(now, r), Standing: t.subject.Standing(since)}
-}
-
 // noteHeld records, and logs once, that the floor keeps a sick backend server
 // in service.
 func (t *task) noteHeld(why string, verdict detect.Verdict) {
@@ -276,31 +177,3 @@
 	}
 	return fmt.Sprintf("floor %d", need)
 }
-
-// Ask answers a request for a promise to a backend server of this host.
-func (s *Sidecar) Ask(name string, r floor.Request) (Promise, error) {
-	server, err := s.server(name)
-	if err != nil {
-		return Promise{}, err
-	}
-	reply := make(chan Promise, 1)
-	if !server.send(askedMessage{request: r, reply: reply}) {
-		return Promise{Refusal: floor.RefusedUnable}, nil
-	}
-	select {
-	case promise := <-reply:
-		return promise, nil
-	case <-server.ended:
-		return Promise{Refusal: floor.RefusedUnable}, nil
-	}
-}
-
-// Release takes a promise back that a backend server of this host gave.
-func (s *Sidecar) Release(name string, r floor.Release) error {
-	server, err := s.server(name)
-	if err != nil {
-		return err
-	}
-	server.send(releasedMessage{release: r})
-	return nil
-}
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -17,6 +17,8 @@
 	return http.HandlerFunc(s.serve)
 }
 
+// serve reads what another daemon asks and the body, and then grants a ticket or runs
+// the request.
 func (s *Sidecar) serve(w http.ResponseWriter, r *http.Request) {
 	call, err := hop.Decode(r.Header)
 	if err != nil {
@@ -41,7 +43,12 @@
 	}
 	own := *r // net/http must keep its own request as it was
 	sent.Rewind(&own)
-	answer, err := s.Do(ctx, call, &own)
+	s.serveRun(ctx, w, call, &own)
+}
+
+// serveRun runs the request and passes its answer on.
+func (s *Sidecar) serveRun(ctx context.Context, w http.ResponseWriter, call hop.Call, r *http.Request) {
+	answer, err := s.Do(ctx, call, r)
 	if err != nil {
 		writeRefusal(w, result.From(err))
 		return
--- /dev/null
+++ b/internal/sidecar/promise.go
@@ -0,0 +1,142 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/detect"
+	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/floor"
+)
+
+// askTimeout bounds one call for a promise.
+const askTimeout = 400 * time.Millisecond
+
+// asking is how far a try to be ejected has come.
+type asking struct {
+	// open says that a try is under way.
+	open bool
+	// pending are the requests that have not been answered.
+	pending map[uint64]bool
+	// standings are how those who answered do themselves.
+	standings map[string]detect.Standing
+	// notBefore is when the next try may begin.
+	notBefore time.Time
+	// renewed is when promises were last asked for.
+	renewed time.Time
+	// widen says that one who promised no longer does, so that all are asked.
+	widen bool
+	// held says that the floor refused the last try, and why.
+	held string
+}
+
+func newAsking() asking {
+	return asking{pending: make(map[uint64]bool), standings: make(map[string]detect.Standing)}
+}
+
+// askOthers asks backend servers of the service for promises.
+func (t *task) askOthers(now time.Time, others []fleet.Placement) {
+	t.asking.renewed = now
+	clear(t.asking.pending)
+	for _, other := range others {
+		request := t.ledger.Ask(other.BackendServer.Name)
+		request.SuspectedFor = now.Sub(t.subject.Suspected()).Milliseconds()
+		t.asking.pending[request.Number] = true
+		go t.askOne(other, request, now)
+	}
+}
+
+// askOne runs beside the task and gives it the answer as a message.
+func (t *task) askOne(other fleet.Placement, request floor.Request, asked time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	promise, err := t.config.Peer.Ask(ctx, other, request)
+	if err != nil {
+		promise = Promise{Refusal: floor.RefusedUnable}
+	}
+	t.server.send(promiseMessage{
+		number:  request.Number,
+		from:    other.BackendServer.Name,
+		asked:   asked,
+		promise: promise,
+	})
+}
+
+// takePromise takes the answer to a request and ejects the backend server once the
+// promises are enough.
+func (t *task) takePromise(now time.Time, m promiseMessage) {
+	delete(t.asking.pending, m.number)
+	t.asking.standings[m.from] = m.promise.Standing
+	if m.promise.Refusal == floor.Granted {
+		t.ledger.Hold(m.number, m.from, m.asked)
+	} else {
+		t.ledger.Lose(m.number, m.from)
+		t.asking.widen = true
+	}
+	if t.asking.open {
+		t.tryEnter(now)
+		return
+	}
+	t.trim(now)
+}
+
+// trim gives back the promises beyond what the floor needs, those of suspects
+// first.
+func (t *task) trim(now time.Time) {
+	healthy := func(name string) bool { return !t.asking.standings[name].Suspect }
+	t.giveBack(t.ledger.Trim(now, t.declared.Service.Floor, healthy))
+}
+
+// giveBack gives promises back to those who gave them.
+func (t *task) giveBack(releases map[string]floor.Release) {
+	for _, other := range t.declared.others {
+		if release, ok := releases[other.BackendServer.Name]; ok {
+			go t.releaseOne(other, release)
+		}
+	}
+}
+
+// releaseOne runs beside the task.
+func (t *task) releaseOne(other fleet.Placement, release floor.Release) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	_ = t.config.Peer.Release(ctx, other, release) // one that is lost runs out by itself
+}
+
+// answer answers another backend server that asks for a promise.
+func (t *task) answer(now time.Time, r floor.Request) Promise {
+	t.isEjected(now)
+	dead := t.subject.Verdict(now).Cause == detect.CauseRefuses
+	cold := t.subject.Share(now) < 1
+	t.ledger.SetUnable(t.isLeaving(now) || dead || cold)
+	since := now.Add(-time.Duration(r.SuspectedFor) * time.Millisecond)
+	return Promise{Refusal: t.ledger.Answer(now, r), Standing: t.subject.Standing(since)}
+}
+
+// Ask answers a request for a promise to a backend server of this host.
+func (s *Sidecar) Ask(name string, r floor.Request) (Promise, error) {
+	server, err := s.server(name)
+	if err != nil {
+		return Promise{}, err
+	}
+	reply := make(chan Promise, 1)
+	if !server.send(askedMessage{request: r, reply: reply}) {
+		return Promise{Refusal: floor.RefusedUnable}, nil
+	}
+	select {
+	case promise := <-reply:
+		return promise, nil
+	case <-server.ended:
+		return Promise{Refusal: floor.RefusedUnable}, nil
+	}
+}
+
+// Release takes a promise back that a backend server of this host gave.
+func (s *Sidecar) Release(name string, r floor.Release) error {
+	server, err := s.server(name)
+	if err != nil {
+		return err
+	}
+	server.send(releasedMessage{release: r})
+	return nil
+}
