--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -11,7 +11,7 @@
 //	changed = r.Leave("i-7f3a")
 //	for _, server := range r.Serving() { ... }
 //
-// Rules:
+// # Rules
 //
 //   - Each start of a backend server is a lifetime with a name of its own.
 //   - Leaving is final: whoever has said that it leaves never serves again under
@@ -105,6 +105,7 @@
 	return changed
 }
 
+// leave takes a backend server out for good.
 func (r *Registry) leave(name string) {
 	r.left = append(r.left, name)
 	r.left = r.left[max(0, len(r.left)-keptLeft):]
