fix: digests by the number of hosts, stops told, check-ins and settings checked

Change: as many buckets as hosts, four bytes each; an exchange waits for half a second without news, three seconds at most; news goes to two near daemons; the others mended.

--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -42,13 +42,21 @@
 				return
 			}
 			if s, ok := f.look(); ok {
-				changed <- s
+				send(ctx, changed, s)
 			}
 		}
 	}()
 	return changed
 }
 
+// send gives the settings to the daemon, unless it has ended.
+func send(ctx context.Context, changed chan<- settings.Settings, s settings.Settings) {
+	select {
+	case changed <- s:
+	case <-ctx.Done():
+	}
+}
+
 // look reads the file and says whether it holds new settings.
 func (f *settingsFile) look() (settings.Settings, bool) {
 	data, err := os.ReadFile(f.name)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -99,7 +99,7 @@
 	Hosts []member.Host `json:"hosts"`
 	// Digest is of all that it knows, by which it asks for the rest; it may be
 	// empty.
-	Digest []uint64 `json:"digest,omitempty"`
+	Digest []byte `json:"digest,omitempty"`
 }
 
 // Rest answers MethodTold with what the teller does not know.
@@ -116,7 +116,7 @@
 	SilentMs int64 `json:"silent_ms"`
 	// Digest is of all that the peer knows of hosts; it is left out if the asking
 	// daemon knows the same.
-	Digest []uint64 `json:"digest,omitempty"`
+	Digest []byte `json:"digest,omitempty"`
 }
 
 // Ask is the parameter of MethodAsk.
--- a/internal/daemon/digest.go
+++ b/internal/daemon/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/event"
@@ -27,7 +28,7 @@
 // exchangeHosts tells the peer what it does not know of hosts, and takes what it
 // answers with.
 func (d *daemon) exchangeHosts(ctx context.Context, address string, held control.Held) {
-	if held.Digest == nil {
+	if held.Digest == nil || !d.members.mayExchange(time.Now()) {
 		return
 	}
 	told := control.Told{Host: d.config.Settings.Name}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/member"
@@ -11,9 +12,11 @@
 // members guards what the daemon knows of all hosts and of its own backend
 // servers.
 type members struct {
-	mu       sync.Mutex
-	table    *member.Table
-	registry *registry.Registry
+	mu        sync.Mutex
+	changed   time.Time // when something was last learned
+	exchanged time.Time // when this daemon last exchanged what it knows
+	table     *member.Table
+	registry  *registry.Registry
 }
 
 func newMembers(self member.Host) *members {
@@ -28,7 +31,7 @@
 }
 
 // digest returns hashes by which two daemons find where they differ.
-func (m *members) digest() []uint64 {
+func (m *members) digest() []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.table.Digest()
@@ -36,14 +39,14 @@
 
 // missing returns the hosts that a daemon with that digest may not know as they are
 // known here.
-func (m *members) missing(digest []uint64) []member.Host {
+func (m *members) missing(digest []byte) []member.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.table.Missing(digest)
 }
 
 // compare returns the same and the digest of what is known here at that moment.
-func (m *members) compare(digest []uint64) ([]member.Host, []uint64) {
+func (m *members) compare(digest []byte) ([]member.Host, []byte) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.table.Missing(digest), m.table.Digest()
@@ -70,6 +73,35 @@
 	return m.table.Host(name)
 }
 
+const (
+	// quietFor is how long nothing was learned before a daemon exchanges what it
+	// knows with another. Source: news is told within some hundred milliseconds, and
+	// while it is under way any two daemons differ.
+	quietFor = 500 * time.Millisecond
+	// exchangeEvery is how long a daemon waits for such a time at most.
+	exchangeEvery = 3 * time.Second
+)
+
+// mayExchange says whether it is time to exchange what is known with another
+// daemon, and notes that it is done.
+func (m *members) mayExchange(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.changed) < quietFor && now.Sub(m.exchanged) < exchangeEvery {
+		return false
+	}
+	m.exchanged = now
+	return true
+}
+
+// setStopping says that this daemon stops, and returns what to tell of it.
+func (m *members) setStopping() member.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.SetStopping()
+	return m.table.Self()
+}
+
 // setGone takes it that a host is gone unless it has told of itself since.
 func (m *members) setGone(known member.Host) (member.Host, bool) {
 	m.mu.Lock()
@@ -109,6 +141,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	news = m.table.Merge(told)
+	if len(news) > 0 {
+		m.changed = time.Now()
+	}
 	for _, h := range told {
 		if h.Name == m.table.Self().Name && m.registry.Forbid(h.Left) {
 			m.publish()
--- a/internal/daemon/news.go
+++ b/internal/daemon/news.go
@@ -22,6 +22,9 @@
 
 // learn takes what another daemon or the store told of hosts, and tells it on.
 func (d *daemon) learn(from string, told []member.Host) {
+	if !d.registers() {
+		return
+	}
 	news, forbidden := d.members.merge(told)
 	if len(forbidden) > 0 {
 		event.Log(d.config.Logger, event.ServersRegistered, "why", "left in an earlier life", "left", forbidden, "from", from)
@@ -45,7 +48,11 @@
 
 // tell has a few other daemons told of hosts soon.
 func (d *daemon) tell(from string, hosts []member.Host) {
-	d.news <- news{hosts: hosts, from: from}
+	select {
+	case d.news <- news{hosts: hosts, from: from}:
+	default: // others ask for what they were not told
+		event.Log(d.config.Logger, event.NewsDropped, "hosts", len(hosts))
+	}
 }
 
 // tellNews tells other daemons of hosts until ctx ends. What comes within a
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -34,6 +34,6 @@
 
 // needsStart says whether something changed that only a start puts in force.
 func needsStart(old, next settings.Settings) bool {
-	next.Log, next.Source, next.Limits.Stop = old.Log, old.Source, old.Limits.Stop
+	next.Log.Level, next.Source, next.Limits.Stop = old.Log.Level, old.Source, old.Limits.Stop
 	return !next.Equal(old)
 }
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/member"
 )
 
 // settleFor is how long a planned stop waits before it closes connections.
@@ -18,6 +19,9 @@
 func (d *daemon) stop(l *listeners) error {
 	event.Log(d.config.Logger, event.DaemonStopping, "in_flight", d.ingress.InFlight())
 	d.stopping.Store(true)
+	if d.registers() {
+		d.tell("", []member.Host{d.members.setStopping()})
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), d.live.Load().Limits.Stop)
 	defer cancel()
 	go d.forceStop(cancel)
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -55,7 +55,7 @@
 	for {
 		c, ok := in.choose(r, story)
 		found := ok && !c.insist
-		if found || !in.waitABit(ctx, r) {
+		if found || !story.mayFind(r) || !in.waitABit(ctx, r) {
 			return c, ok
 		}
 	}
--- a/internal/ingress/trail.go
+++ b/internal/ingress/trail.go
@@ -56,6 +56,12 @@
 	}
 }
 
+// mayFind says whether another look may find somebody: not if queues are full or
+// everybody was tried.
+func (t *trail) mayFind(r *request) bool {
+	return t.full == 0 && len(t.tried) < len(r.service.pool.Targets())
+}
+
 // leastBusy takes the target out where the wait is shortest.
 func (t *trail) leastBusy() *balance.Target {
 	best := 0
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -25,16 +25,24 @@
 package member
 
 import (
+	"bytes"
 	"cmp"
+	"encoding/binary"
 	"encoding/json"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// buckets is how many parts a digest has. Source: at 4,600 hosts a bucket holds
-// 72 records, some 20 KB, which is what one difference costs.
-const buckets = 64
+const (
+	// leastBuckets and mostBuckets bound the parts of a digest. Source: with as many
+	// as there are hosts a difference costs a record or two; 4,096 parts are 16 KB.
+	leastBuckets = 64
+	mostBuckets  = 4096
+	// partSize is the bytes of a part. Source: of 4,096 parts that differ one looks
+	// equal by chance in a million digests.
+	partSize = 4
+)
 
 // Server is a backend server that registered with its host's daemon.
 type Server struct {
@@ -179,11 +187,21 @@
 	return all
 }
 
-// Digest returns a hash of each bucket of hosts.
-func (t *Table) Digest() []uint64 {
-	digest := make([]uint64, buckets)
+// Digest returns a hash of each bucket of hosts, four bytes each. It has about as
+// many buckets as there are hosts.
+func (t *Table) Digest() []byte {
+	buckets := leastBuckets
+	for buckets < len(t.hosts) && buckets < mostBuckets {
+		buckets *= 2
+	}
+	return t.digest(buckets)
+}
+
+func (t *Table) digest(buckets int) []byte {
+	digest := make([]byte, buckets*partSize)
 	for _, h := range t.hosts {
-		digest[bucketOf(h.Name)] ^= h.hash()
+		part := digest[bucketOf(h.Name, buckets)*partSize:]
+		binary.LittleEndian.PutUint32(part, binary.LittleEndian.Uint32(part)^uint32(h.hash()))
 	}
 	return digest
 }
@@ -191,19 +209,24 @@
 // Sum returns one hash of every host.
 func (t *Table) Sum() uint64 {
 	sum := uint64(0)
-	for _, part := range t.Digest() {
-		sum ^= part
+	for _, h := range t.hosts {
+		sum ^= h.hash()
 	}
 	return sum
 }
 
-// Missing returns the hosts of the buckets that differ from the digest.
-func (t *Table) Missing(digest []uint64) []Host {
-	own := t.Digest()
+// Missing returns the hosts of the buckets that differ from the digest, whatever
+// number of buckets that has.
+func (t *Table) Missing(digest []byte) []Host {
+	buckets := len(digest) / partSize
+	if buckets == 0 {
+		return t.Hosts()
+	}
+	own := t.digest(buckets)
 	var missing []Host
 	for _, h := range t.Hosts() {
-		bucket := bucketOf(h.Name)
-		if bucket >= len(digest) || digest[bucket] != own[bucket] {
+		at := bucketOf(h.Name, buckets) * partSize
+		if !bytes.Equal(digest[at:at+partSize], own[at:at+partSize]) {
 			missing = append(missing, h)
 		}
 	}
@@ -211,7 +234,7 @@
 }
 
 // bucketOf returns the bucket of a host.
-func bucketOf(name string) int { return int(xxhash.Sum64String(name) % buckets) }
+func bucketOf(name string, buckets int) int { return int(xxhash.Sum64String(name) % uint64(buckets)) }
 
 // hash is of what orders records; the rest follows from it.
 func (h Host) hash() uint64 {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -26,6 +26,9 @@
 		c.Add("$.processors", fmt.Sprintf("is %d", s.Processors), "1 or more")
 	}
 	s.Log.check(c)
+	if s.Listen.CheckIns != "" && s.Listen.CheckIns == s.Listen.Ready {
+		c.Add("$.listen.ready", fmt.Sprintf("is %q, as check-ins is", s.Listen.Ready), "an address of its own")
+	}
 	return c.Err()
 }
 
@@ -56,6 +59,9 @@
 	if err := level.UnmarshalText([]byte(l.Level)); err != nil {
 		c.Add("$.log.level", fmt.Sprintf("is %q", l.Level), "debug, info, warn or error")
 	}
+	if l.PerSecond < 0 {
+		c.Add("$.log.per-second", fmt.Sprintf("is %d", l.PerSecond), "1 or more, or left out")
+	}
 }
 
 func (s Source) check(c *yamlfile.Checker) {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -56,6 +56,10 @@
 	// StaleAfter is how long a daemon relies on others' watching. Source: all
 	// watchers may be lost at once, and a change has to be in force within seconds.
 	StaleAfter = 5 * time.Second
+	// newsNear is how many others of its own data centre a daemon tells news of hosts.
+	// Source: each record comes so many times to each daemon; what is missed is asked
+	// for within a second.
+	newsNear = 2
 	// maxFarTold bounds how many other data centres a host tells of its own news.
 	// Source: what is left out is asked for within seconds.
 	maxFarTold = 8
@@ -124,7 +128,7 @@
 }
 
 // Near returns whom to tell of news of hosts in the own data centre.
-func (p *Plan) Near() []fleet.Host { return p.some(p.near, NotifyNear) }
+func (p *Plan) Near() []fleet.Host { return p.some(p.near, newsNear) }
 
 // OneOfEach returns one host of each of a few other data centres, to whom a host
 // tells news of its own. They tell it on to those near them.
