--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -29,6 +29,7 @@
 	"cmp"
 	"encoding/binary"
 	"encoding/json"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -201,7 +202,7 @@
 	digest := make([]byte, buckets*partSize)
 	for _, h := range t.hosts {
 		part := digest[bucketOf(h.Name, buckets)*partSize:]
-		binary.LittleEndian.PutUint32(part, binary.LittleEndian.Uint32(part)^uint32(h.hash()))
+		binary.LittleEndian.PutUint32(part, binary.LittleEndian.Uint32(part)^uint32(h.hash()&math.MaxUint32))
 	}
 	return digest
 }
@@ -234,7 +235,9 @@
 }
 
 // bucketOf returns the bucket of a host.
-func bucketOf(name string, buckets int) int { return int(xxhash.Sum64String(name) % uint64(buckets)) }
+func bucketOf(name string, buckets int) int {
+	return int(xxhash.Sum64String(name) % uint64(buckets)) //nolint:gosec // there is at least one bucket
+}
 
 // hash is of what orders records; the rest follows from it.
 func (h Host) hash() uint64 {
