--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -25,6 +25,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.live.Load().Limits.Stop)
 	defer cancel()
 	go d.forceStop(cancel)
+	d.ingress.Settle()
 	d.sidecar.Stop()
 	l.refuse()
 	d.settle(ctx)
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -62,7 +62,7 @@
 // mayMoveOn says whether an overdue attempt may be given up for another. It may
 // once, so that the next backend server has the rest of the time.
 func (a *attempt) mayMoveOn() bool {
-	return !a.request.once && a.first && a.request.attempts > 1 && !a.request.body.Spent()
+	return !a.in.settling.Load() && !a.request.once && a.first && a.request.attempts > 1 && !a.request.body.Spent()
 }
 
 // far says whether the target is in another data centre.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -100,6 +100,7 @@
 	reach     *reach
 	ended     context.Context // ends with the ingress
 	inFlight  atomic.Int64
+	settling  atomic.Bool // a planned stop has begun
 	stopping  atomic.Bool
 
 	mu    sync.Mutex // serialises Reconfigure
@@ -216,6 +217,10 @@
 // InFlight returns how many callers' requests are being served.
 func (in *Ingress) InFlight() int64 { return in.inFlight.Load() }
 
+// Settle takes it that a planned stop has begun: what is in flight stays where it
+// is, since another backend server may not take it any more.
+func (in *Ingress) Settle() { in.settling.Store(true) }
+
 // Stop refuses new requests from now on.
 func (in *Ingress) Stop() { in.stopping.Store(true) }
 
