--- a/internal/daemon/record.go
+++ b/internal/daemon/record.go
@@ -77,7 +77,6 @@
 			onBad(errors.Wrapf(err, "read record %s", item.Key))
 			continue
 		}
-		h.Servers = nil // those of the moment it was written
 		hosts = append(hosts, h)
 	}
 	return hosts
