refactor(store): leave out what ends a lease, which nothing calls

Cause: the seam and its client had a call that no part of the product makes; leases end by themselves. Ruled out on the same reading, since they change behaviour: the ingress's and the control calls' dialers do not use internal/dial, so that a silent cut between daemons is noticed by pings and time-outs alone; reach.pause and eachTarget both walk the targets, one by host and one by name.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -102,6 +102,4 @@
 	Grant func(ctx context.Context, ttl time.Duration) (Lease, error)
 	// Renew renews a lease.
 	Renew func(ctx context.Context, lease Lease) error
-	// Revoke ends a lease, and the keys under it.
-	Revoke func(ctx context.Context, lease Lease) error
 }
