fix(ingress): an overdue request moves once another backend server keeps a slot for it

Cause: a repeatable request that was overdue at one backend server was given up there before anybody else was asked. One that still waited for a slot of its own host ended as cancelled, which is final.

Change: the attempt's clock asks another backend server for a ticket and gives the attempt up only with the ticket in hand, once for each look; the retry is given back when nobody takes the request. What waited gets the code moved-on and goes on.

Ruled out: sending the request twice and taking the first answer, since each moved request would then hold two slots.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -188,6 +188,7 @@
 		Logger:      d.config.Logger,
 		Scope:       metrics.Scope,
 		Local:       d.sidecar.Do,
+		LocalTicket: d.sidecar.Ticket,
 		Ping:        d.ping,
 		Silent:      d.checkGone,
 	})
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tideliftd/tidelift/internal/balance"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
 )
@@ -20,20 +21,29 @@
 	in      *Ingress
 	request *request
 	choice
-	first   bool        // no attempt before it reached a backend server
-	overdue atomic.Bool // it took far longer than others would
-	spent   atomic.Bool // a retry was taken from the budget for it
+	first   bool              // no attempt before it reached a backend server
+	overdue atomic.Bool       // it took far longer than others would
+	avoid   []*balance.Target // whom not to ask in its place
+	// reserves counts the looks for another backend server, and moved is the one that
+	// keeps a slot for the request. The attempt's clock writes both; moved is read
+	// once the attempt has been given up for it.
+	reserves int
+	moved    *choice
 }
 
 // run sends the request and returns the head of the answer.
 func (a *attempt) run(ctx context.Context) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	started := time.Now()
-	clock := a.startClock(cancel)
+	clock := a.startClock(ctx, cancel)
 	a.target.Begin()
 	a.request.body.Rewind(a.request.Request)
 	answer, err := a.in.send(ctx, a.request, a.choice)
 	clock.stop()
+	if err == nil && a.moved != nil && !hop.IsHeld(answer.Response) {
+		_ = answer.Response.Body.Close() // what has not been read of it is lost with the connection
+		err = errOverdue
+	}
 	if err != nil {
 		failure := a.failure(ctx, err)
 		cancel(nil)
@@ -50,13 +60,17 @@
 }
 
 // failure returns the attempt's failure; one that was ended for being overdue
-// has a code of its own.
+// has a code of its own, also if it still waited for a slot.
 func (a *attempt) failure(ctx context.Context, err error) *result.Error {
 	failure := result.From(err)
-	if errors.Is(context.Cause(ctx), errOverdue) && failure.Code.Ran != result.RanNo {
+	switch {
+	case !errors.Is(context.Cause(ctx), errOverdue):
+		return failure
+	case failure.Code.Ran == result.RanNo:
+		return result.Wrap(result.MovedOn, failure)
+	default:
 		return result.Wrap(result.AttemptOverdue, failure)
 	}
-	return failure
 }
 
 // mayMoveOn says whether an overdue attempt may be given up for another. It may
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/event"
@@ -25,12 +26,14 @@
 func (in *Ingress) attempts(ctx context.Context, r *request) (*http.Response, error) {
 	r.service.budget.Earn()
 	var story trail
+	var moved *choice
 	for {
-		next, ok := in.next(ctx, r, &story)
+		next, ok := in.nextOr(ctx, r, &story, moved)
 		if !ok {
 			return story.end(worst(story.mayHaveRun, noneAble(story.last)))
 		}
 		a := &attempt{in: in, request: r, choice: next, first: story.sent == 0}
+		a.avoid = append(slices.Clone(story.tried), next.target)
 		response, err := a.run(ctx)
 		if err == nil && !mayImprove(r, response) {
 			story.drop()
@@ -40,6 +43,7 @@
 			err = story.keep(response)
 		}
 		story.add(next, result.From(err), a.far())
+		moved = a.moved
 		again := in.again(r, a, &story)
 		in.logAttempt(r, a, &story, again)
 		if !again {
@@ -49,6 +53,15 @@
 	}
 }
 
+// nextOr says whom to ask next: the one that keeps a slot for the request, if one
+// does.
+func (in *Ingress) nextOr(ctx context.Context, r *request, story *trail, moved *choice) (choice, bool) {
+	if moved != nil {
+		return *moved, true
+	}
+	return in.next(ctx, r, story)
+}
+
 // next says whom to ask next. While there are only doubted backend servers, or
 // none, it looks again as long as the request has time for that.
 func (in *Ingress) next(ctx context.Context, r *request, story *trail) (choice, bool) {
@@ -104,7 +117,7 @@
 	case retry.Free:
 		return true
 	case retry.Again:
-		return a.spent.Load() || r.service.budget.Spend()
+		return a.moved != nil || r.service.budget.Spend()
 	case retry.Final:
 	}
 	return false
--- a/internal/ingress/choose.go
+++ b/internal/ingress/choose.go
@@ -36,6 +36,9 @@
 	proven bool
 	// insist says that nobody else is left, so that doubt is no reason to refuse.
 	insist bool
+	// ticket is the leave of the target's sidecar to run the request; it may be
+	// empty.
+	ticket string
 }
 
 // choose says whom to ask next: first for a free slot, then where the wait for
--- a/internal/ingress/clock.go
+++ b/internal/ingress/clock.go
@@ -14,10 +14,11 @@
 
 // overdueClock watches one attempt for being overdue. That is evidence, and if
 // more of it has gathered against the backend server, a request that may be
-// repeated is tried elsewhere. A request that is long by itself meets a backend
-// server that does well otherwise, and so stays where it is.
+// repeated moves to another once that keeps a slot for it. A request that is long by
+// itself meets a backend server that does well otherwise, and so stays where it is.
 type overdueClock struct {
 	attempt *attempt
+	ctx     context.Context // of the attempt
 	limit   time.Duration
 	giveUp  context.CancelCauseFunc
 
@@ -28,8 +29,8 @@
 
 // startClock starts the attempt's clock. Without others to compare with it
 // never strikes.
-func (a *attempt) startClock(giveUp context.CancelCauseFunc) *overdueClock {
-	c := &overdueClock{attempt: a, limit: a.request.service.overdueLimit(a.target), giveUp: giveUp}
+func (a *attempt) startClock(ctx context.Context, giveUp context.CancelCauseFunc) *overdueClock {
+	c := &overdueClock{attempt: a, ctx: ctx, limit: a.request.service.overdueLimit(a.target), giveUp: giveUp}
 	if c.limit == 0 {
 		return c
 	}
@@ -49,23 +50,42 @@
 	}
 }
 
+// strike is what the timer calls. The attempt's answer may come while another backend
+// server is asked, and then stands.
 func (c *overdueClock) strike() {
+	if !c.note() {
+		return
+	}
+	a := c.attempt
+	next, ok := choice{}, false
+	if a.target.Suspect() {
+		next, ok = a.reserve(c.ctx)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.stopped && ok:
+		a.request.service.budget.GiveBack() // the slot is free again when its ticket expires
+	case c.stopped:
+	case ok:
+		a.moved = &next
+		c.giveUp(errOverdue)
+	default:
+		c.timer.Reset(c.limit / looks)
+	}
+}
+
+// note takes it as evidence that the attempt is overdue, and says whether it may be
+// given up.
+func (c *overdueClock) note() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopped {
-		return
+		return false
 	}
 	a := c.attempt
 	if !a.overdue.Swap(true) {
 		a.tell(detect.Observation{Outcome: detect.Overdue}, true)
 	}
-	if !a.mayMoveOn() {
-		return
-	}
-	if a.target.Suspect() && a.request.service.budget.Spend() {
-		a.spent.Store(true)
-		c.giveUp(errOverdue)
-		return
-	}
-	c.timer.Reset(c.limit / looks)
+	return a.mayMoveOn()
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -17,6 +17,7 @@
 //	attempts tries, and again where allowed                           (attempts.go)
 //	choose   says whom to ask next, by what was tried so far          (choose.go, trail.go)
 //	attempt  is one sending, watched for being overdue                (attempt.go, clock.go)
+//	reserve  finds an overdue one another backend server              (reserve.go)
 //	send     passes the request to the backend server's sidecar       (send.go)
 //	learn    takes what became of an attempt as evidence              (learn.go, judge.go)
 //	answer   passes the answer on, or the failure with its code       (ingress.go)
@@ -89,6 +90,8 @@
 	Silent func(fleet.Host)
 	// Local runs a request on a backend server of the daemon's own host.
 	Local func(context.Context, hop.Call, *http.Request) (sidecar.Answer, error)
+	// LocalTicket keeps a slot of a backend server of the daemon's own host.
+	LocalTicket func(context.Context, hop.Call) (string, error)
 }
 
 // Ingress takes callers' requests.
--- /dev/null
+++ b/internal/ingress/reserve_test.go
@@ -0,0 +1,172 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/hop"
+	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/sidecar"
+)
+
+const (
+	twoServers = `
+hosts: [{name: h1, data-centre: dc, peers: "127.0.0.1:1", control: "127.0.0.1:2"}]
+services:
+- name: lookup
+  floor: 1
+  detection: swift
+  retry-slack: 400
+  backend-servers:
+  - {name: slow, host: h1, address: "127.0.0.1:3", slots: 100}
+  - {name: other, host: h1, address: "127.0.0.1:4", slots: 100}
+routes: [{host: a.example, service: lookup, deadline: 5s, target: 4s}]
+`
+	// slowFor is how long the slow backend server takes. It is far past what is overdue
+	// beside others that take a few milliseconds, and far from the deadline.
+	slowFor = 1200 * time.Millisecond
+	// quickFor is long enough for some requests to be at each at a time.
+	quickFor = 20 * time.Millisecond
+	// manyOf is how many requests are sent within half a second.
+	manyOf = 120
+)
+
+// twoBackends answers in place of a sidecar: one backend server becomes slow, the other
+// may have no free slot.
+type twoBackends struct {
+	slow    atomic.Bool
+	waits   atomic.Bool  // the slow one keeps requests waiting for a slot
+	full    atomic.Bool  // the other has no slot, and its queue is full
+	granted atomic.Int64 // tickets
+}
+
+func (b *twoBackends) do(ctx context.Context, call hop.Call, r *http.Request) (sidecar.Answer, error) {
+	if call.BackendServer == "slow" && b.slow.Load() {
+		return b.doSlowly(ctx, call, r)
+	}
+	if call.BackendServer == "other" && b.full.Load() {
+		if call.NoWait {
+			return sidecar.Answer{}, result.New(result.Busy)
+		}
+		return sidecar.Answer{}, result.New(result.QueueFull)
+	}
+	time.Sleep(quickFor)
+	return answered(call, r), nil
+}
+
+func (b *twoBackends) doSlowly(ctx context.Context, call hop.Call, r *http.Request) (sidecar.Answer, error) {
+	select {
+	case <-time.After(slowFor):
+		return answered(call, r), nil
+	case <-ctx.Done():
+		if b.waits.Load() {
+			return sidecar.Answer{}, result.New(result.CancelledBefore)
+		}
+		return sidecar.Answer{}, result.New(result.CallerGone)
+	}
+}
+
+func answered(call hop.Call, r *http.Request) sidecar.Answer {
+	response := &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Backend": {call.BackendServer}}, Request: r,
+		Body: io.NopCloser(strings.NewReader("done")), ContentLength: 4}
+	return sidecar.Answer{Response: response}
+}
+
+func (b *twoBackends) ticket(_ context.Context, call hop.Call) (string, error) {
+	if call.BackendServer == "other" && b.full.Load() {
+		return "", result.New(result.Busy)
+	}
+	b.granted.Add(1)
+	return "leave", nil
+}
+
+// newTwoBackends returns an ingress before two backend servers that have answered
+// enough requests for it to know what is usual.
+func newTwoBackends(t *testing.T) (*Ingress, *twoBackends) {
+	t.Helper()
+	b := &twoBackends{}
+	in, cleanUp := New(Config{
+		Host: "h1", DataCentre: "dc", Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, HeaderBytes: 1 << 16,
+		Local: b.do, LocalTicket: b.ticket,
+	})
+	t.Cleanup(cleanUp)
+	declaration, err := fleet.Parse("fleet.yaml", []byte(twoServers))
+	if err != nil {
+		t.Fatal(err)
+	}
+	in.Reconfigure(fleet.NewIndex(declaration))
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+		many(in)
+	}
+	return in, b
+}
+
+// get sends a repeatable request and returns the status and who answered.
+func get(in *Ingress) (int, string) {
+	r := httptest.NewRequest(http.MethodGet, "http://a.example/x", nil)
+	w := httptest.NewRecorder()
+	in.ServeHTTP(w, r)
+	return w.Code, w.Header().Get("Backend")
+}
+
+// many sends requests a little apart, so that some find evidence that others left, and
+// returns how many of them failed, and
+// how many the slow backend server answered.
+func many(in *Ingress) (failed, bySlow int64) {
+	var wg sync.WaitGroup
+	var failures, slowly atomic.Int64
+	for range manyOf {
+		time.Sleep(4 * time.Millisecond)
+		wg.Go(func() {
+			status, by := get(in)
+			if status != http.StatusOK {
+				failures.Add(1)
+			}
+			if by == "slow" {
+				slowly.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return failures.Load(), slowly.Load()
+}
+
+// TestOverdueRequestsMove lets the other backend server have free slots again while
+// requests are overdue at the slow one, be it that they run or wait there.
+func TestOverdueRequestsMove(t *testing.T) {
+	for name, waits := range map[string]bool{"running": false, "waiting": true} {
+		t.Run(name, func(t *testing.T) {
+			in, b := newTwoBackends(t)
+			b.slow.Store(true)
+			b.waits.Store(waits)
+			b.full.Store(true)
+			time.AfterFunc(slowFor/2, func() { b.full.Store(false) })
+			failed, bySlow := many(in)
+			if failed > 0 || bySlow > manyOf/2 || b.granted.Load() == 0 {
+				t.Fatalf("%d of %d failed, the slow one answered %d, %d tickets", failed, manyOf, bySlow, b.granted.Load())
+			}
+		})
+	}
+}
+
+// TestAnOverdueRequestStaysWhileNobodyTakesIt keeps requests at a slow backend server
+// as long as the other has no slot for them: it answers in the end.
+func TestAnOverdueRequestStaysWhileNobodyTakesIt(t *testing.T) {
+	in, b := newTwoBackends(t)
+	b.slow.Store(true)
+	b.full.Store(true)
+	if failed, bySlow := many(in); failed > 0 || bySlow == 0 {
+		t.Fatalf("%d of %d failed, the slow one answered %d", failed, manyOf, bySlow)
+	}
+}
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -18,37 +18,20 @@
 // send passes the request to the target's sidecar, directly if it is the
 // daemon's own.
 func (in *Ingress) send(ctx context.Context, r *request, c choice) (sidecar.Answer, error) {
-	target := c.target
-	call := hop.Call{
-		BackendServer: target.Name,
-		TimeLeft:      time.Until(r.deadline),
-		Aim:           time.Until(r.aim),
-		Patience:      time.Until(r.patient),
-		Target:        r.aim.Sub(r.began),
-		Customer:      r.customer,
-		Once:          r.once,
-		Insist:        c.insist,
-		NoWait:        c.noWait,
-		Proven:        c.proven,
-		Host:          in.config.Host,
-		Origin:        in.config.Service,
-		Priority:      r.priority,
-		Reference:     target.Reference(),
-	}
+	call := in.call(r, c)
 	if call.TimeLeft <= 0 {
 		return sidecar.Answer{}, result.New(result.DeadlineBeforeRun)
 	}
-	placement := target.Placement()
-	if placement.Host.Name == in.config.Host {
-		return in.config.Local(ctx, call, r.Request)
+	if address, remote := in.remote(c.target); remote {
+		return in.sendRemote(ctx, call, r.Request, address)
 	}
-	return in.sendRemote(ctx, call, r.Request, placement.Host.PeersFrom(in.config.DataCentre))
+	return in.config.Local(ctx, call, r.Request)
 }
 
 // sendRemote passes the request to another daemon. One that must not run twice
-// first gets a ticket there.
+// first gets a ticket there, unless it has one.
 func (in *Ingress) sendRemote(ctx context.Context, call hop.Call, r *http.Request, address string) (sidecar.Answer, error) {
-	if call.Once {
+	if call.Once && call.Ticket == "" {
 		ticket, err := in.askTicket(ctx, call, address)
 		if err != nil {
 			return sidecar.Answer{}, err
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -40,6 +40,7 @@
 	Doubted           = Code{2019, "doubted", http.StatusServiceUnavailable, RanNo, "The backend server failed a moment ago; others are asked first."}
 	Busy              = Code{2020, "busy", http.StatusServiceUnavailable, RanNo, "The backend server has no free slot at this moment; the request asked not to wait for one yet."}
 	Unproven          = Code{2021, "unproven", http.StatusServiceUnavailable, RanNo, "The backend server has not shown for a while that it is well; the request asked for one that has."}
+	MovedOn           = Code{2022, "moved-on", http.StatusServiceUnavailable, RanNo, "The request waited long for a slot there, and another backend server keeps one for it."}
 	TicketUnanswered  = Code{2015, "ticket-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a ticket in time; the request was never sent."}
 )
 
@@ -76,7 +77,7 @@
 	return []Code{
 		MalformedRequest, NoRoute, AmbiguousFraming, HeadersTooLarge, BodyTooLarge, BadDeadline, UpgradeRefused, ProtocolVersion,
 		NotReady, Stopping, NoneAble, QueueFull, QueueTooSlow, CustomerShare, Leaving, Ejected, PeerUnreachable, ServerUnreachable,
-		TicketExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, TicketUnanswered, PlaceLost, NotTaken, Misdirected, Doubted, Busy, Unproven,
+		TicketExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, TicketUnanswered, PlaceLost, NotTaken, Misdirected, Doubted, Busy, Unproven, MovedOn,
 		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, SpoiltAnswer, ServerFailed, ServerError,
 		BadDeclaration, RevisionChanged, PlatformDown, NotDeclared, ChangeUnknown, ValueTooLarge, MalformedCall, PeerSilent, ChangeIDReused, TokenRefused, RoleRefused,
 	}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -170,6 +170,13 @@
 	return b.saved >= oneRetry
 }
 
+// GiveBack returns a retry that was not made.
+func (b *Budget) GiveBack() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saved = min(b.saved+oneRetry, b.size.most())
+}
+
 // Spend takes one retry, or says that none is left.
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
--- a/internal/sidecar/ticket.go
+++ b/internal/sidecar/ticket.go
@@ -35,8 +35,9 @@
 
 func newTickets() *tickets { return &tickets{byID: make(map[string]*ticket)} }
 
-// grantTicket waits for a slot and keeps it for the request.
-func (s *Sidecar) grantTicket(ctx context.Context, call hop.Call) (string, error) {
+// Ticket waits for a slot, keeps it for the request for TicketLife and returns the
+// leave to run it.
+func (s *Sidecar) Ticket(ctx context.Context, call hop.Call) (string, error) {
 	server, slot, waited, err := s.acquire(ctx, call)
 	if err != nil {
 		return "", err
@@ -82,7 +83,7 @@
 
 // serveTicket answers an ingress that asks for a ticket.
 func (s *Sidecar) serveTicket(ctx context.Context, w http.ResponseWriter, call hop.Call) {
-	id, err := s.grantTicket(ctx, call)
+	id, err := s.Ticket(ctx, call)
 	if err != nil {
 		refused := result.From(err)
 		s.refused.Inc(refused.Code)
