--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -10,12 +10,17 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/tideliftd/tidelift/internal/dial"
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
 const (
 	// connectTimeout bounds the opening of a connection to a peer.
 	connectTimeout = 500 * time.Millisecond
+	// unacknowledged is how long bytes to a peer may stay without an acknowledgement
+	// before the connection counts as lost. Source: a lost packet is sent again after
+	// 200 and 600 ms; a path that loses three in a row is cut.
+	unacknowledged = 2 * time.Second
 	// idleTimeout is how long a connection without calls is kept.
 	idleTimeout = 30 * time.Second
 )
@@ -89,7 +94,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: connectTimeout}
+	dialer := dial.New(dial.Config{Connect: connectTimeout, Unacknowledged: unacknowledged})
 	if c.config.TLS == nil {
 		return dialer.DialContext(ctx, "tcp", address)
 	}
