feat(retry): the budget is counted over a sliding window

Cause: the bucket held a daemon's part of the slack, two retries, and threw away what its requests earned beyond that.

The sum over all daemons stays within the limit in every window, as before (TestBudget now checks each window).

Ruled out: a larger bucket, which lets all daemons together pass the limit.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -24,7 +24,7 @@
 // attempts tries the request on one backend server after another until one
 // answers or the failure is final.
 func (in *Ingress) attempts(ctx context.Context, r *request) (*http.Response, error) {
-	r.service.budget.Earn()
+	r.service.budget.Earn(time.Now())
 	var story trail
 	var moved *choice
 	for {
@@ -117,7 +117,7 @@
 	case retry.Free:
 		return true
 	case retry.Again:
-		return a.moved != nil || r.service.budget.Spend()
+		return a.moved != nil || r.service.budget.Spend(time.Now())
 	case retry.Final:
 	}
 	return false
--- a/internal/ingress/choose.go
+++ b/internal/ingress/choose.go
@@ -76,7 +76,7 @@
 	if target, ok := s.pool.PickTrial(now); ok {
 		return choice{target: target, trial: true}, true
 	}
-	if !s.budget.Left() {
+	if !s.budget.Left(now) {
 		return choice{}, false
 	}
 	target, ok := s.pool.PickProbe(now)
@@ -101,7 +101,7 @@
 
 // look chooses one to ask for a free slot.
 func (t *trail) look(r *request, now time.Time) (choice, bool) {
-	mustNotFail := r.once || t.sent > 0 || !r.service.budget.Left()
+	mustNotFail := r.once || t.sent > 0 || !r.service.budget.Left(now)
 	proven := mustNotFail && len(t.unproven) < maxUnproven
 	if proven {
 		if target, ok := r.service.pool.Pick(now, slices.Concat(t.tried, t.unproven)); ok {
--- a/internal/ingress/clock.go
+++ b/internal/ingress/clock.go
@@ -65,7 +65,7 @@
 	defer c.mu.Unlock()
 	switch {
 	case c.stopped && ok:
-		a.request.service.budget.GiveBack() // the slot is free again when its ticket expires
+		a.request.service.budget.GiveBack(time.Now()) // the slot is free again when its ticket expires
 	case c.stopped:
 	case ok:
 		a.moved = &next
--- a/internal/ingress/reserve.go
+++ b/internal/ingress/reserve.go
@@ -17,17 +17,17 @@
 // It runs beside the attempt and reads nothing that the attempt changes.
 func (a *attempt) reserve(ctx context.Context) (choice, bool) {
 	budget := a.request.service.budget
-	if !budget.Spend() {
+	if !budget.Spend(time.Now()) {
 		return choice{}, false
 	}
 	next, ok := a.pickOther()
 	if !ok {
-		budget.GiveBack()
+		budget.GiveBack(time.Now())
 		return choice{}, false
 	}
 	ticket, err := a.in.ticket(ctx, a.request, next)
 	if err != nil {
-		budget.GiveBack()
+		budget.GiveBack(time.Now())
 		asked := &attempt{in: a.in, request: a.request, choice: next}
 		asked.learn(result.From(err), 0)
 		return choice{}, false
--- a/internal/ingress/service.go
+++ b/internal/ingress/service.go
@@ -67,7 +67,12 @@
 		s.judge = old.judge
 		s.budget = old.budget
 	}
-	s.budget.Resize(retry.Size{Share: declared.RetryShare, Slack: declared.RetrySlack, Daemons: len(index.Declaration.Hosts)})
+	s.budget.Resize(retry.Size{
+		Share:   declared.RetryShare,
+		Slack:   declared.RetrySlack,
+		Window:  declared.RetryWindow,
+		Daemons: len(index.Declaration.Hosts),
+	})
 	s.pool.Reconfigure(declared, index)
 	if s.judge == nil {
 		s.judge = newJudge(in.config, s.pool)
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,95 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tideliftd/tidelift/internal/retry"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestBudget spends as often as it can: within any window a daemon's retries stay
+// within its part of the limit, also when the number of daemons changes on the way.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := retry.Size{
+			Share:   rapid.Float64Range(0, 1).Draw(t, "share"),
+			Slack:   rapid.Float64Range(0, 100).Draw(t, "slack"),
+			Window:  time.Duration(rapid.IntRange(1, 10).Draw(t, "window")) * time.Second,
+			Daemons: rapid.IntRange(1, 40).Draw(t, "daemons"),
+		}
+		b := retry.NewBudget()
+		b.Resize(size)
+		now := epoch
+		var requests, retries []time.Time
+		most := max(1, size.Slack/float64(size.Daemons))
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"request": func(*rapid.T) { requests = append(requests, now); b.Earn(now) },
+			"resize":  func(*rapid.T) { b.Resize(size) },
+			"retry": func(*rapid.T) {
+				if b.Spend(now) {
+					retries = append(retries, now)
+				}
+			},
+			"given back": func(*rapid.T) {
+				if b.Spend(now) {
+					b.GiveBack(now)
+				}
+			},
+			"": func(t *rapid.T) {
+				since := now.Add(-size.Window)
+				if spent, of := after(retries, since), after(requests, since); float64(spent) > size.Share*float64(of)+most {
+					t.Fatalf("%d retries of %d requests within a window, size %+v", spent, of, size)
+				}
+			},
+		})
+	})
+}
+
+func after(times []time.Time, since time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestABurstIsPaidFromTheWindow lets a daemon that made no retry for a window make all
+// that its requests earned at once.
+func TestABurstIsPaidFromTheWindow(t *testing.T) {
+	b := retry.NewBudget()
+	b.Resize(retry.Size{Share: 0.2, Slack: 56, Window: 10 * time.Second, Daemons: 21})
+	now := epoch
+	for range 80 {
+		b.Earn(now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	spent := 0
+	for b.Spend(now) {
+		spent++
+	}
+	if spent < 10 {
+		t.Fatalf("%d retries after 80 requests without one", spent)
+	}
+	now = now.Add(10 * time.Second)
+	if b.Spend(now); b.Spend(now) && b.Spend(now) {
+		t.Fatal("a window without requests allows more than the slack")
+	}
+}
+
+func TestWithoutASizeNothingIsAllowed(t *testing.T) {
+	b := retry.NewBudget()
+	b.Earn(epoch)
+	b.GiveBack(epoch)
+	if b.Left(epoch) || b.Spend(epoch) {
+		t.Fatal("a retry without a size")
+	}
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -1,19 +1,21 @@
 // Package retry decides whether a failed attempt may be tried again.
 //
 // Only the ingress retries. A Budget is the aggregate of one service at one
-// daemon: each request earns a share of a retry and each retry spends a whole
-// one. What may be saved up is the daemon's part of the fleet's slack, so that
-// all daemons together stay within the service's limit without a call.
+// daemon: within any window its retries are at most a share of its requests, and
+// its part of the fleet's slack more, so that all daemons together stay within the
+// service's limit without a call.
+//
+// Whether an attempt may be tried again is in retry.go, the budget in budget.go.
 //
 // # Usage
 //
 //	budget := retry.NewBudget()
-//	budget.Resize(retry.Size{Share: 0.2, Slack: 56, Daemons: 21})
-//	budget.Earn()                  // for each request
-//	if budget.Left() { ... }       // a retry may be spent on a failure
+//	budget.Resize(retry.Size{Share: 0.2, Slack: 56, Window: 10 * time.Second, Daemons: 21})
+//	budget.Earn(now)               // for each request
+//	if budget.Left(now) { ... }    // a retry may be spent on a failure
 //	switch retry.Decide(retry.Attempt{Sent: 1, Most: 2, Once: true, Err: refusal}) {
 //	case retry.Again:
-//		if !budget.Spend() { ... }
+//		if !budget.Spend(now) { ... }
 //	}
 //
 // # Rules
@@ -27,23 +29,12 @@
 //     limits, the deadline, a caller that went away, a malformed request.
 package retry
 
-import (
-	"sync"
-
-	"github.com/tideliftd/tidelift/internal/result"
-)
+import "github.com/tideliftd/tidelift/internal/result"
 
-const (
-	// MaxQueues is how many backend servers with a full queue are asked. Source:
-	// of two drawn at random the less loaded one is asked first, so that after
-	// three the service is full.
-	MaxQueues = 3
-	// safety is the part of the limit that is used. Source: calls of a run that
-	// was itself a repeat count as repeats too, and nobody here sees those.
-	safety = 0.8
-	// oneRetry is what a retry costs.
-	oneRetry = 1
-)
+// MaxQueues is how many backend servers with a full queue are asked. Source: of two
+// drawn at random the less loaded one is asked first, so that after three the service
+// is full.
+const MaxQueues = 3
 
 // Decision says what to do after a failed attempt.
 type Decision string
@@ -117,73 +108,3 @@
 	}
 	return code.Ran == result.RanUnknown
 }
-
-// Size is how much a budget holds.
-type Size struct {
-	// Share is the retries as a share of the service's requests, from 0 to 1.
-	Share float64
-	// Slack is how many retries beyond that all daemons may make in the time
-	// that the limit is counted over.
-	Slack float64
-	// Daemons is how many share the slack.
-	Daemons int
-}
-
-// Budget bounds the retries of one service. It is safe for concurrent use.
-type Budget struct {
-	mu    sync.Mutex
-	size  Size
-	saved float64
-}
-
-// NewBudget returns a budget that allows nothing until Resize.
-func NewBudget() *Budget { return &Budget{} }
-
-// Resize takes a new size. A new budget is full.
-func (b *Budget) Resize(size Size) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.size == (Size{}) {
-		b.saved = size.most()
-	}
-	b.size = size
-	b.saved = min(b.saved, size.most())
-}
-
-// most is what may be saved up. A daemon's part of the slack may be less than
-// one retry; it can still make one, which the safety covers.
-func (s Size) most() float64 {
-	return max(oneRetry, safety*s.Slack/float64(max(1, s.Daemons)))
-}
-
-// Earn counts a request.
-func (b *Budget) Earn() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.saved = min(b.saved+safety*b.size.Share, b.size.most())
-}
-
-// Left says whether there is a retry to spend.
-func (b *Budget) Left() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.saved >= oneRetry
-}
-
-// GiveBack returns a retry that was not made.
-func (b *Budget) GiveBack() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.saved = min(b.saved+oneRetry, b.size.most())
-}
-
-// Spend takes one retry, or says that none is left.
-func (b *Budget) Spend() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.saved < oneRetry {
-		return false
-	}
-	b.saved -= oneRetry
-	return true
-}
