fix(daemon,ingress): a daemon that is back knows who serves; refusals say when to come back

And a refusal of a backend server itself, or of a path, was passed on without a time to come back; the platform's callers read decimals of a second, which were rounded up.

Ruled out: not ready until somebody is known, since a host may be the first of all.

TestADaemonThatIsBackKnowsWhoServes: fails before, passes after.

--- a/internal/daemon/poll.go
+++ b/internal/daemon/poll.go
@@ -73,6 +73,13 @@
 // fetch takes the revision of the daemon at the address, if it is higher than the
 // one here, and says whether it was.
 func (d *daemon) fetch(ctx context.Context, address string) bool {
+	before := d.revision()
+	return d.ask(ctx, address) && d.revision() > before
+}
+
+// ask asks the daemon at the address for its revision and for what it knows of hosts,
+// and says whether it answered.
+func (d *daemon) ask(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	var held control.Held
@@ -86,5 +93,5 @@
 	if held.Revision.Number > before {
 		d.take(held.Revision)
 	}
-	return d.revision() > before
+	return true
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,6 +44,17 @@
 	DetectionSwift Detection = "swift"
 )
 
+// RetryAfter names how callers read when to come back.
+type RetryAfter string
+
+// The ways of writing Retry-After.
+const (
+	// RetryAfterSeconds is HTTP's own: whole seconds, rounded up.
+	RetryAfterSeconds RetryAfter = "seconds"
+	// RetryAfterDecimals adds decimals, for callers whose deadlines are short.
+	RetryAfterDecimals RetryAfter = "decimals"
+)
+
 // Defaults of a declaration.
 const (
 	DefaultDeadline    = 2 * time.Second
@@ -80,10 +91,11 @@
 
 // Callers says what the headers of callers' requests mean.
 type Callers struct {
-	DeadlineHeader string `yaml:"deadline-header" json:"deadline-header,omitempty" jsonschema:"description=The request header with the time left in milliseconds. Default X-Request-Timeout-Ms."`
-	IDHeader       string `yaml:"id-header" json:"id-header,omitempty" jsonschema:"description=The request header with the request's id, which a backend server repeats in its answer. Without one answers are not checked for it."`
-	OriginHeader   string `yaml:"origin-header" json:"origin-header,omitempty" jsonschema:"description=The header that tells a backend server which service runs on the host where the request began. Callers cannot set it."`
-	CustomerHeader string `yaml:"customer-header" json:"customer-header,omitempty" jsonschema:"description=The request header that names the customer. Default X-Customer."`
+	DeadlineHeader string     `yaml:"deadline-header" json:"deadline-header,omitempty" jsonschema:"description=The request header with the time left in milliseconds. Default X-Request-Timeout-Ms."`
+	IDHeader       string     `yaml:"id-header" json:"id-header,omitempty" jsonschema:"description=The request header with the request's id, which a backend server repeats in its answer. Without one answers are not checked for it."`
+	OriginHeader   string     `yaml:"origin-header" json:"origin-header,omitempty" jsonschema:"description=The header that tells a backend server which service runs on the host where the request began. Callers cannot set it."`
+	RetryAfter     RetryAfter `yaml:"retry-after" json:"retry-after,omitempty" jsonschema:"enum=seconds,enum=decimals,description=How Retry-After is written in refusals: in whole seconds or with decimals. Default seconds."`
+	CustomerHeader string     `yaml:"customer-header" json:"customer-header,omitempty" jsonschema:"description=The request header that names the customer. Default X-Customer."`
 }
 
 // Answers says what the headers between a sidecar and its backend servers mean.
@@ -196,6 +208,9 @@
 	if d.Callers.CustomerHeader == "" {
 		d.Callers.CustomerHeader = DefaultCustomerHeader
 	}
+	if d.Callers.RetryAfter == "" {
+		d.Callers.RetryAfter = RetryAfterSeconds
+	}
 	for i := range d.Services {
 		d.Services[i].setDefaults()
 	}
--- a/internal/fleet/parse.go
+++ b/internal/fleet/parse.go
@@ -30,6 +30,7 @@
 	}
 	d.setDefaults()
 	c := check{Checker: yamlfile.NewChecker(file, data)}
+	c.callers(d.Callers)
 	c.hosts(d.Hosts)
 	c.services(d.Services)
 	c.routes(d.Routes)
@@ -47,6 +48,12 @@
 	serverNames  map[string]bool
 }
 
+func (c *check) callers(callers Callers) {
+	if callers.RetryAfter != RetryAfterSeconds && callers.RetryAfter != RetryAfterDecimals {
+		c.Add("$.callers.retry-after", fmt.Sprintf("is %q", callers.RetryAfter), "seconds or decimals")
+	}
+}
+
 func (c *check) hosts(hosts []Host) {
 	c.hostNames = make(map[string]Host, len(hosts))
 	if len(hosts) == 0 {
--- a/internal/fleet/parse_test.go
+++ b/internal/fleet/parse_test.go
@@ -72,3 +72,11 @@
 		}
 	})
 }
+
+// TestCallersRetryAfter names the two ways of writing it when another is declared.
+func TestCallersRetryAfter(t *testing.T) {
+	_, err := fleet.Parse("fleet.yaml", []byte("callers: {retry-after: minutes}\n"+right))
+	if err == nil || !strings.Contains(err.Error(), "seconds or decimals") {
+		t.Fatalf("got %v", err)
+	}
+}
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -30,7 +30,7 @@
 	for {
 		next, ok := in.nextOr(ctx, r, &story, moved)
 		if !ok {
-			return story.end(worst(story.mayHaveRun, noneAble(story.last)))
+			return story.end(worst(story.mayHaveRun, noneAble(r, &story)))
 		}
 		a := &attempt{in: in, request: r, choice: next, first: story.sent == 0}
 		a.avoid = append(slices.Clone(story.tried), next.target)
@@ -125,9 +125,10 @@
 
 // noneAble is the answer when no target is left to try: the last failure if
 // there was one.
-func noneAble(last *result.Error) *result.Error {
-	if last == nil || takesNoWork(last) {
-		return result.New(result.NoneAble).WithRetryAfter(noneAbleRetry)
+func noneAble(r *request, story *trail) *result.Error {
+	if story.last == nil || takesNoWork(story.last) {
+		return result.New(result.NoneAble).WithRetryAfter(noneAbleRetry).
+			WithDetail("%d backend servers known, %d tried", len(r.service.pool.Targets()), len(story.tried))
 	}
-	return last
+	return story.last
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -66,6 +66,10 @@
 	// It is shorter than the daemons keep theirs, so that a request seldom
 	// meets a connection that is just being closed.
 	idleTimeout = 45 * time.Second
+	// refusedRetry is when to come back after a refusal of which nothing better is known.
+	// Source: a backend server that takes no work for a moment has a free slot after
+	// one request, some hundreds of milliseconds.
+	refusedRetry = 250 * time.Millisecond
 	// leavingPause is how long a target is passed over whose daemon stops. A
 	// daemon that comes back sooner gets work again after it.
 	leavingPause = 3 * time.Second
@@ -275,16 +279,30 @@
 	return result.Wrap(result.CancelledBefore, err)
 }
 
-// fail answers with the failure, and leaves a line on it.
+// fail answers with the failure, and leaves a line on it. A refusal always says when to
+// come back.
 func (in *Ingress) fail(w http.ResponseWriter, r *http.Request, started time.Time, err error) {
 	e := result.From(err)
+	if isRefusal(e.Code) && e.RetryAfter == 0 {
+		e = e.WithRetryAfter(refusedRetry)
+	}
 	in.metrics.refused.Inc(e.Code)
 	event.Log(in.config.Logger, event.RequestFailed,
 		"request", in.requestID(r), "code", e.Code.Number, "result", e.Code.Name, "host", r.Host, "path", r.URL.Path,
 		"took_ms", time.Since(started).Milliseconds(), "retry_after_ms", e.RetryAfter.Milliseconds(), "why", e.Error())
+	if current := in.state.Load(); current != nil && current.index.Declaration.Callers.RetryAfter == fleet.RetryAfterDecimals {
+		result.WriteExact(w, e)
+		return
+	}
 	result.Write(w, e)
 }
 
+// isRefusal says whether the failure promises that the request was not run and may be
+// sent again.
+func isRefusal(code result.Code) bool {
+	return code.Status == http.StatusServiceUnavailable || code.Status == http.StatusTooManyRequests
+}
+
 // requestID returns the id by which callers name the request; it may be empty.
 func (in *Ingress) requestID(r *http.Request) string {
 	current := in.state.Load()
--- a/internal/ingress/trail.go
+++ b/internal/ingress/trail.go
@@ -57,9 +57,10 @@
 }
 
 // mayFind says whether another look may find somebody: not if queues are full or
-// everybody was tried.
+// everybody was tried. Where nobody is known yet somebody may soon be.
 func (t *trail) mayFind(r *request) bool {
-	return t.full == 0 && len(t.tried) < len(r.service.pool.Targets())
+	known := len(r.service.pool.Targets())
+	return t.full == 0 && (known == 0 || len(t.tried) < known)
 }
 
 // leastBusy takes the target out where the wait is shortest.
--- a/internal/result/write.go
+++ b/internal/result/write.go
@@ -16,11 +16,21 @@
 // Retry-After in whole seconds where the error says when to come back, and a
 // JSON body.
 func Write(w http.ResponseWriter, e *Error) {
+	write(w, e, retryAfterSeconds(e.RetryAfter))
+}
+
+// WriteExact does the same with Retry-After in seconds and decimals, for callers that
+// read such.
+func WriteExact(w http.ResponseWriter, e *Error) {
+	write(w, e, strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+}
+
+func write(w http.ResponseWriter, e *Error, retryAfter string) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(Header, strconv.Itoa(e.Code.Number)+" "+e.Code.Name)
 	if e.RetryAfter > 0 {
-		h.Set("Retry-After", retryAfterSeconds(e.RetryAfter))
+		h.Set("Retry-After", retryAfter)
 	}
 	body, err := json.Marshal(struct {
 		Code         int    `json:"code"`
--- a/test/registered/registered_test.go
+++ b/test/registered/registered_test.go
@@ -235,3 +235,19 @@
 		t.Fatal("it was not doubted")
 	}
 }
+
+// TestADaemonThatIsBackKnowsWhoServes starts a daemon again, with nothing left of what
+// it knew: the first requests are served by the backend servers of other hosts.
+func TestADaemonThatIsBackKnowsWhoServes(t *testing.T) {
+	f := newFleet(t, 3)
+	for range 3 {
+		f.hosts[0].end()
+		f.hosts[0].start()
+		f.hosts[0].awaitReady()
+		for range 5 {
+			if status, body := f.hosts[0].get("/once/x"); status != http.StatusOK {
+				t.Fatalf("got %d %q", status, body)
+			}
+		}
+	}
+}
