--- a/Makefile
+++ b/Makefile
@@ -63,3 +63,7 @@
 
 bench: ## Run the benchmarks of the decisions.
 	$(GO) test -run "^$$" -bench . -benchmem ./internal/...
+
+.PHONY: days
+days: ## Play our own days on the users' bench: make days BENCH=path SITE=file [DAYS="name ..."]
+	$(GO) run ./test/days --bench $(BENCH) --site $(SITE) $(DAYS)
--- /dev/null
+++ b/test/days/main_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestParseReport(t *testing.T) {
+	r, err := parseReport([]byte(`{"G":0.5,"served":0.9,"breaks":{"LOST":[1],"GONE":{}},"fault":null,
+		"prices":[["probes",0,0.001],["bytes",2.5,0.03]]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := outcome{day: "some-day", report: r}
+	if o.good() {
+		t.Fatal("a day with broken rules is good")
+	}
+	line := o.line()
+	for _, want := range []string{"some-day", "broken GONE LOST", "served 0.900", "worth 0.500", "bytes 0.030, probes 0.001"} {
+		if !strings.Contains(line, want) {
+			t.Errorf("no %q in %q", want, line)
+		}
+	}
+}
+
+func TestParseReportRefusesWhatItDoesNotKnow(t *testing.T) {
+	for _, text := range []string{`{`, `{"prices":[["only a name"]]}`, `{"prices":[[1,2,3]]}`} {
+		if _, err := parseReport([]byte(text)); err == nil {
+			t.Errorf("%q was taken", text)
+		}
+	}
+}
+
+func TestAFaultIsNotGood(t *testing.T) {
+	r, err := parseReport([]byte(`{"fault":"a process ended"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if (outcome{report: r}).good() {
+		t.Fatal("a day with a fault is good")
+	}
+}
+
+// TestEachDaySaysWhatItIsFor holds the files to their form.
+func TestEachDaySaysWhatItIsFor(t *testing.T) {
+	files, err := filepath.Glob("days/*.toml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("%d days, %v", len(files), err)
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		name := strings.TrimSuffix(filepath.Base(file), ".toml")
+		if !strings.HasPrefix(string(data), "# ") || !strings.Contains(string(data), `name = "`+name+`"`) {
+			t.Errorf("%s: want a first line with what it is for, and its own name", file)
+		}
+	}
+}
