feat(daemon): a stopping daemon serves on until callers are sent elsewhere

Ruled out: keeping the listener open while the sidecar refuses, which takes the host's backend server away for longer.

TestAStoppingDaemonServesUntilCallersAreSentElsewhere fails without the wait.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -9,25 +9,25 @@
 
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/member"
+	"github.com/tideliftd/tidelift/internal/wait"
 )
 
 // settleFor is how long a planned stop waits before it closes connections.
 const settleFor = time.Second
 
-// stop ends the daemon: callers first, then peers, then operators, each after
-// finishing what it has begun.
+// stop ends the daemon: it says that it is not ready and serves on for a while, then
+// ends callers first, then peers, then operators, each after finishing what it has
+// begun.
 func (d *daemon) stop(l *listeners) error {
 	event.Log(d.config.Logger, event.DaemonStopping, "in_flight", d.ingress.InFlight())
 	d.stopping.Store(true)
-	if d.registers() {
-		d.tell("", []member.Host{d.members.setStopping()})
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), d.live.Load().Limits.Stop)
+	d.ingress.Settle()
+	limits := d.live.Load().Limits
+	ctx, cancel := context.WithTimeout(context.Background(), limits.Stop)
 	defer cancel()
 	go d.forceStop(cancel)
-	d.ingress.Settle()
-	d.sidecar.Stop()
-	l.refuse()
+	wait.For(ctx, limits.Unready)
+	d.takeNoMore(l)
 	d.settle(ctx)
 	d.ingress.Stop()
 	err := errors.Join(
@@ -43,6 +43,16 @@
 	return nil
 }
 
+// takeNoMore tells the others, refuses work for the own backend servers and takes no
+// new connections.
+func (d *daemon) takeNoMore(l *listeners) {
+	if d.registers() {
+		d.tell("", []member.Host{d.members.setStopping()})
+	}
+	d.sidecar.Stop()
+	l.refuse()
+}
+
 // settle lets callers and peers learn of the stop while their connections are
 // still open: each answer from now on asks them to close, so that few of them
 // send a request on a connection that is just being closed.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -47,6 +47,9 @@
 
 func (l Limits) check(c *yamlfile.Checker) {
 	positive(c, "$.limits.stop", l.Stop)
+	if l.Unready < 0 || l.Unready >= l.Stop {
+		c.Add("$.limits.unready", fmt.Sprintf("is %s", l.Unready), fmt.Sprintf("0s or more, and less than stop, which is %s", l.Stop))
+	}
 	positive(c, "$.limits.header-timeout", l.HeaderTimeout)
 	positive(c, "$.limits.idle-timeout", l.IdleTimeout)
 	if l.HeaderBytes < 1024 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -105,6 +105,7 @@
 // Limits bounds what callers may send and how long a stop may take.
 type Limits struct {
 	Stop          time.Duration `yaml:"stop" json:"stop,omitempty" jsonschema:"type=string,description=How long a planned stop waits for what is in flight. Default 30s."`
+	Unready       time.Duration `yaml:"unready" json:"unready,omitempty" jsonschema:"type=string,description=How long a planned stop serves on after the daemon has said that it is not ready\\, so that whoever asks for that sends callers elsewhere first. Default 0s."`
 	HeaderBytes   int           `yaml:"header-bytes" json:"header-bytes,omitempty" jsonschema:"description=The largest size of a request's headers. Default 32768."`
 	HeaderTimeout time.Duration `yaml:"header-timeout" json:"header-timeout,omitempty" jsonschema:"type=string,description=How long a caller may take to send its headers. Default 5s."`
 	IdleTimeout   time.Duration `yaml:"idle-timeout" json:"idle-timeout,omitempty" jsonschema:"type=string,description=How long a caller's idle connection is kept. Default 60s."`
--- a/test/registered/fleet_test.go
+++ b/test/registered/fleet_test.go
@@ -40,7 +40,7 @@
 platform: {address: "%[4]s"}
 keys: {trusted-network: true}
 source: {declared: platform}
-limits: {stop: 3s}
+limits: {stop: 3s, unready: %[5]s}
 `
 
 const desiredText = `{"version":%d,
@@ -67,6 +67,7 @@
 	backend  *httptest.Server
 	name     string // of the backend server's lifetime
 	sequence int64
+	unready  time.Duration // how long its daemon serves on when it is told to stop
 	served   atomic.Int64
 	work     atomic.Pointer[func(http.ResponseWriter, *http.Request)]
 	log      syncBuffer
@@ -138,7 +139,7 @@
 // start starts the host's daemon.
 func (h *host) start() {
 	h.fleet.t.Helper()
-	text := fmt.Sprintf(settingsText, h.number, h.number%dataCentres, h.ip(), h.fleet.storeURL)
+	text := fmt.Sprintf(settingsText, h.number, h.number%dataCentres, h.ip(), h.fleet.storeURL, h.unready)
 	s, err := settings.Parse("settings.yaml", []byte(text))
 	if err != nil {
 		h.fleet.t.Fatal(err)
@@ -199,14 +200,17 @@
 
 func (h *host) awaitReady() {
 	h.fleet.t.Helper()
-	h.fleet.await(h.daemonName()+" is ready", func() bool {
-		response, err := http.Get("http://" + h.ip() + ":1005/ready")
-		if err != nil {
-			return false
-		}
-		_ = response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	})
+	h.fleet.await(h.daemonName()+" is ready", h.ready)
+}
+
+// ready says whether the daemon says that it is ready.
+func (h *host) ready() bool {
+	response, err := http.Get("http://" + h.ip() + ":1005/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
 }
 
 // known returns how many backend servers take requests that come in here.
--- a/test/registered/registered_test.go
+++ b/test/registered/registered_test.go
@@ -251,3 +251,23 @@
 		}
 	}
 }
+
+// TestAStoppingDaemonServesUntilCallersAreSentElsewhere stops a daemon while callers,
+// each on a connection of its own, come until they see that it is not ready.
+func TestAStoppingDaemonServesUntilCallersAreSentElsewhere(t *testing.T) {
+	f := newFleet(t, 2)
+	stopped := f.hosts[0]
+	stopped.end()
+	stopped.unready = 800 * time.Millisecond
+	stopped.start()
+	stopped.awaitReady()
+	stopped.begin("second")
+	go stopped.end()
+	f.await("it says that it is not ready", func() bool { return !stopped.ready() })
+	for end := time.Now().Add(stopped.unready / 2); time.Now().Before(end); {
+		http.DefaultClient.CloseIdleConnections()
+		if status, body := stopped.get("/once/x"); status != http.StatusOK {
+			t.Fatalf("got %d %q", status, body)
+		}
+	}
+}
