--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -30,10 +30,6 @@
 )
 
 const (
-	// gcPercent lets the heap grow to five times what is live before it is
-	// collected. A daemon's live heap is small, so that the usual twice is
-	// reached many times a second.
-	gcPercent = 400
 	// memoryLimit makes the collector work harder in time to stay within the
 	// 256 MB that a daemon may take.
 	memoryLimit = 192 << 20
@@ -106,7 +102,7 @@
 // limitResources bounds what the process takes of the host.
 func limitResources(s settings.Settings) {
 	runtime.GOMAXPROCS(s.Processors)
-	debug.SetGCPercent(gcPercent)
+	debug.SetGCPercent(s.HeapGrowth)
 	debug.SetMemoryLimit(memoryLimit)
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -25,6 +25,9 @@
 	if s.Processors < 1 {
 		c.Add("$.processors", fmt.Sprintf("is %d", s.Processors), "1 or more")
 	}
+	if s.HeapGrowth < 1 {
+		c.Add("$.heap-growth", fmt.Sprintf("is %d", s.HeapGrowth), "1 or more")
+	}
 	s.Log.check(c)
 	if s.Listen.CheckIns != "" && s.Listen.CheckIns == s.Listen.Ready {
 		c.Add("$.listen.ready", fmt.Sprintf("is %q, as check-ins is", s.Listen.Ready), "an address of its own")
@@ -47,7 +50,7 @@
 
 func (l Limits) check(c *yamlfile.Checker) {
 	positive(c, "$.limits.stop", l.Stop)
-	if l.Unready < 0 || l.Unready >= l.Stop {
+	if l.Unready < 0 || l.Stop > 0 && l.Unready >= l.Stop {
 		c.Add("$.limits.unready", fmt.Sprintf("is %s", l.Unready), fmt.Sprintf("0s or more, and less than stop, which is %s", l.Stop))
 	}
 	positive(c, "$.limits.header-timeout", l.HeaderTimeout)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,10 @@
 	DefaultHeaderTimeout = 5 * time.Second
 	DefaultIdleTimeout   = 60 * time.Second
 	DefaultProcessors    = 2
+	// DefaultHeapGrowth lets the heap grow to five times what is live before it is
+	// collected. A daemon's live heap is small, so that with thousands of requests a
+	// second the usual twice is reached many times in each.
+	DefaultHeapGrowth = 400
 )
 
 // Settings is the whole of a daemon's settings file.
@@ -49,6 +53,7 @@
 	Log        Log      `yaml:"log" json:"log,omitempty" jsonschema:"description=What is logged."`
 	Source     Source   `yaml:"source" json:"source,omitempty" jsonschema:"description=Where the declaration and the backend servers come from."`
 	Processors int      `yaml:"processors" json:"processors,omitempty" jsonschema:"description=Processors the daemon uses at once. Default 2."`
+	HeapGrowth int      `yaml:"heap-growth" json:"heap-growth,omitempty" jsonschema:"description=By how many percent the heap may grow before it is collected: less takes less memory and more processor time. Default 400."`
 }
 
 // Listen holds the daemon's addresses, each an IP and port.
@@ -188,4 +193,7 @@
 	if s.Processors == 0 {
 		s.Processors = DefaultProcessors
 	}
+	if s.HeapGrowth == 0 {
+		s.HeapGrowth = DefaultHeapGrowth
+	}
 }
