perf(control): what is told of many hosts is packed

Change: control.Hosts writes more than a kilobyte deflated; it reads both forms, and refuses what unpacks to more than 16 MB.

Ruled out: promises.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,7 +17,6 @@
 
 import (
 	"github.com/tideliftd/tidelift/internal/floor"
-	"github.com/tideliftd/tidelift/internal/member"
 	"github.com/tideliftd/tidelift/internal/revision"
 )
 
@@ -95,8 +94,8 @@
 // Told is the parameter of MethodTold.
 type Told struct {
 	// Host is who tells.
-	Host  string        `json:"host"`
-	Hosts []member.Host `json:"hosts"`
+	Host  string `json:"host"`
+	Hosts Hosts  `json:"hosts"`
 	// Digest is of all that it knows, by which it asks for the rest; it may be
 	// empty.
 	Digest []byte `json:"digest,omitempty"`
@@ -104,7 +103,7 @@
 
 // Rest answers MethodTold with what the teller does not know.
 type Rest struct {
-	Hosts []member.Host `json:"hosts,omitempty"`
+	Hosts Hosts `json:"hosts,omitempty"`
 }
 
 // Held answers MethodRevision.
