fix(sidecar): failures that all backend servers share begin no doubt

Cause: backend servers answer 500 when a service that they call is down.

Change: the weight of a failed answer falls with the share of the others' answers that failed, from the whole at 0.03 to none at 0.15. Broken connections keep theirs.

Ruled out: leaving failures to internal/detect, which takes seconds.

--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -37,6 +37,13 @@
 	// Source: about one in eighty does at one that is well, so that two in a row
 	// are chance once in six thousand.
 	Failed = 0.5
+	// usualFailing is the share of failed answers of the other backend servers up to
+	// which one here has its whole weight, and commonFailing the share from which it has
+	// none. Source: a backend server that is well fails about one answer in eighty; where
+	// a called service fails for two requests in three and a third of the requests call
+	// it, the share of all is a fifth.
+	usualFailing  = 0.03
+	commonFailing = 0.15
 	// Overdue is the weight of a request that takes far longer than others.
 	Overdue = 0.5
 
@@ -69,6 +76,14 @@
 	riskAgain = 500 * time.Millisecond
 )
 
+// FailedAmong is the weight of an answer that says that the backend server failed where
+// that share of the others' answers says so too. What fails everywhere is a service that
+// they all call, or the requests; doubting them all would leave nobody to serve.
+func FailedAmong(othersFailing float64) float64 {
+	own := (commonFailing - othersFailing) / (commonFailing - usualFailing)
+	return Failed * max(0, min(1, own))
+}
+
 // Doubt is what is held against one backend server.
 type Doubt struct {
 	sum     float64
--- a/internal/sidecar/doubt.go
+++ b/internal/sidecar/doubt.go
@@ -35,8 +35,8 @@
 	return refusal(result.Doubted, t.doubt.HeldFor(now))
 }
 
-// weigh takes an outcome for the doubt.
-func (t *task) weigh(now time.Time, saw detect.Observation) {
+// weigh takes an outcome for the doubt, beside how the others do.
+func (t *task) weigh(now time.Time, saw detect.Observation, others detect.Reference) {
 	weight := 0.0
 	switch saw.Outcome {
 	case detect.OK:
@@ -48,10 +48,13 @@
 	case detect.Refused, detect.Lost:
 		weight = doubt.Broken
 	case detect.Error:
-		weight = doubt.Failed
+		weight = doubt.FailedAmong(others.Failure)
 	case detect.TimedOut, detect.Overdue:
 		weight = doubt.Overdue
 	}
+	if weight == 0 {
+		return // the others fail as much
+	}
 	if t.doubt.Bad(now, weight) {
 		t.log(event.ServerDoubted, "outcome", saw.Outcome)
 		t.turnAwayWaiting(now)
--- /dev/null
+++ b/internal/sidecar/doubt_test.go
@@ -0,0 +1,61 @@
+package sidecar
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/detect"
+	"github.com/tideliftd/tidelift/internal/fleet"
+)
+
+// newTestTask returns the task of a backend server, which no goroutine runs.
+func newTestTask() *task {
+	placement := fleet.Placement{
+		Host:          fleet.Host{Name: "csepel-1", DataCentre: "csepel"},
+		Service:       fleet.Service{Name: "lookup", Floor: 1, Detection: fleet.DetectionSwift},
+		BackendServer: fleet.BackendServer{Name: "csepel/lookup-1", Slots: 4, Queue: 8},
+	}
+	config := Config{
+		Logger: slog.New(slog.DiscardHandler),
+		Peer:   Peer{Trusted: func([]string, string) {}},
+	}
+	return newTask(config, &server{}, &declared{Placement: placement, rules: detect.Swift()})
+}
+
+// TestFailuresThatAllShareBeginNoDoubt gives a backend server failed answers, as it gives
+// them when a service that it calls is down: then the others give as many.
+func TestFailuresThatAllShareBeginNoDoubt(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name          string
+		othersFailing float64
+		want          bool
+	}{
+		{"the others do well", 0.01, true},
+		{"half of the others' answers fail", 0.5, false},
+		{"all of the others' answers fail", 1, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			task := newTestTask()
+			others := detect.Reference{Failure: test.othersFailing, Typical: 100 * time.Millisecond}
+			for range 20 {
+				task.weigh(now, detect.Observation{Outcome: detect.Error}, others)
+			}
+			if task.doubt.Doubted() != test.want {
+				t.Fatalf("doubted %t, want %t", task.doubt.Doubted(), test.want)
+			}
+		})
+	}
+}
+
+// TestBrokenConnectionsAlwaysBeginDoubt keeps to what a service that is called cannot
+// cause.
+func TestBrokenConnectionsAlwaysBeginDoubt(t *testing.T) {
+	task := newTestTask()
+	task.weigh(time.Now(), detect.Observation{Outcome: detect.Lost}, detect.Reference{Failure: 1})
+	if !task.doubt.Doubted() {
+		t.Fatal("a broken connection is not taken for one")
+	}
+}
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -111,7 +111,7 @@
 
 // observe takes the outcome of a request as evidence.
 func (t *task) observe(now time.Time, m observeMessage) {
-	t.weigh(now, m.observation)
+	t.weigh(now, m.observation, m.others)
 	if t.declared.adoption() == fleet.AdoptionOff || t.subject.State(now) != detect.Serving {
 		return
 	}
