fix(registry): a late check-in of a replaced lifetime does not take its address back

Cause: of two lifetimes at one address the one that checked in last served, so that a check-in sent by a backend server just before its end, and delayed by seconds, sent requests to a name that nobody answers to until the new one's next check-in. Replaced lifetimes were also remembered for ever.

Change: a lifetime that a younger one replaced (its sequence number was lower) is taken back only after two check-ins with no word of the younger one between; 64 replaced ones are remembered.

Ruled out: taking a replaced lifetime for one that left, since after a start of the daemon nobody knows which of two came first.

Three cases of TestWhoServes and TestReplacedLifetimesAreForgotten fail before.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -18,7 +18,10 @@
 //     that name, whatever late check-in still comes.
 //   - A check-in whose sequence number is not above the last one is late and
 //     changes nothing.
-//   - Of two lifetimes at one address the one that checked in last serves.
+//   - Of two lifetimes at one address the one that checked in last serves. But a
+//     lifetime that a younger one has replaced, by its lower sequence number, is taken
+//     back only once it has checked in twice with no word of the younger one between:
+//     a check-in of it may come seconds after its end.
 //   - Silence removes nobody. A backend server that cannot reach the daemon may
 //     still serve; one that is gone refuses connections, which its requests show.
 package registry
@@ -34,6 +37,10 @@
 // seconds late.
 const keptLeft = 64
 
+// keptReplaced bounds how many lifetimes are remembered that others replaced at their
+// addresses.
+const keptReplaced = 64
+
 // CheckIn is what a backend server says of itself.
 type CheckIn struct {
 	// Name is that of this lifetime.
@@ -52,14 +59,24 @@
 
 // Registry is the backend servers of one host.
 type Registry struct {
-	servers map[string]CheckIn // by name, the last check-in of each
-	holders map[string]string  // the name that serves at an address
-	left    []string           // names that said that they leave, the oldest first
+	servers  map[string]CheckIn // by name, the last check-in of each
+	holders  map[string]holder  // who serves at an address
+	left     []string           // names that said that they leave, the oldest first
+	replaced []string           // names that others replaced, the oldest first
+}
+
+// holder is who serves at an address.
+type holder struct {
+	name string
+	// young says that it is younger than the one before it there.
+	young bool
+	// challenger is one before it that has checked in since it last did.
+	challenger string
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{servers: make(map[string]CheckIn), holders: make(map[string]string)}
+	return &Registry{servers: make(map[string]CheckIn), holders: make(map[string]holder)}
 }
 
 // CheckIn takes a check-in and says whether Serving or Left changed.
@@ -75,16 +92,56 @@
 	if known && c.Sequence <= last.Sequence {
 		return false
 	}
-	if known && last.Address != c.Address && r.holders[last.Address] == c.Name {
+	if known && last.Address != c.Address && r.holders[last.Address].name == c.Name {
 		delete(r.holders, last.Address)
 	}
 	r.servers[c.Name] = c
-	if r.holders[c.Address] != c.Name {
-		r.holders[c.Address] = c.Name
+	if r.hold(c, known) {
 		return true
 	}
 	last.Sequence = c.Sequence
-	return last != c
+	return r.holders[c.Address].name == c.Name && last != c
+}
+
+// hold says whether the check-in makes its lifetime the one that serves at its address.
+func (r *Registry) hold(c CheckIn, known bool) bool {
+	h, held := r.holders[c.Address]
+	if held && h.name == c.Name {
+		h.challenger = ""
+		r.holders[c.Address] = h
+		return false
+	}
+	if held && known && h.young && h.challenger != c.Name {
+		h.challenger = c.Name
+		r.holders[c.Address] = h
+		return false
+	}
+	next := holder{name: c.Name}
+	if held {
+		next.young = !known && c.Sequence < r.servers[h.name].Sequence
+		r.replace(h.name)
+	}
+	r.holders[c.Address] = next
+	return true
+}
+
+// replace remembers that a lifetime was replaced, and forgets the oldest such.
+func (r *Registry) replace(name string) {
+	r.replaced = append(r.replaced, name)
+	if len(r.replaced) <= keptReplaced {
+		return
+	}
+	oldest := r.replaced[0]
+	r.replaced = r.replaced[1:]
+	if !r.serves(oldest) && !slices.Contains(r.replaced, oldest) {
+		delete(r.servers, oldest)
+	}
+}
+
+// serves says whether the lifetime serves at an address.
+func (r *Registry) serves(name string) bool {
+	server, ok := r.servers[name]
+	return ok && r.holders[server.Address].name == name
 }
 
 // Leave takes it that a backend server ends, and says whether that is news.
@@ -109,7 +166,7 @@
 func (r *Registry) leave(name string) {
 	r.left = append(r.left, name)
 	r.left = r.left[max(0, len(r.left)-keptLeft):]
-	if server, ok := r.servers[name]; ok && r.holders[server.Address] == name {
+	if server, ok := r.servers[name]; ok && r.holders[server.Address].name == name {
 		delete(r.holders, server.Address)
 	}
 	delete(r.servers, name)
@@ -118,8 +175,8 @@
 // Serving returns those that serve, in the order of their names.
 func (r *Registry) Serving() []CheckIn {
 	var serving []CheckIn
-	for name := range maps.Values(r.holders) {
-		serving = append(serving, r.servers[name])
+	for h := range maps.Values(r.holders) {
+		serving = append(serving, r.servers[h.name])
 	}
 	slices.SortFunc(serving, func(a, b CheckIn) int { return cmp.Compare(a.Name, b.Name) })
 	return serving
@@ -127,3 +184,6 @@
 
 // Left returns the names that left, the oldest first.
 func (r *Registry) Left() []string { return slices.Clone(r.left) }
+
+// Known returns how many lifetimes are remembered that have not left.
+func (r *Registry) Known() int { return len(r.servers) }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -42,6 +43,9 @@
 		{"one that ends and was never seen", []step{out("a"), in(checkIn("a", "x", 1))}, false, ""},
 		{"a new lifetime at the address", []step{in(checkIn("a", "x", 7)), in(checkIn("b", "x", 1))}, true, "b"},
 		{"a late one of the lifetime before", []step{in(checkIn("a", "x", 7)), in(checkIn("b", "x", 1)), in(checkIn("a", "x", 6))}, false, "b"},
+		{"a late one of the lifetime before, sent at its end", []step{in(checkIn("a", "x", 7)), in(checkIn("b", "x", 1)), in(checkIn("a", "x", 8))}, false, "b"},
+		{"the lifetime before, which goes on", []step{in(checkIn("a", "x", 7)), in(checkIn("b", "x", 1)), in(checkIn("a", "x", 8)), in(checkIn("a", "x", 9))}, true, "a"},
+		{"two late ones of it with the new one between", []step{in(checkIn("a", "x", 7)), in(checkIn("b", "x", 1)), in(checkIn("a", "x", 8)), in(checkIn("b", "x", 2)), in(checkIn("a", "x", 9))}, false, "b"},
 		{"the new one again after a late one that nobody knew", []step{in(checkIn("b", "x", 1)), in(checkIn("a", "x", 6)), in(checkIn("b", "x", 2))}, true, "b"},
 		{"the end of the lifetime before", []step{in(checkIn("a", "x", 7)), in(checkIn("b", "x", 1)), out("a")}, true, "b"},
 	}
@@ -107,3 +111,19 @@
 		})
 	})
 }
+
+// TestReplacedLifetimesAreForgotten starts a backend server again and again at its
+// address, without a word of its end.
+func TestReplacedLifetimesAreForgotten(t *testing.T) {
+	r := registry.New()
+	const starts = 1000
+	for n := range starts {
+		r.CheckIn(checkIn(fmt.Sprintf("i-%d", n), "x", 1))
+	}
+	if got := serving(r); len(got) != 1 || got[0] != fmt.Sprintf("i-%d", starts-1) {
+		t.Fatalf("%v serve", got)
+	}
+	if r.Known() > 100 {
+		t.Fatalf("%d lifetimes are remembered", r.Known())
+	}
+}
