fix(backend,daemon): foreign answers are read past in bounds; no word of the store at the end

Cause: closing the body of an answer to another request read the rest of it, however long; a daemon that ends noted the store as reachable though the call was cut.

Change: a foreign answer of more than a megabyte ends the request's connection at once; the record's keeper ends with its context.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -159,6 +159,21 @@
 	}
 }
 
+// TestALongAnswerToAnotherIsNotReadWhole gives the request up once a foreign answer is
+// longer than one that a backend server left behind could be.
+func TestALongAnswerToAnotherIsNotReadWhole(t *testing.T) {
+	a := newAnswering(t, func(string, int) string {
+		return "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 1000000000\r\n\r\n" + strings.Repeat("x", 2<<20)
+	})
+	began := time.Now()
+	if body, err := send(newPool(t, a.address), "mine"); err == nil {
+		t.Fatalf("got %q, want an error", body)
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Fatalf("it took %s, until the request's deadline", took)
+	}
+}
+
 // TestAnswerWithoutLengthEndsWithItsConnection takes an orderly end for the end.
 func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
 	a := newAnswering(t, func(id string, _ int) string { return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\n\r\nwhole" + "CLOSE" })
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -120,15 +120,20 @@
 	}
 }
 
-// skip reads an answer to its end. One that ends with its connection leaves
-// nothing to read after it.
+// skip reads an answer to its end. One that ends with its connection leaves nothing to
+// read after it; of one that is too long the rest is left, and the connection is closed.
 func skip(response *http.Response) error {
-	defer func() { _ = response.Body.Close() }()
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return errForeignAnswer
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBody))
-	return err
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBody+1))
+	if err != nil {
+		return err
+	}
+	if n > maxForeignBody {
+		return errForeignAnswer
+	}
+	return response.Body.Close()
 }
 
 // reusable says whether the connection is fit for another request after a
--- a/internal/daemon/record.go
+++ b/internal/daemon/record.go
@@ -97,6 +97,9 @@
 			wait.For(ctx, pause.NextBackOff())
 			err = d.config.Store.Renew(ctx, lease)
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		d.platformAnswered()
 		pause.Reset()
 	}
