--- /dev/null
+++ b/test/days/report.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"github.com/go-faster/errors"
+)
+
+// report is what the bench tells of a day.
+type report struct {
+	// Worth is the day's mark before it is cut.
+	Worth float64
+	// Served is the share of requests that were served.
+	Served float64
+	// Broken names the rules that were broken.
+	Broken []string
+	// Fault says why the day does not count, as a process that ended; it may be empty.
+	Fault string
+	// Prices are what was taken off, the largest first.
+	Prices []price
+}
+
+// price is one thing that costs worth.
+type price struct {
+	Of    string
+	Worth float64
+}
+
+// parseReport reads the bench's report of a day.
+func parseReport(data []byte) (report, error) {
+	var wire struct {
+		G      float64                    `json:"G"` // the worth
+		Served float64                    `json:"served"`
+		Breaks map[string]json.RawMessage `json:"breaks"`
+		Fault  *string                    `json:"fault"`
+		Prices [][]any                    `json:"prices"` // name, amount, worth
+	}
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return report{}, errors.Wrap(err, "read the report")
+	}
+	r := report{Worth: wire.G, Served: wire.Served}
+	for rule := range wire.Breaks {
+		r.Broken = append(r.Broken, rule)
+	}
+	slices.Sort(r.Broken)
+	if wire.Fault != nil {
+		r.Fault = *wire.Fault
+	}
+	for _, row := range wire.Prices {
+		p, err := parsePrice(row)
+		if err != nil {
+			return report{}, err
+		}
+		r.Prices = append(r.Prices, p)
+	}
+	slices.SortStableFunc(r.Prices, func(a, b price) int { return cmp.Compare(b.Worth, a.Worth) })
+	return r, nil
+}
+
+// parsePrice reads a price, which the bench writes as a name, an amount and a worth.
+func parsePrice(row []any) (price, error) {
+	const fields = 3
+	if len(row) != fields {
+		return price{}, errors.Errorf("a price has %d fields, want %d", len(row), fields)
+	}
+	of, isName := row[0].(string)
+	worth, isWorth := row[2].(float64)
+	if !isName || !isWorth {
+		return price{}, errors.Errorf("price %v: want a name, an amount and a worth", row)
+	}
+	return price{Of: of, Worth: worth}, nil
+}
