refactor(ingress): tickets and refusals have files of their own

A newcomer found the ticket's calls in two files, what is asked of a sidecar in the file on overdue requests although each sending needs it, and the answering of failures behind the configuration in ingress.go, which read the declared headers in two ways.

ticket.go holds what asks for a ticket, send.go what both ways of sending share, refuse.go what answers with a failure; the package comment lists them, and its usage names LocalTicket, without which a slot on the own host cannot be kept. Behaviour is unchanged.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -4,7 +4,7 @@
 //
 //	in, cleanUp := ingress.New(ingress.Config{
 //		Host: "csepel-1", DataCentre: "csepel",
-//		Logger: logger, Scope: scope, Local: sidecar.Do,
+//		Logger: logger, Scope: scope, Local: sidecar.Do, LocalTicket: sidecar.Ticket,
 //	})
 //	defer cleanUp()
 //	in.Reconfigure(index)
@@ -17,10 +17,12 @@
 //	attempts tries, and again where allowed                           (attempts.go)
 //	choose   says whom to ask next, by what was tried so far          (choose.go, trail.go)
 //	attempt  is one sending, watched for being overdue                (attempt.go, clock.go)
-//	reserve  finds an overdue one another backend server              (reserve.go)
+//	reserve  has a slot kept elsewhere for an overdue request         (reserve.go)
+//	ticket   asks a sidecar to keep a slot for the request            (ticket.go)
 //	send     passes the request to the backend server's sidecar       (send.go)
 //	learn    takes what became of an attempt as evidence              (learn.go, judge.go)
-//	answer   passes the answer on, or the failure with its code       (ingress.go)
+//	answer   passes the answer on                                     (ingress.go)
+//	refuse   answers with the failure, its code and when to come back (refuse.go)
 //
 // Beside requests, the daemons of hosts that cannot be reached are asked until they
 // answer (reach.go), and each declaration renews what is kept of the services
@@ -35,19 +37,15 @@
 	"crypto/tls"
 	"log/slog"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tideliftd/tidelift/internal/balance"
-	"github.com/tideliftd/tidelift/internal/body"
 	"github.com/tideliftd/tidelift/internal/detect"
 	"github.com/tideliftd/tidelift/internal/dial"
-	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/metric"
@@ -66,10 +64,6 @@
 	// It is shorter than the daemons keep theirs, so that a request seldom
 	// meets a connection that is just being closed.
 	idleTimeout = 45 * time.Second
-	// refusedRetry is when to come back after a refusal of which nothing better is known.
-	// Source: a backend server that takes no work for a moment has a free slot after
-	// one request, some hundreds of milliseconds.
-	refusedRetry = 250 * time.Millisecond
 	// leavingPause is how long a target is passed over whose daemon stops. A
 	// daemon that comes back sooner gets work again after it.
 	leavingPause = 3 * time.Second
@@ -267,47 +261,21 @@
 	}
 }
 
-// bodyFailure is the failure of a request whose body could not be read. Nothing
-// of it was sent.
-func bodyFailure(err error) *result.Error {
-	if errors.Is(err, body.ErrTooLong) {
-		return result.Wrap(result.BodyTooLarge, err)
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return result.Wrap(result.DeadlineBeforeRun, err)
-	}
-	return result.Wrap(result.CancelledBefore, err)
-}
-
-// fail answers with the failure, and leaves a line on it. A refusal always says when to
-// come back.
-func (in *Ingress) fail(w http.ResponseWriter, r *http.Request, started time.Time, err error) {
-	e := result.From(err)
-	if isRefusal(e.Code) && e.RetryAfter == 0 {
-		e = e.WithRetryAfter(refusedRetry)
-	}
-	in.metrics.refused.Inc(e.Code)
-	event.Log(in.config.Logger, event.RequestFailed,
-		"request", in.requestID(r), "code", e.Code.Number, "result", e.Code.Name, "host", r.Host, "path", r.URL.Path,
-		"took_ms", time.Since(started).Milliseconds(), "retry_after_ms", e.RetryAfter.Milliseconds(), "why", e.Error())
-	if current := in.state.Load(); current != nil && current.index.Declaration.Callers.RetryAfter == fleet.RetryAfterDecimals {
-		result.WriteExact(w, e)
-		return
+// requestID returns the id by which callers name the request; it may be empty.
+func (in *Ingress) requestID(r *http.Request) string {
+	header := in.callers().IDHeader
+	if header == "" {
+		return ""
 	}
-	result.Write(w, e)
-}
-
-// isRefusal says whether the failure promises that the request was not run and may be
-// sent again.
-func isRefusal(code result.Code) bool {
-	return code.Status == http.StatusServiceUnavailable || code.Status == http.StatusTooManyRequests
+	return r.Header.Get(header)
 }
 
-// requestID returns the id by which callers name the request; it may be empty.
-func (in *Ingress) requestID(r *http.Request) string {
+// callers says what the headers of callers' requests mean; it is empty without a
+// declaration.
+func (in *Ingress) callers() fleet.Callers {
 	current := in.state.Load()
-	if current == nil || current.index.Declaration.Callers.IDHeader == "" {
-		return ""
+	if current == nil {
+		return fleet.Callers{}
 	}
-	return r.Header.Get(current.index.Declaration.Callers.IDHeader)
+	return current.index.Declaration.Callers
 }
--- /dev/null
+++ b/internal/ingress/refuse.go
@@ -0,0 +1,55 @@
+package ingress
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tideliftd/tidelift/internal/body"
+	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/result"
+)
+
+// refusedRetry is when to come back after a refusal of which nothing better is known.
+// Source: a backend server that takes no work for a moment has a free slot after
+// one request, some hundreds of milliseconds.
+const refusedRetry = 250 * time.Millisecond
+
+// fail answers with the failure, and leaves a line on it. A refusal always says when to
+// come back.
+func (in *Ingress) fail(w http.ResponseWriter, r *http.Request, started time.Time, err error) {
+	e := result.From(err)
+	if isRefusal(e.Code) && e.RetryAfter == 0 {
+		e = e.WithRetryAfter(refusedRetry)
+	}
+	in.metrics.refused.Inc(e.Code)
+	event.Log(in.config.Logger, event.RequestFailed,
+		"request", in.requestID(r), "code", e.Code.Number, "result", e.Code.Name, "host", r.Host, "path", r.URL.Path,
+		"took_ms", time.Since(started).Milliseconds(), "retry_after_ms", e.RetryAfter.Milliseconds(), "why", e.Error())
+	if in.callers().RetryAfter == fleet.RetryAfterDecimals {
+		result.WriteExact(w, e)
+		return
+	}
+	result.Write(w, e)
+}
+
+// isRefusal says whether callers read the code's status as a promise that the request was
+// not run and may be sent again.
+func isRefusal(code result.Code) bool {
+	return code.Status == http.StatusServiceUnavailable || code.Status == http.StatusTooManyRequests
+}
+
+// bodyFailure is the failure of a request whose body could not be read. Nothing
+// of it was sent.
+func bodyFailure(err error) *result.Error {
+	if errors.Is(err, body.ErrTooLong) {
+		return result.Wrap(result.BodyTooLarge, err)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return result.Wrap(result.DeadlineBeforeRun, err)
+	}
+	return result.Wrap(result.CancelledBefore, err)
+}
--- a/internal/ingress/reserve.go
+++ b/internal/ingress/reserve.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/tideliftd/tidelift/internal/balance"
-	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
@@ -43,42 +41,3 @@
 	target, ok := a.request.service.pool.Pick(time.Now(), a.avoid)
 	return choice{target: target, noWait: true, proven: a.reserves <= maxUnproven}, ok
 }
-
-// ticket asks the target's sidecar to keep a slot for the request.
-func (in *Ingress) ticket(ctx context.Context, r *request, c choice) (string, error) {
-	call := in.call(r, c)
-	if call.TimeLeft <= 0 {
-		return "", result.New(result.DeadlineBeforeRun)
-	}
-	if address, remote := in.remote(c.target); remote {
-		return in.askTicket(ctx, call, address)
-	}
-	return in.config.LocalTicket(ctx, call)
-}
-
-// remote returns the address of the target's daemon, and false if that is this one.
-func (in *Ingress) remote(target *balance.Target) (string, bool) {
-	host := target.Placement().Host
-	return host.PeersFrom(in.config.DataCentre), host.Name != in.config.Host
-}
-
-// call says what is asked of the target's sidecar.
-func (in *Ingress) call(r *request, c choice) hop.Call {
-	return hop.Call{
-		BackendServer: c.target.Name,
-		TimeLeft:      time.Until(r.deadline),
-		Aim:           time.Until(r.aim),
-		Patience:      time.Until(r.patient),
-		Target:        r.aim.Sub(r.began),
-		Customer:      r.customer,
-		Once:          r.once,
-		Insist:        c.insist,
-		NoWait:        c.noWait,
-		Proven:        c.proven,
-		Ticket:        c.ticket,
-		Host:          in.config.Host,
-		Origin:        in.config.Service,
-		Priority:      r.priority,
-		Reference:     c.target.Reference(),
-	}
-}
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/tideliftd/tidelift/internal/balance"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/sidecar"
@@ -28,6 +28,33 @@
 	return in.config.Local(ctx, call, r.Request)
 }
 
+// call says what is asked of the target's sidecar.
+func (in *Ingress) call(r *request, c choice) hop.Call {
+	return hop.Call{
+		BackendServer: c.target.Name,
+		TimeLeft:      time.Until(r.deadline),
+		Aim:           time.Until(r.aim),
+		Patience:      time.Until(r.patient),
+		Target:        r.aim.Sub(r.began),
+		Customer:      r.customer,
+		Once:          r.once,
+		Insist:        c.insist,
+		NoWait:        c.noWait,
+		Proven:        c.proven,
+		Ticket:        c.ticket,
+		Host:          in.config.Host,
+		Origin:        in.config.Service,
+		Priority:      r.priority,
+		Reference:     c.target.Reference(),
+	}
+}
+
+// remote returns the address of the target's daemon, and false if that is this one.
+func (in *Ingress) remote(target *balance.Target) (string, bool) {
+	host := target.Placement().Host
+	return host.PeersFrom(in.config.DataCentre), host.Name != in.config.Host
+}
+
 // sendRemote passes the request to another daemon. One that must not run twice
 // first gets a ticket there, unless it has one.
 func (in *Ingress) sendRemote(ctx context.Context, call hop.Call, r *http.Request, address string) (sidecar.Answer, error) {
@@ -49,57 +76,6 @@
 	return sidecar.Answer{Response: response, Load: load, Waited: waited}, nil
 }
 
-const (
-	// ticketPart is the part of the time left that a ticket may take if it does
-	// not wait for a slot: what is left then is enough to try another backend
-	// server.
-	ticketPart = 3
-	// ticketWithin bounds it further. Source: ten round trips between data
-	// centres, and a lost packet's first repeat after 200 ms.
-	ticketWithin = 400 * time.Millisecond
-)
-
-// ticketTime is how long the call's ticket may take. One that waits for a slot
-// may wait as long as there is time; the sidecar refuses it earlier if no slot
-// can come in time.
-func ticketTime(call hop.Call) time.Duration {
-	if !call.NoWait {
-		return call.TimeLeft
-	}
-	return min(call.TimeLeft/ticketPart, ticketWithin)
-}
-
-// askTicket asks for a ticket. Asking runs nothing, so whatever becomes of it,
-// without a ticket the request was not run and will not be.
-func (in *Ingress) askTicket(ctx context.Context, call hop.Call, address string) (string, error) {
-	within := ticketTime(call)
-	asking, cancel := context.WithTimeout(ctx, within)
-	defer cancel()
-	call.WantTicket = true
-	call.TimeLeft = within
-	ask := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Host: address, Header: http.Header{}}
-	response, err := in.hop(asking, call, ask, address)
-	if err != nil {
-		return "", ticketFailure(ctx, result.From(err))
-	}
-	defer func() { _ = response.Body.Close() }()
-	id := response.Header.Get(hop.HeaderTicket)
-	if id == "" {
-		return "", result.New(result.TicketUnanswered).WithDetail("%s answered without a ticket", address)
-	}
-	return id, nil
-}
-
-// ticketFailure says that the request was not run. If only the time for the
-// ticket is over, another backend server may still be asked.
-func ticketFailure(ctx context.Context, failure *result.Error) error {
-	onlyTicket := ctx.Err() == nil && failure.Code.Number == result.DeadlineBeforeRun.Number
-	if failure.Code.Ran == result.RanNo && !onlyTicket {
-		return failure
-	}
-	return result.Wrap(result.TicketUnanswered, failure)
-}
-
 // hop sends one request to another daemon. A refusal is an error.
 func (in *Ingress) hop(ctx context.Context, call hop.Call, r *http.Request, address string) (*http.Response, error) {
 	trip := hop.Trip{
