--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -24,11 +24,11 @@
 	first   bool              // no attempt before it reached a backend server
 	overdue atomic.Bool       // it took far longer than others would
 	avoid   []*balance.Target // whom not to ask in its place
-	// reserves counts the looks for another backend server, and moved is the one that
-	// keeps a slot for the request. The attempt's clock writes both; moved is read
-	// once the attempt has been given up for it.
-	reserves int
-	moved    *choice
+	// reserveLooks counts the looks for another backend server, and reserved is the one
+	// that keeps a slot for the request. The attempt's clock writes both; reserved is
+	// read once the clock has stopped.
+	reserveLooks int
+	reserved     *choice
 }
 
 // run sends the request and returns the head of the answer.
@@ -40,7 +40,7 @@
 	a.request.body.Rewind(a.request.Request)
 	answer, err := a.in.send(ctx, a.request, a.choice)
 	clock.stop()
-	if err == nil && a.moved != nil && !hop.IsHeld(answer.Response) {
+	if err == nil && a.reserved != nil && !hop.IsHeld(answer.Response) {
 		_ = answer.Response.Body.Close() // what has not been read of it is lost with the connection
 		err = errOverdue
 	}
@@ -73,8 +73,9 @@
 	}
 }
 
-// mayMoveOn says whether an overdue attempt may be given up for another. It may
-// once, so that the next backend server has the rest of the time.
+// mayMoveOn says whether an overdue attempt may be given up for another. Once an
+// attempt has reached a backend server, no later one may, so that the next backend
+// server has the rest of the time.
 func (a *attempt) mayMoveOn() bool {
 	return !a.in.settling.Load() && !a.request.once && a.first && a.request.attempts > 1 && !a.request.body.Spent()
 }
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -26,14 +26,12 @@
 func (in *Ingress) attempts(ctx context.Context, r *request) (*http.Response, error) {
 	r.service.budget.Earn(time.Now())
 	var story trail
-	var moved *choice
 	for {
-		next, ok := in.nextOr(ctx, r, &story, moved)
+		next, ok := in.next(ctx, r, &story)
 		if !ok {
 			return story.end(worst(story.mayHaveRun, noneAble(r, &story)))
 		}
-		a := &attempt{in: in, request: r, choice: next, first: story.sent == 0}
-		a.avoid = append(slices.Clone(story.tried), next.target)
+		a := in.newAttempt(r, next, &story)
 		response, err := a.run(ctx)
 		if err == nil && !mayImprove(r, response) {
 			story.drop()
@@ -43,7 +41,7 @@
 			err = story.keep(response)
 		}
 		story.add(next, result.From(err), a.far())
-		moved = a.moved
+		story.reserved = a.reserved
 		again := in.again(r, a, &story)
 		in.logAttempt(r, a, &story, again)
 		if !again {
@@ -53,18 +51,24 @@
 	}
 }
 
-// nextOr says whom to ask next: the one that keeps a slot for the request, if one
-// does.
-func (in *Ingress) nextOr(ctx context.Context, r *request, story *trail, moved *choice) (choice, bool) {
-	if moved != nil {
-		return *moved, true
+// newAttempt returns the attempt at that choice, after what was tried so far.
+func (in *Ingress) newAttempt(r *request, next choice, story *trail) *attempt {
+	return &attempt{
+		in:      in,
+		request: r,
+		choice:  next,
+		first:   story.sent == 0,
+		avoid:   append(slices.Clone(story.tried), next.target),
 	}
-	return in.next(ctx, r, story)
 }
 
-// next says whom to ask next. While there are only doubted backend servers, or
-// none, it looks again as long as the request has time for that.
+// next says whom to ask next: the one that keeps a slot for the request, if one does.
+// While there are only doubted backend servers, or none, it looks again as long as the
+// request has time for that.
 func (in *Ingress) next(ctx context.Context, r *request, story *trail) (choice, bool) {
+	if story.reserved != nil {
+		return *story.reserved, true
+	}
 	for {
 		c, ok := in.choose(r, story)
 		found := ok && !c.insist
@@ -104,7 +108,8 @@
 	return mayHaveRun.WithRetryAfter(last.RetryAfter)
 }
 
-// again says whether the last failed attempt may be followed by another.
+// again says whether the last failed attempt may be followed by another. The retry of
+// one that was given up for a slot elsewhere has been spent when that was asked for.
 func (in *Ingress) again(r *request, a *attempt, story *trail) bool {
 	if r.body.Spent() {
 		return false
@@ -117,14 +122,14 @@
 	case retry.Free:
 		return true
 	case retry.Again:
-		return a.moved != nil || r.service.budget.Spend(time.Now())
+		return a.reserved != nil || r.service.budget.Spend(time.Now())
 	case retry.Final:
 	}
 	return false
 }
 
-// noneAble is the answer when no target is left to try: the last failure if
-// there was one.
+// noneAble is the answer when no target is left to try: the last failure, unless there
+// was none or the last one asked gets no work.
 func noneAble(r *request, story *trail) *result.Error {
 	if story.last == nil || takesNoWork(story.last) {
 		return result.New(result.NoneAble).WithRetryAfter(noneAbleRetry).
--- a/internal/ingress/clock.go
+++ b/internal/ingress/clock.go
@@ -53,31 +53,28 @@
 // strike is what the timer calls. The attempt's answer may come while another backend
 // server is asked, and then stands.
 func (c *overdueClock) strike() {
-	if !c.note() {
+	if !c.noteOverdue() {
 		return
 	}
 	a := c.attempt
-	next, ok := choice{}, false
-	if a.target.Suspect() {
-		next, ok = a.reserve(c.ctx)
-	}
+	next, ok := a.reserve(c.ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.stopped && ok:
-		a.request.service.budget.GiveBack(time.Now()) // the slot is free again when its ticket expires
+		a.giveBackRetry() // the slot is free again when its ticket expires
 	case c.stopped:
 	case ok:
-		a.moved = &next
+		a.reserved = &next
 		c.giveUp(errOverdue)
 	default:
 		c.timer.Reset(c.limit / looks)
 	}
 }
 
-// note takes it as evidence that the attempt is overdue, and says whether it may be
-// given up.
-func (c *overdueClock) note() bool {
+// noteOverdue takes it as evidence that the attempt is overdue, and says whether it may
+// be given up.
+func (c *overdueClock) noteOverdue() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopped {
--- a/internal/ingress/trail.go
+++ b/internal/ingress/trail.go
@@ -21,6 +21,7 @@
 	full       int               // that met a full queue
 	last       *result.Error
 	mayHaveRun *result.Error // the last that may have run; nil if none may
+	reserved   *choice       // the one that keeps a slot for the request; nil if none does
 }
 
 // busyTarget is a target without a free slot, and how long a wait for one is.
