refactor(daemon): the question to one other daemon has a file of its own

A newcomer found it in poll.go with a time-out named for polling, although notices and joining ask it too; the revision was read twice for one question, the loop that asks at the start counted, filtered and asked in one, and the package comment said that a stop takes no new work at once. ask.go holds the question, askSomeone first filters and then asks. Behaviour is unchanged.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,9 +4,10 @@
 //
 //	err := daemon.Run(ctx, daemon.Config{Settings: s, Logger: logger, Force: force})
 //
-// Run returns after a planned stop: ctx ends, no new work is taken, what is in
-// flight is finished, and the listeners close. Force, or the settings' stop
-// limit, ends it earlier and cuts what is left.
+// Run returns after a planned stop: ctx ends, the daemon says that it is not ready and
+// serves on for as long as the settings say, then takes no new work, finishes what is in
+// flight and closes the listeners. Force, or the settings' stop limit, ends it earlier
+// and cuts what is left.
 //
 // The steps of a start, in order: keys, metrics, sidecar, ingress, ledger, table of
 // hosts, listeners with the operator API, declaration, and last, if hosts register
@@ -26,7 +27,8 @@
 //	watch.go    watches the platform while that is this daemon's part
 //	platform.go whether the platform answers, here or elsewhere
 //	spread.go   tells others of a revision
-//	poll.go     asks others for theirs
+//	poll.go     asks others for theirs now and then
+//	ask.go      one such question, which also finds what is known of hosts
 //	hosts.go    the list of leaving hosts in the store
 //	members.go  what is known of hosts and of the own backend servers
 //	checkins.go check-ins of the own backend servers
--- a/internal/daemon/join.go
+++ b/internal/daemon/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/tideliftd/tidelift/internal/member"
 	"github.com/tideliftd/tidelift/internal/settings"
@@ -26,24 +27,22 @@
 	go d.tellNews(ctx)
 	lease := d.writeRecord(ctx)
 	d.readRecords(ctx)
-	d.askAtOnce(ctx)
+	d.askSomeone(ctx)
 	d.tell("", []member.Host{d.members.self()})
 	d.keepRecord(ctx, lease)
 }
 
-// askAtOnce asks one of the daemons that the store names for what it knows, so that a
-// daemon that is back knows the backend servers before requests come.
-func (d *daemon) askAtOnce(ctx context.Context) {
-	known := d.members.all()
-	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
-	asked := 0
-	for _, h := range known {
-		if h.Gone || h.Name == d.config.Settings.Name {
-			continue
-		}
-		if asked == joinAsks || d.ask(ctx, h.Control) {
+// askSomeone asks the daemons that the store names, in no order, for what they know until
+// one answers, so that a daemon that is back knows the backend servers before requests
+// come.
+func (d *daemon) askSomeone(ctx context.Context) {
+	others := slices.DeleteFunc(d.members.all(), func(h member.Host) bool {
+		return h.Gone || h.Name == d.config.Settings.Name
+	})
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, h := range others[:min(joinAsks, len(others))] {
+		if d.ask(ctx, h.Control) {
 			return
 		}
-		asked++
 	}
 }
--- a/internal/daemon/poll.go
+++ b/internal/daemon/poll.go
@@ -3,19 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
 
-	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/spread"
 	"github.com/tideliftd/tidelift/internal/wait"
 )
 
 const (
-	// pollTimeout bounds the question which revision another daemon has. Source: a
-	// hundred round trips between data centres; a daemon that has missed a change
-	// has to have asked several others within two seconds.
-	pollTimeout = 400 * time.Millisecond
 	// pollTries is how often another daemon is drawn if one cannot be reached.
 	pollTries = 4
 	// pollAnyOneIn is how often any host that was ever told of is asked.
@@ -69,29 +63,3 @@
 		}
 	}
 }
-
-// fetch takes the revision of the daemon at the address, if it is higher than the
-// one here, and says whether it was.
-func (d *daemon) fetch(ctx context.Context, address string) bool {
-	before := d.revision()
-	return d.ask(ctx, address) && d.revision() > before
-}
-
-// ask asks the daemon at the address for its revision and for what it knows of hosts,
-// and says whether it answered.
-func (d *daemon) ask(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	var held control.Held
-	before := d.revision()
-	above := control.Above{Revision: before, Hosts: d.hostsSum()}
-	if err := d.peers.Call(ctx, address, control.MethodRevision, above, &held); err != nil {
-		return false
-	}
-	d.exchangeHosts(ctx, address, held)
-	d.notePlatform(time.Now().Add(-time.Duration(held.SilentMs) * time.Millisecond))
-	if held.Revision.Number > before {
-		d.take(held.Revision)
-	}
-	return true
-}
