refactor(retry): the sliding window has a file of its own

A newcomer read the budget's rule and the upkeep of its cells as one, with the modulo in four places and Resize clearing three fields that belong together. window.go counts over time, budget.go says what a window may spend.

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -11,9 +11,6 @@
 	safety = 0.8
 	// oneRetry is what a retry costs.
 	oneRetry = 1
-	// cellCount is how many cells a window is counted in. Source: requests are
-	// counted over one cell less than retries, which gives away a twentieth.
-	cellCount = 20
 )
 
 // Size is how much a budget holds.
@@ -34,22 +31,20 @@
 	return max(oneRetry, safety*s.Slack/float64(max(1, s.Daemons)))
 }
 
+// allowed is how many retries a window with that many requests may have.
+func (s Size) allowed(requests int) float64 {
+	return safety*s.Share*float64(requests) + s.slack()
+}
+
 // Budget bounds the retries of one service over a sliding window. A daemon that made
 // none for a while has all that its requests of the last window earned. It is safe
 // for concurrent use.
 type Budget struct {
-	mu    sync.Mutex
-	size  Size
-	start time.Time
-	// cells count the last window and the cell before it; the newest is at newest
-	// modulo their number.
-	cells  [cellCount + 1]cell
-	newest int64
+	mu      sync.Mutex
+	size    Size
+	counted window
 }
 
-// cell is what was counted in a part of the window.
-type cell struct{ requests, retries int }
-
 // NewBudget returns a budget that allows nothing until Resize.
 func NewBudget() *Budget { return &Budget{} }
 
@@ -58,9 +53,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.size.Window != size.Window {
-		b.cells = [cellCount + 1]cell{}
-		b.newest = 0
-		b.start = time.Time{}
+		b.counted = window{length: size.Window}
 	}
 	b.size = size
 }
@@ -69,7 +62,7 @@
 func (b *Budget) Earn(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c := b.current(now); c != nil {
+	if c := b.counted.current(now); c != nil {
 		c.requests++
 	}
 }
@@ -88,7 +81,7 @@
 	if !b.left(now) {
 		return false
 	}
-	b.current(now).retries++
+	b.counted.current(now).retries++
 	return true
 }
 
@@ -96,7 +89,7 @@
 func (b *Budget) GiveBack(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c := b.current(now); c != nil && c.retries > 0 {
+	if c := b.counted.current(now); c != nil && c.retries > 0 {
 		c.retries--
 	}
 }
@@ -104,37 +97,9 @@
 // left compares the retries of the last window with what its requests and the slack
 // allow.
 func (b *Budget) left(now time.Time) bool {
-	if b.current(now) == nil {
+	if b.counted.current(now) == nil {
 		return false
 	}
-	requests, retries := 0, 0
-	oldest := (b.newest + 1) % int64(len(b.cells))
-	for i, c := range b.cells {
-		retries += c.retries
-		if int64(i) != oldest {
-			requests += c.requests
-		}
-	}
-	allowed := safety*b.size.Share*float64(requests) + b.size.slack()
-	return float64(retries)+oneRetry <= allowed
-}
-
-// current returns the cell of that moment, after clearing those that are over. It is
-// nil for a budget without a size.
-func (b *Budget) current(now time.Time) *cell {
-	if b.size.Window <= 0 {
-		return nil
-	}
-	if b.start.IsZero() {
-		b.start = now
-	}
-	at := int64(now.Sub(b.start) / (b.size.Window / cellCount))
-	if at > b.newest+int64(len(b.cells)) {
-		b.newest = at - int64(len(b.cells))
-	}
-	for b.newest < at {
-		b.newest++
-		b.cells[b.newest%int64(len(b.cells))] = cell{}
-	}
-	return &b.cells[b.newest%int64(len(b.cells))]
+	requests, retries := b.counted.sums()
+	return float64(retries)+oneRetry <= b.size.allowed(requests)
 }
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -5,7 +5,8 @@
 // its part of the fleet's slack more, so that all daemons together stay within the
 // service's limit without a call.
 //
-// Whether an attempt may be tried again is in retry.go, the budget in budget.go.
+// Whether an attempt may be tried again is in retry.go, the budget in budget.go, and
+// what the budget counts over time in window.go.
 //
 // # Usage
 //
