refactor(result): the two ways of writing Retry-After have the declaration's names

A newcomer met decimals in the declaration, WriteExact in the code, a bare 3 and a text handed to a function without a comment. WriteDecimals and retryAfterDecimals stand beside their counterparts in seconds. Behaviour is unchanged.

--- a/internal/ingress/refuse.go
+++ b/internal/ingress/refuse.go
@@ -30,7 +30,7 @@
 		"request", in.requestID(r), "code", e.Code.Number, "result", e.Code.Name, "host", r.Host, "path", r.URL.Path,
 		"took_ms", time.Since(started).Milliseconds(), "retry_after_ms", e.RetryAfter.Milliseconds(), "why", e.Error())
 	if in.callers().RetryAfter == fleet.RetryAfterDecimals {
-		result.WriteExact(w, e)
+		result.WriteDecimals(w, e)
 		return
 	}
 	result.Write(w, e)
--- a/internal/result/write.go
+++ b/internal/result/write.go
@@ -19,12 +19,14 @@
 	write(w, e, retryAfterSeconds(e.RetryAfter))
 }
 
-// WriteExact does the same with Retry-After in seconds and decimals, for callers that
+// WriteDecimals does the same with Retry-After in seconds with decimals, for callers that
 // read such.
-func WriteExact(w http.ResponseWriter, e *Error) {
-	write(w, e, strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+func WriteDecimals(w http.ResponseWriter, e *Error) {
+	write(w, e, retryAfterDecimals(e.RetryAfter))
 }
 
+// write answers with the error, and with that text of Retry-After where the error says
+// when to come back.
 func write(w http.ResponseWriter, e *Error, retryAfter string) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
@@ -55,6 +57,13 @@
 	_, _ = w.Write(body)
 }
 
+// retryAfterDecimals returns the time in seconds, to the millisecond.
+func retryAfterDecimals(after time.Duration) string {
+	const decimals = 3
+	return strconv.FormatFloat(after.Seconds(), 'f', decimals, 64)
+}
+
+// retryAfterSeconds returns the time in whole seconds, rounded up, at least one.
 func retryAfterSeconds(after time.Duration) string {
 	seconds := math.Ceil(after.Seconds())
 	return strconv.Itoa(int(math.Max(1, seconds)))
