refactor(dial): the bounds of connections between daemons stand once

A newcomer found the same two time-outs with the same source in the ingress and in the control calls, and no sign that one without the other is a mistake. Both take them from dial.ToDaemons; the figures are the same. Behaviour is unchanged.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -14,16 +14,8 @@
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
-const (
-	// connectTimeout bounds the opening of a connection to a peer.
-	connectTimeout = 500 * time.Millisecond
-	// unacknowledged is how long bytes to a peer may stay without an acknowledgement
-	// before the connection counts as lost. Source: a lost packet is sent again after
-	// 200 and 600 ms; a path that loses three in a row is cut.
-	unacknowledged = 2 * time.Second
-	// idleTimeout is how long a connection without calls is kept.
-	idleTimeout = 30 * time.Second
-)
+// idleTimeout is how long a connection without calls is kept.
+const idleTimeout = 30 * time.Second
 
 // Client calls peers, over one connection to each that it has called of late.
 type Client struct {
@@ -94,7 +86,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := dial.New(dial.Config{Connect: connectTimeout, Unacknowledged: unacknowledged})
+	dialer := dial.New(dial.ToDaemons())
 	if c.config.TLS == nil {
 		return dialer.DialContext(ctx, "tcp", address)
 	}
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -21,6 +21,12 @@
 	keepAliveIdle  = time.Second
 	keepAliveEvery = 500 * time.Millisecond
 	keepAliveCount = 3
+	// daemonConnect bounds the opening of a connection to another daemon.
+	daemonConnect = 500 * time.Millisecond
+	// daemonUnacknowledged is how long bytes to another daemon may stay without an
+	// acknowledgement before the connection counts as lost. Source: a lost packet is
+	// sent again after 200 and 600 ms; a path that loses three in a row is cut.
+	daemonUnacknowledged = 2 * time.Second
 )
 
 // Config bounds how long a connection may be silent.
@@ -32,6 +38,12 @@
 	Unacknowledged time.Duration
 }
 
+// ToDaemons returns the bounds of a connection to another daemon, be it for requests or
+// for control calls.
+func ToDaemons() Config {
+	return Config{Connect: daemonConnect, Unacknowledged: daemonUnacknowledged}
+}
+
 // New returns a dialer.
 func New(config Config) *net.Dialer {
 	return &net.Dialer{
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -54,12 +54,6 @@
 )
 
 const (
-	// connectTimeout bounds the opening of a connection to another daemon.
-	connectTimeout = 500 * time.Millisecond
-	// unacknowledged is how long bytes to another daemon may stay without an
-	// acknowledgement before the connection counts as lost. Source: a lost packet is
-	// sent again after 200 and 600 ms; a path that loses three in a row is cut.
-	unacknowledged = 2 * time.Second
 	// idleTimeout is how long an idle connection to another daemon is kept.
 	// It is shorter than the daemons keep theirs, so that a request seldom
 	// meets a connection that is just being closed.
@@ -122,7 +116,7 @@
 // New returns an ingress that refuses requests until Reconfigure, and a
 // function that closes its connections.
 func New(config Config) (*Ingress, func()) {
-	dialer := dial.New(dial.Config{Connect: connectTimeout, Unacknowledged: unacknowledged})
+	dialer := dial.New(dial.ToDaemons())
 	in := &Ingress{
 		config: config,
 		start:  time.Now(),
