fix(ingress): a ticket that is not wanted any more blames nobody

Cause: when a caller left, or an answer came, while a ticket was being asked for, the broken call was taken for a daemon that does not answer: evidence against the backend server, and its host passed over until pinged. Asking for tickets beside running attempts made that more frequent.

Change: the end of the question's own context is a cancelled request. A ticket that does not come in time stays evidence.

TestATicketThatIsNotWantedBlamesNobody fails before.

--- a/internal/ingress/ticket.go
+++ b/internal/ingress/ticket.go
@@ -6,6 +6,8 @@
 	"net/url"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
 )
@@ -67,6 +69,9 @@
 // ticketFailure says that the request was not run. If only the time for the
 // ticket is over, another backend server may still be asked.
 func ticketFailure(ctx context.Context, failure *result.Error) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return result.Wrap(result.CancelledBefore, failure) // it is no longer wanted, which says nothing of the host
+	}
 	onlyTicket := ctx.Err() == nil && failure.Code.Number == result.DeadlineBeforeRun.Number
 	if failure.Code.Ran == result.RanNo && !onlyTicket {
 		return failure
