--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	// safety is the part of the limit that is used. Source: calls of a run that
-	// was itself a repeat count as repeats too, and nobody here sees those.
-	safety = 0.8
+	// safety is the part of the limit that is used. Source: calls of a run that was
+	// itself a repeat count as repeats too, and nobody here sees those; on a day with
+	// 205 repeats in a window they were more than a fifth. A daemon that starts again has
+	// also forgotten what it spent.
+	safety = 0.65
 	// oneRetry is what a retry costs.
 	oneRetry = 1
 )
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -88,7 +88,7 @@
 		t.Fatalf("%d retries after 80 requests without one", spent)
 	}
 	now = now.Add(10 * time.Second)
-	const slack = 2 // four fifths of this daemon's part, 56 / 21
+	const slack = 2 // at most the whole of this daemon's part, 56 / 21
 	if spent := spendAll(b, now); spent > slack {
 		t.Fatalf("%d retries in a window without requests", spent)
 	}
