refactor(registry,ingress): whether a lifetime serves is asked in one place

Read again: the check whether a lifetime holds its address stood three times in the registry, twice spelled out beside serves; both now call it. keepRetry gave a retry back and is giveBackUnused. Behaviour is unchanged, the tests of both packages pass as they were.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -34,7 +34,7 @@
 		a := in.newAttempt(r, next, &story)
 		response, err := a.run(ctx)
 		if err == nil && !mayImprove(r, response) {
-			a.keepRetry()
+			a.giveBackUnused()
 			story.drop()
 			return response, nil
 		}
--- a/internal/ingress/reserve.go
+++ b/internal/ingress/reserve.go
@@ -24,9 +24,9 @@
 	return next, ok
 }
 
-// keepRetry returns the retry of a move that is not made since the answer is here. The
-// slot is free again when its ticket expires.
-func (a *attempt) keepRetry() {
+// giveBackUnused returns the retry of a move that is not made since the answer is here.
+// The slot is free again when its ticket expires.
+func (a *attempt) giveBackUnused() {
 	if a.reserved != nil {
 		a.giveBackRetry()
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -92,7 +92,7 @@
 	if known && c.Sequence <= last.Sequence {
 		return false
 	}
-	if known && last.Address != c.Address && r.holders[last.Address].name == c.Name {
+	if last.Address != c.Address && r.serves(c.Name) {
 		delete(r.holders, last.Address)
 	}
 	r.servers[c.Name] = c
@@ -166,8 +166,8 @@
 func (r *Registry) leave(name string) {
 	r.left = append(r.left, name)
 	r.left = r.left[max(0, len(r.left)-keptLeft):]
-	if server, ok := r.servers[name]; ok && r.holders[server.Address].name == name {
-		delete(r.holders, server.Address)
+	if r.serves(name) {
+		delete(r.holders, r.servers[name].Address)
 	}
 	delete(r.servers, name)
 }
