--- /dev/null
+++ b/test/compare/main.go
@@ -0,0 +1,112 @@
+// Command compare plays the same days with two builds of the sources and says how the
+// second differs from the first.
+//
+// # Usage
+//
+//	go run ./test/compare --bench PATH --site FILE --before DIR --after DIR \
+//		--seeds 1,2,3 --why "what changed" [--jobs 8] DAY ...
+//
+// Each of the two folders is the root of a checkout. Every day is played with every seed
+// by both, so that the two plays of a pair differ by the sources and by what follows from
+// them. For each day and for all together it prints the mean of the second less that of
+// the first and the standard error of that mean: of the worth, the share that was served
+// and the price of bytes between data centres. A difference of less than twice its error
+// shows nothing. A rule that was broken is printed with its day and seed.
+//
+// Reading the flags is in main.go, the pairs and their figures in pairs.go.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/tideliftd/tidelift/test/bench"
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		slog.Error("compare failed", "error", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "compare",
+		Usage: "plays days with two builds and prints the difference",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bench", Usage: "the bench's program", Required: true},
+			&cli.StringFlag{Name: "site", Usage: "the site file", Required: true},
+			&cli.StringFlag{Name: "before", Usage: "the first checkout", Required: true},
+			&cli.StringFlag{Name: "after", Usage: "the second checkout", Required: true},
+			&cli.IntSliceFlag{Name: "seeds", Usage: "the seeds of each day", Value: []int{1, 2, 3}},
+			&cli.StringFlag{Name: "why", Usage: "a line for the journals"},
+			&cli.IntFlag{Name: "jobs", Usage: "days played at a time", Value: 8},
+		},
+		Action: run,
+	}
+}
+
+// run plays the pairs and prints how they differ.
+func run(ctx context.Context, c *cli.Command) error {
+	player, err := newPlayer(c)
+	if err != nil {
+		return err
+	}
+	days := c.Args().Slice()
+	if len(days) == 0 {
+		return errors.New("no day is named")
+	}
+	outcomes := player.PlayAll(ctx, plays(c, days), c.Int("jobs"))
+	pairs := pair(outcomes)
+	for _, day := range days {
+		fmt.Println(line(day, ofDay(pairs, day)))
+	}
+	fmt.Println(line("all", pairs))
+	for _, o := range outcomes {
+		printTrouble(o)
+	}
+	return nil
+}
+
+// newPlayer returns the player, by absolute paths, since the bench runs in either checkout.
+func newPlayer(c *cli.Command) (bench.Player, error) {
+	program, err := filepath.Abs(c.String("bench"))
+	if err != nil {
+		return bench.Player{}, errors.Wrap(err, "find the bench")
+	}
+	site, err := filepath.Abs(c.String("site"))
+	if err != nil {
+		return bench.Player{}, errors.Wrap(err, "find the site file")
+	}
+	return bench.Player{Program: program, Site: site}, nil
+}
+
+// plays returns the plays of all pairs, the two of a pair one after the other.
+func plays(c *cli.Command, days []string) []bench.Play {
+	var all []bench.Play
+	for _, day := range days {
+		for _, seed := range c.IntSlice("seeds") {
+			for _, dir := range []string{c.String("before"), c.String("after")} {
+				all = append(all, bench.Play{Day: day, Seed: seed, Dir: dir, Why: c.String("why")})
+			}
+		}
+	}
+	return all
+}
+
+// printTrouble prints why a play failed, or the rules that it broke.
+func printTrouble(o bench.Outcome) {
+	switch {
+	case o.Err != nil:
+		fmt.Printf("not played: %s seed %d in %s: %v\n", o.Play.Day, o.Play.Seed, o.Play.Dir, o.Err)
+	case len(o.Report.Broken) > 0 || o.Report.Fault != "":
+		fmt.Printf("broken: %s seed %d in %s: %v %s\n", o.Play.Day, o.Play.Seed, o.Play.Dir, o.Report.Broken, o.Report.Fault)
+	}
+}
--- /dev/null
+++ b/test/compare/pairs_test.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"math"
+	"testing"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tideliftd/tidelift/test/bench"
+)
+
+func TestMeanOf(t *testing.T) {
+	mean, standardError := meanOf([]float64{1, 2, 3, 4})
+	if mean != 2.5 || math.Abs(standardError-math.Sqrt(5.0/12)) > 1e-12 {
+		t.Fatalf("mean %v, standard error %v", mean, standardError)
+	}
+	if _, one := meanOf([]float64{1}); !math.IsNaN(one) {
+		t.Fatalf("standard error of one value: %v", one)
+	}
+}
+
+func TestPairLeavesOutWhatWasNotPlayed(t *testing.T) {
+	day := func(name string, err error) bench.Outcome {
+		return bench.Outcome{Play: bench.Play{Day: name}, Err: err}
+	}
+	pairs := pair([]bench.Outcome{day("a", nil), day("a", nil), day("b", nil), day("b", errors.New("lost"))})
+	if len(pairs) != 1 || len(ofDay(pairs, "a")) != 1 || len(ofDay(pairs, "b")) != 0 {
+		t.Fatalf("%d pairs", len(pairs))
+	}
+}
