feat(ingress): late repeatable requests are copied, by times learned for each route

A first attempt moved only from a backend server that was suspect already, and only after eight times the service's typical time, which for a call of 110 ms is 1.2 of its 1.5 s.

Change: package pace learns for each route how long good answers take. An attempt that has outlasted nearly all of them, or could not be copied in time for the target any more, gets a copy where a slot is kept for it; the first whole answer wins and the rest is cancelled (hedge.go). It replaces the move of overdue requests (reserve.go, removed). What a caller did not wait for longer than its route's requests take is evidence for the sidecar.

Ruled out: a move in place of a copy, which would throw away the work of one request in twenty that only is a little long.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -77,6 +77,7 @@
 var (
 	RequestFailed  = Event{501, slog.LevelInfo, "request failed", "A caller got a refusal or a failure; the line has its id, the result code and what led to it."}
 	AttemptFailed  = Event{502, slog.LevelInfo, "attempt failed", "One sending of a request failed; the line says where, how, and whether it is tried elsewhere."}
+	RequestCopied  = Event{504, slog.LevelInfo, "late request copied", "A repeatable request takes longer than nearly all of its route do; a copy is sent to another backend server, and the first answer is passed on."}
 	RequestRefused = Event{503, slog.LevelDebug, "work refused", "This daemon refused work for a backend server of its host, for the reason given."}
 )
 
@@ -86,7 +87,7 @@
 		DaemonStarted, DaemonStopping, DaemonStopped, StopCut, ServeFailed, SettingsTaken, SettingsRefused,
 		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers,
 		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerLeaving, ServerBack, ServerDoubted, ServerTrusted, ServerProbed,
-		RequestFailed, AttemptFailed, RequestRefused,
+		RequestFailed, AttemptFailed, RequestRefused, RequestCopied,
 		ServersRegistered, CheckInRefused, HostLearned, RecordRefused, PeerSilent, HostAway, HostBack, HostGone, NewsDropped,
 	}
 }
--- a/internal/hop/call.go
+++ b/internal/hop/call.go
@@ -14,6 +14,9 @@
 	// Target is the time within which the route's answers are worth most; zero if it
 	// is not known.
 	Target time.Duration
+	// Late is how long a request of the route runs before it has outlasted nearly all
+	// others; zero if that is not known.
+	Late time.Duration
 	// Patience is how long it may wait in a crowded queue; zero or less if it may
 	// not.
 	Patience time.Duration
--- a/internal/hop/encode.go
+++ b/internal/hop/encode.go
@@ -20,6 +20,7 @@
 	TimeLeft      int64
 	Aim           int64
 	Target        int64
+	Late          int64
 	Patience      int64
 	Priority      int
 	Customer      string
@@ -49,6 +50,7 @@
 		TimeLeft:      c.TimeLeft.Microseconds(),
 		Aim:           leftOf(c.Aim),
 		Target:        leftOf(c.Target),
+		Late:          leftOf(c.Late),
 		Patience:      leftOf(c.Patience),
 		Priority:      c.Priority,
 		Customer:      c.Customer,
@@ -107,6 +109,7 @@
 		TimeLeft:      micros(w.TimeLeft),
 		Aim:           micros(w.Aim),
 		Target:        micros(w.Target),
+		Late:          micros(w.Late),
 		Patience:      micros(w.Patience),
 		Priority:      w.Priority,
 		Customer:      w.Customer,
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -13,6 +13,7 @@
 		BackendServer: "csepel/lookup-1", TimeLeft: 1500 * time.Millisecond, Customer: "county-7", Once: true,
 		WantTicket: true, Ticket: "t", Reference: "1,2,3,4,5", Origin: "records", Priority: 2, Insist: true, NoWait: true,
 		Proven: true, Host: "csepel-1", Aim: 500 * time.Millisecond, Target: 800 * time.Millisecond, Patience: 700 * time.Millisecond,
+		Late: 300 * time.Millisecond,
 	}
 	h := http.Header{}
 	if err := want.Encode(h); err != nil {
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -9,6 +9,7 @@
 
 	"github.com/tideliftd/tidelift/internal/body"
 	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/pace"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/route"
 )
@@ -35,8 +36,12 @@
 	attempts int // the most backend servers it may be sent to
 	priority int
 	body     *body.Body
+	pace     *pace.Pace // of its route
 }
 
+// late returns how long an attempt runs before it is late; zero if none is.
+func (r *request) late() time.Duration { return r.pace.Late(r.aim.Sub(r.began)) }
+
 // admit finds the service, the deadline and the customer of a request.
 func (in *Ingress) admit(w http.ResponseWriter, r *http.Request, now time.Time) (*request, error) {
 	current, e := in.ready()
@@ -77,6 +82,7 @@
 		attempts: match.Attempts,
 		priority: match.Priority,
 		body:     body.New(w, r, match.MaxBody),
+		pace:     in.paces.of(match),
 	}, nil
 }
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -8,45 +8,36 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/tideliftd/tidelift/internal/balance"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
-// errOverdue ends an attempt that takes far longer than others would.
-var errOverdue = errors.New("attempt is overdue")
+// errOverdue ends an attempt that a copy sent later has overtaken.
+var errOverdue = errors.New("a later copy was answered first")
 
 // attempt is one sending of a request to one backend server.
 type attempt struct {
 	in      *Ingress
 	request *request
 	choice
-	first   bool              // no attempt before it reached a backend server
-	overdue atomic.Bool       // it took far longer than others would
-	avoid   []*balance.Target // whom not to ask in its place
-	// reserveLooks counts the looks for another backend server, and reserved is the one
-	// that keeps a slot for the request. The attempt's clock writes both; reserved is
-	// read once the clock has stopped.
-	reserveLooks int
-	reserved     *choice
+	copy      bool        // it is a copy beside a late attempt
+	overdue   atomic.Bool // it took far longer than others would
+	startedAt time.Time
+	cancel    context.CancelCauseFunc // ends it
 }
 
 // run sends the request and returns the head of the answer.
 func (a *attempt) run(ctx context.Context) (*http.Response, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
 	started := time.Now()
-	clock := a.startClock(ctx, cancel)
+	clock := a.startClock()
 	a.target.Begin()
-	a.request.body.Rewind(a.request.Request)
-	answer, err := a.in.send(ctx, a.request, a.choice)
+	own := *a.request.Request // a copy beside it has a body of its own
+	a.request.body.Rewind(&own)
+	answer, err := a.in.send(ctx, a.request, &own, a.choice)
 	clock.stop()
-	if err == nil && a.reserved != nil && !hop.IsHeld(answer.Response) {
-		_ = answer.Response.Body.Close() // what has not been read of it is lost with the connection
-		err = errOverdue
-	}
 	if err != nil {
 		failure := a.failure(ctx, err)
-		cancel(nil)
+		a.cancel(nil)
 		a.target.End()
 		a.learn(failure, time.Since(started))
 		return nil, failure
@@ -54,7 +45,7 @@
 	a.observe(answer, time.Since(started)-answer.Waited)
 	answer.Response.Body = hop.OnClose(answer.Response.Body, func() {
 		a.target.End()
-		cancel(nil)
+		a.cancel(nil)
 	})
 	return answer.Response, nil
 }
@@ -73,13 +64,6 @@
 	}
 }
 
-// mayMoveOn says whether an overdue attempt may be given up for another. Once an
-// attempt has reached a backend server, no later one may, so that the next backend
-// server has the rest of the time.
-func (a *attempt) mayMoveOn() bool {
-	return !a.in.settling.Load() && !a.request.once && a.first && a.request.attempts > 1 && !a.request.body.Spent()
-}
-
 // far says whether the target is in another data centre.
 func (a *attempt) far() bool {
 	return a.target.Placement().Host.DataCentre != a.in.config.DataCentre
--- a/internal/ingress/attempt_test.go
+++ b/internal/ingress/attempt_test.go
@@ -1,17 +1,97 @@
 package ingress
 
-import "testing"
+import (
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
 
-// TestNothingIsGivenUpInAPlannedStop leaves a request where it runs once a stop has
-// begun, however long it takes there.
-func TestNothingIsGivenUpInAPlannedStop(t *testing.T) {
+	"github.com/tideliftd/tidelift/internal/balance"
+	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/retry"
+)
+
+// TestNoCopyInAPlannedStop leaves a request where it runs once a stop has begun, however
+// long it takes there.
+func TestNoCopyInAPlannedStop(t *testing.T) {
 	in := &Ingress{}
-	a := &attempt{in: in, request: &request{attempts: 2}, first: true}
-	if !a.mayMoveOn() {
-		t.Fatal("an overdue attempt of a repeatable request stays where it is")
+	late := &attempt{startedAt: time.Now().Add(-time.Second)}
+	r := &round{in: in, request: &request{attempts: 2}, story: &trail{}, late: time.Millisecond, running: []*attempt{late}}
+	if !r.mayCopy() {
+		t.Fatal("a late attempt of a repeatable request has no copy")
 	}
 	in.Settle()
-	if a.mayMoveOn() {
-		t.Fatal("an attempt is given up in a planned stop")
+	if r.mayCopy() {
+		t.Fatal("a copy is sent in a planned stop")
+	}
+}
+
+// TestWhatMustNotRunTwiceIsNeverCopied holds it, and the route's limit on attempts.
+func TestWhatMustNotRunTwiceIsNeverCopied(t *testing.T) {
+	late := &attempt{startedAt: time.Now().Add(-time.Second)}
+	for name, r := range map[string]*round{
+		"once":          {request: &request{attempts: 2, once: true}, story: &trail{}},
+		"one attempt":   {request: &request{attempts: 1}, story: &trail{}},
+		"sent before":   {request: &request{attempts: 2}, story: &trail{sent: 1}},
+		"not late yet":  {request: &request{attempts: 2}, story: &trail{}, late: time.Hour},
+		"failed beside": {request: &request{attempts: 2}, story: &trail{}, failed: &finished{}},
+		"nothing known": {request: &request{attempts: 2}, story: &trail{}, late: 0},
+	} {
+		r.in, r.running = &Ingress{}, []*attempt{late}
+		if name != "nothing known" {
+			r.late = max(r.late, time.Millisecond)
+		}
+		if r.mayCopy() {
+			t.Errorf("%s: a copy is sent", name)
+		}
+	}
+}
+
+// newTestRound returns a round with so many attempts that run.
+func newTestRound(t *testing.T, running int) *round {
+	t.Helper()
+	declaration, err := fleet.Parse("fleet.yaml", []byte(twoServers))
+	if err != nil {
+		t.Fatal(err)
+	}
+	index := fleet.NewIndex(declaration)
+	pool := balance.NewPool(balance.Config{DataCentre: "dc", Random: rand.Uint64})
+	pool.Reconfigure(declaration.Services[0], index)
+	in := &Ingress{config: Config{Logger: slog.New(slog.DiscardHandler)}}
+	r := &round{in: in, story: &trail{}, done: make(chan finished)}
+	r.request = &request{attempts: 3, service: &service{budget: retry.NewBudget()}}
+	for range running {
+		a := &attempt{in: in, request: r.request, choice: choice{target: pool.Targets()[0]}, cancel: func(error) {}}
+		r.running = append(r.running, a)
+	}
+	return r
+}
+
+// TestACopyWithoutASlotEndsTheRoundOfAFailedAttempt lets an attempt fail while a copy of
+// it still looks for a slot.
+func TestACopyWithoutASlotEndsTheRoundOfAFailedAttempt(t *testing.T) {
+	r := newTestRound(t, 2)
+	first, looking := r.running[0], r.running[1]
+	if end := r.take(finished{attempt: first, err: result.New(result.ConnectionLost)}); end != nil {
+		t.Fatal("the round ended while a copy may still be sent")
+	}
+	end := r.take(finished{attempt: looking, err: result.New(result.Busy), unsent: true})
+	if end == nil || end.attempt != first {
+		t.Fatalf("ended with %+v, want the attempt that failed", end)
+	}
+	if r.story.sent != 0 {
+		t.Fatal("the failure that ends the round is in the story already")
+	}
+}
+
+// TestTheLastFailureEndsTheRound keeps the one before it in the story.
+func TestTheLastFailureEndsTheRound(t *testing.T) {
+	r := newTestRound(t, 2)
+	first, second := r.running[0], r.running[1]
+	r.take(finished{attempt: first, err: result.New(result.ConnectionLost)})
+	end := r.take(finished{attempt: second, err: result.New(result.DeadlineWhileRunning)})
+	if end == nil || end.attempt != second || r.story.sent != 1 {
+		t.Fatalf("ended with %+v, %d in the story", end, r.story.sent)
 	}
 }
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/event"
@@ -31,20 +30,18 @@
 		if !ok {
 			return story.end(worst(story.mayHaveRun, noneAble(r, &story)))
 		}
-		a := in.newAttempt(r, next, &story)
-		response, err := a.run(ctx)
-		if err == nil && !mayImprove(r, response) {
-			a.giveBackUnused()
+		f := in.runRound(ctx, &attempt{in: in, request: r, choice: next}, &story)
+		if f.isAnswer() {
 			story.drop()
-			return response, nil
+			return f.response, nil
 		}
+		err := f.err
 		if err == nil {
-			err = story.keep(response)
+			err = story.keep(f.response)
 		}
-		story.add(next, result.From(err), a.far())
-		story.reserved = a.reserved
-		again := in.again(r, a, &story)
-		in.logAttempt(r, a, &story, again)
+		story.add(f.attempt.choice, result.From(err), f.attempt.far())
+		again := in.again(r, &story)
+		in.logAttempt(r, f.attempt, &story, again)
 		if !again {
 			return story.end(worst(story.mayHaveRun, story.last))
 		}
@@ -52,24 +49,9 @@
 	}
 }
 
-// newAttempt returns the attempt at that choice, after what was tried so far.
-func (in *Ingress) newAttempt(r *request, next choice, story *trail) *attempt {
-	return &attempt{
-		in:      in,
-		request: r,
-		choice:  next,
-		first:   story.sent == 0,
-		avoid:   append(slices.Clone(story.tried), next.target),
-	}
-}
-
-// next says whom to ask next: the one that keeps a slot for the request, if one does.
-// While there are only doubted backend servers, or none, it looks again as long as the
+// next says whom to ask next. While there are only doubted backend servers, or none, it looks again as long as the
 // request has time for that.
 func (in *Ingress) next(ctx context.Context, r *request, story *trail) (choice, bool) {
-	if story.reserved != nil {
-		return *story.reserved, true
-	}
 	for {
 		c, ok := in.choose(r, story)
 		found := ok && !c.insist
@@ -109,9 +91,8 @@
 	return mayHaveRun.WithRetryAfter(last.RetryAfter)
 }
 
-// again says whether the last failed attempt may be followed by another. The retry of
-// one that was given up for a slot elsewhere has been spent when that was asked for.
-func (in *Ingress) again(r *request, a *attempt, story *trail) bool {
+// again says whether the last failed attempt may be followed by another.
+func (in *Ingress) again(r *request, story *trail) bool {
 	if r.body.Spent() {
 		return false
 	}
@@ -123,7 +104,7 @@
 	case retry.Free:
 		return true
 	case retry.Again:
-		return a.reserved != nil || r.service.budget.Spend(time.Now())
+		return r.service.budget.Spend(time.Now())
 	case retry.Final:
 	}
 	return false
--- /dev/null
+++ b/internal/ingress/hedge.go
@@ -0,0 +1,228 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/balance"
+	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/result"
+)
+
+const (
+	// hedgeLooks is how often another backend server is looked for in the time after
+	// which a request is late, from then on.
+	hedgeLooks = 4
+	// shortestLook bounds that, so that looking costs little where answers take
+	// milliseconds. Source: a few round trips between data centres.
+	shortestLook = 10 * time.Millisecond
+)
+
+// round is an attempt of a request and, once that is late and if the request may be
+// repeated, copies of it at other backend servers. The first whole answer wins and the
+// rest is cancelled. A copy is sent only where a slot is kept for it, so that none waits;
+// the late attempt goes on meanwhile, since its answer may be the first.
+//
+// One goroutine owns the round; each attempt runs in its own and tells what became of it.
+type round struct {
+	in      *Ingress
+	request *request
+	story   *trail
+	running []*attempt
+	avoid   []*balance.Target // where a copy is not sent
+	failed  *finished         // the last that failed, which is not in the story yet
+	late    time.Duration     // after which an attempt is late; zero if none is
+	looks   int
+	done    chan finished
+}
+
+// finished is what became of an attempt.
+type finished struct {
+	attempt  *attempt
+	response *http.Response
+	err      error
+	unsent   bool // it is a copy for which no slot was found
+}
+
+// isAnswer says whether the attempt has an answer that is passed on.
+func (f finished) isAnswer() bool {
+	return f.err == nil && !mayImprove(f.attempt.request, f.response)
+}
+
+// runRound runs the attempt and, where it is late, copies of it. It returns the one that
+// has the answer, or the last that failed; the failures of the others are in the story.
+func (in *Ingress) runRound(ctx context.Context, first *attempt, story *trail) finished {
+	r := &round{
+		in:      in,
+		request: first.request,
+		story:   story,
+		avoid:   story.notBusy(),
+		late:    first.request.late(),
+		done:    make(chan finished),
+	}
+	r.start(ctx, first)
+	look := r.firstLook()
+	defer look.Stop()
+	for {
+		select {
+		case f := <-r.done:
+			if end := r.take(f); end != nil {
+				return *end
+			}
+		case <-look.C:
+			r.tryCopy(ctx)
+			look.Reset(max(r.late/hedgeLooks, shortestLook))
+		}
+	}
+}
+
+// firstLook returns the timer of the looks for a copy. It never fires if none may be sent.
+func (r *round) firstLook() *time.Timer {
+	look := time.NewTimer(r.late)
+	if r.late == 0 || r.request.once {
+		look.Stop()
+	}
+	return look
+}
+
+// take takes what became of an attempt, and returns the one that ends the round; nil if it
+// goes on.
+func (r *round) take(f finished) *finished {
+	r.running = slices.DeleteFunc(r.running, func(a *attempt) bool { return a == f.attempt })
+	if f.unsent {
+		r.request.service.budget.GiveBack(time.Now())
+		r.avoid = slices.DeleteFunc(r.avoid, func(t *balance.Target) bool { return t == f.attempt.target })
+		if len(r.running) == 0 {
+			return r.failed // the attempt that it was to be a copy of
+		}
+		return nil
+	}
+	r.noteFailed()
+	if f.isAnswer() {
+		r.cancelRest(f.attempt)
+		return &f
+	}
+	if len(r.running) == 0 {
+		return &f
+	}
+	r.failed = &f
+	return nil
+}
+
+// noteFailed puts the last failure into the story, once another attempt has ended after
+// it.
+func (r *round) noteFailed() {
+	if r.failed == nil {
+		return
+	}
+	f := *r.failed
+	r.failed = nil
+	err := f.err
+	if err == nil {
+		err = r.story.keep(f.response)
+	}
+	r.story.add(f.attempt.choice, result.From(err), f.attempt.far())
+	r.in.logAttempt(r.request, f.attempt, r.story, true)
+}
+
+// start runs an attempt beside the round.
+func (r *round) start(ctx context.Context, a *attempt) {
+	ctx, a.cancel = context.WithCancelCause(ctx)
+	a.startedAt = time.Now()
+	r.running = append(r.running, a)
+	r.avoid = append(r.avoid, a.target)
+	go func() { r.done <- a.finish(ctx) }()
+}
+
+// tryCopy sends a copy if the attempt sent last is late and another may be sent.
+func (r *round) tryCopy(ctx context.Context) {
+	if !r.mayCopy() {
+		return
+	}
+	target, ok := r.request.service.pool.Pick(time.Now(), r.avoid)
+	if !ok || !r.request.service.budget.Spend(time.Now()) {
+		return
+	}
+	r.looks++
+	r.start(ctx, &attempt{
+		in:      r.in,
+		request: r.request,
+		copy:    true,
+		choice:  choice{target: target, noWait: true, proven: r.looks <= maxUnproven},
+	})
+}
+
+// mayCopy says whether the request may have another copy now. In a planned stop none is
+// sent, since others may not take it any more.
+func (r *round) mayCopy() bool {
+	if r.late == 0 || r.request.once || r.in.settling.Load() || r.request.body.Spent() {
+		return false
+	}
+	if r.sent() >= r.request.attempts {
+		return false
+	}
+	newest := r.running[len(r.running)-1]
+	return time.Since(newest.startedAt) >= r.late
+}
+
+// sent counts the backend servers that the request has reached or may yet reach.
+func (r *round) sent() int {
+	sent := r.story.sent + len(r.running)
+	if r.failed != nil {
+		sent++
+	}
+	return sent
+}
+
+// cancelRest ends the attempts that the winner leaves over. Those that began before it
+// are overdue, which is evidence.
+func (r *round) cancelRest(winner *attempt) {
+	for _, a := range r.running {
+		if a.startedAt.Before(winner.startedAt) {
+			a.cancel(errOverdue)
+			continue
+		}
+		a.cancel(nil)
+	}
+	go r.drain(len(r.running))
+}
+
+// drain takes what becomes of the attempts that were left over.
+func (r *round) drain(count int) {
+	for range count {
+		f := <-r.done
+		if f.unsent {
+			r.request.service.budget.GiveBack(time.Now())
+		}
+		if f.response != nil {
+			_ = f.response.Body.Close() // it is not needed, whether it is whole or not
+		}
+	}
+}
+
+// finish runs the attempt, a copy only once a slot is kept for it.
+func (a *attempt) finish(ctx context.Context) finished {
+	if a.copy {
+		if err := a.takeSlot(ctx); err != nil {
+			return finished{attempt: a, err: err, unsent: true}
+		}
+	}
+	response, err := a.run(ctx)
+	return finished{attempt: a, response: response, err: err}
+}
+
+// takeSlot has the target keep a slot for the copy, and takes a refusal as evidence.
+func (a *attempt) takeSlot(ctx context.Context) error {
+	ticket, err := a.in.ticket(ctx, a.request, a.choice)
+	if err != nil {
+		a.learn(result.From(err), 0)
+		return err
+	}
+	a.ticket = ticket
+	event.Log(a.in.config.Logger, event.RequestCopied,
+		"request", a.in.requestID(a.request.Request), "service", a.request.name, "backend_server", a.target.Name,
+		"after_ms", time.Since(a.request.began).Milliseconds())
+	return nil
+}
--- a/internal/ingress/reserve_test.go
+++ b/internal/ingress/hedge_test.go
@@ -144,9 +144,9 @@
 	return failures.Load(), slowly.Load()
 }
 
-// TestOverdueRequestsMove lets the other backend server have free slots again while
+// TestLateRequestsAreCopied lets the other backend server have free slots again while
 // requests are overdue at the slow one, be it that they run or wait there.
-func TestOverdueRequestsMove(t *testing.T) {
+func TestLateRequestsAreCopied(t *testing.T) {
 	for name, waits := range map[string]bool{"running": false, "waiting": true} {
 		t.Run(name, func(t *testing.T) {
 			in, b := newTwoBackends(t)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -16,8 +16,8 @@
 //	admit    finds the route, the deadline and the customer           (admit.go)
 //	attempts tries, and again where allowed                           (attempts.go)
 //	choose   says whom to ask next, by what was tried so far          (choose.go, trail.go)
+//	hedge    sends copies of a late request, the first answer wins    (hedge.go, paces.go)
 //	attempt  is one sending, watched for being overdue                (attempt.go, clock.go)
-//	reserve  has a slot kept elsewhere for an overdue request         (reserve.go)
 //	ticket   asks a sidecar to keep a slot for the request            (ticket.go)
 //	send     passes the request to the backend server's sidecar       (send.go)
 //	learn    takes what became of an attempt as evidence              (learn.go, judge.go)
@@ -102,6 +102,8 @@
 	settling  atomic.Bool // a planned stop has begun
 	stopping  atomic.Bool
 
+	paces paces
+
 	mu    sync.Mutex // serialises Reconfigure
 	state atomic.Pointer[state]
 }
--- a/internal/ingress/learn.go
+++ b/internal/ingress/learn.go
@@ -39,8 +39,11 @@
 		a.request.service.pool.Looked(true)
 	}
 	outcome, seen := detect.FromAnswer(answer.Response)
-	if seen && outcome != detect.OK {
+	switch {
+	case seen && outcome != detect.OK:
 		a.target.Fail()
+	case seen:
+		a.request.pace.Good(took)
 	}
 	a.tell(detect.Observation{Outcome: outcome, Took: took, WasOverdue: a.overdue.Load()}, seen)
 }
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -15,17 +15,17 @@
 	"github.com/tideliftd/tidelift/internal/sidecar"
 )
 
-// send passes the request to the target's sidecar, directly if it is the
+// send passes the request, as out has it, to the target's sidecar, directly if it is the
 // daemon's own.
-func (in *Ingress) send(ctx context.Context, r *request, c choice) (sidecar.Answer, error) {
+func (in *Ingress) send(ctx context.Context, r *request, out *http.Request, c choice) (sidecar.Answer, error) {
 	call := in.call(r, c)
 	if call.TimeLeft <= 0 {
 		return sidecar.Answer{}, result.New(result.DeadlineBeforeRun)
 	}
 	if address, remote := in.remote(c.target); remote {
-		return in.sendRemote(ctx, call, r.Request, address)
+		return in.sendRemote(ctx, call, out, address)
 	}
-	return in.config.Local(ctx, call, r.Request)
+	return in.config.Local(ctx, call, out)
 }
 
 // call says what is asked of the target's sidecar.
@@ -36,6 +36,7 @@
 		Aim:           time.Until(r.aim),
 		Patience:      time.Until(r.patient),
 		Target:        r.aim.Sub(r.began),
+		Late:          r.late(),
 		Customer:      r.customer,
 		Once:          r.once,
 		Insist:        c.insist,
--- a/internal/ingress/service.go
+++ b/internal/ingress/service.go
@@ -39,6 +39,7 @@
 	for _, declared := range index.Declaration.Services {
 		next.services[declared.Name] = in.reconfigureService(declared, index)
 	}
+	in.paces.keep(index.Declaration.Routes)
 	old := in.state.Swap(next)
 	if old != nil {
 		endRemoved(old, next)
--- a/internal/ingress/trail.go
+++ b/internal/ingress/trail.go
@@ -21,7 +21,6 @@
 	full       int               // that met a full queue
 	last       *result.Error
 	mayHaveRun *result.Error // the last that may have run; nil if none may
-	reserved   *choice       // the one that keeps a slot for the request; nil if none does
 }
 
 // busyTarget is a target without a free slot, and how long a wait for one is.
@@ -64,6 +63,14 @@
 	return t.full == 0 && (known == 0 || len(t.tried) < known)
 }
 
+// notBusy returns those that were tried, but for those that only had no free slot then.
+func (t *trail) notBusy() []*balance.Target {
+	isBusy := func(tried *balance.Target) bool {
+		return slices.ContainsFunc(t.busy, func(b busyTarget) bool { return b.target == tried })
+	}
+	return slices.DeleteFunc(slices.Clone(t.tried), isBusy)
+}
+
 // leastBusy takes the target out where the wait is shortest.
 func (t *trail) leastBusy() *balance.Target {
 	best := 0
--- /dev/null
+++ b/internal/pace/pace.go
@@ -0,0 +1,140 @@
+// Package pace learns how long good answers of one kind of request take, and says from
+// when on a running one is late.
+//
+// Requests of one service differ more by what they ask for than by who answers: a call of
+// a tenth of a second and a search of half a second may run side by side. So what is
+// usual is learned for each route, from its own good answers, and no part of it is a
+// constant of one fleet.
+//
+// A Pace is the aggregate of one route at one daemon. It takes durations and gives
+// durations; it has no clock, goroutine or socket. It is safe for concurrent use.
+//
+// # Usage
+//
+//	p := pace.New()
+//	p.Good(180 * time.Millisecond)         // for each good answer
+//	late := p.Late(400 * time.Millisecond) // the route's target
+//
+// # Rules
+//
+//   - Durations are counted in classes that grow by an eighth each, so that a quantile is
+//     known to that precision in a fixed space. Old counts fade: of Memory answers the
+//     half that came first weighs half.
+//   - A request is late once it has run longer than nearly all good answers did. It is
+//     late earlier if a second copy could otherwise not be back within the target, but
+//     not before it has run longer than most.
+//   - Until enough answers are known, a request is late after half of its target.
+package pace
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// shortest is the upper bound of the first class.
+	shortest = time.Millisecond
+	// classes is how many there are; the last takes what is longer. Source: 1 ms times
+	// 1.125 to the 120th is 23 minutes.
+	classes = 120
+	// growth is how much longer the bound of a class is than that of the one before.
+	growth = 1.125
+	// Memory is how many answers are counted before all counts are halved. Source: some
+	// minutes of a route at one daemon of a small fleet.
+	Memory = 200
+	// enough is how many answers have to be known for a quantile to say something.
+	enough = 8
+	// most and nearly are the shares of good answers that a request has outlasted when it
+	// may be late and when it is. Source: of requests that run as long as nearly all, one
+	// in twenty would have been answered in a moment; a second copy for these is a
+	// quarter of what a service's retry limit usually allows.
+	most   = 0.75
+	nearly = 0.95
+	// middle is the quantile that a second copy is expected to take.
+	middle = 0.5
+	// untaught is the part of the target after which a request is late while too little
+	// is known: the other half is for a second copy.
+	untaught = 0.5
+)
+
+// Pace is what is known of one route's good answers.
+type Pace struct {
+	mu     sync.Mutex
+	counts [classes]float64
+	sum    float64
+}
+
+// New returns a pace of which nothing is known.
+func New() *Pace { return &Pace{} }
+
+// Good takes how long a good answer took.
+func (p *Pace) Good(took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts[classOf(took)]++
+	p.sum++
+	if p.sum >= Memory {
+		p.fade()
+	}
+}
+
+// fade halves all counts.
+func (p *Pace) fade() {
+	for i := range p.counts {
+		p.counts[i] /= 2
+	}
+	p.sum /= 2
+}
+
+// Late returns how long a request of the route runs before it is late. Without a target
+// and with too little known it returns zero: nothing is late.
+func (p *Pace) Late(target time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sum < enough {
+		return time.Duration(untaught * float64(target))
+	}
+	late := p.quantile(nearly)
+	if inTime := target - p.quantile(middle); target > 0 && inTime < late {
+		late = max(inTime, p.quantile(most))
+	}
+	return late
+}
+
+// Usual returns how long a good answer of the route usually takes, and false while too
+// little is known.
+func (p *Pace) Usual() (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sum < enough {
+		return 0, false
+	}
+	return p.quantile(middle), true
+}
+
+// quantile returns the bound below which that share of the answers lies.
+func (p *Pace) quantile(share float64) time.Duration {
+	below := 0.0
+	for class, count := range p.counts {
+		below += count
+		if below >= share*p.sum {
+			return boundOf(class)
+		}
+	}
+	return boundOf(classes - 1)
+}
+
+// classOf returns the class of a duration.
+func classOf(took time.Duration) int {
+	if took <= shortest {
+		return 0
+	}
+	class := math.Ceil(math.Log(float64(took)/float64(shortest)) / math.Log(growth))
+	return min(classes-1, int(class))
+}
+
+// boundOf returns the longest duration of a class.
+func boundOf(class int) time.Duration {
+	return time.Duration(float64(shortest) * math.Pow(growth, float64(class)))
+}
--- /dev/null
+++ b/internal/pace/pace_test.go
@@ -0,0 +1,77 @@
+package pace_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tideliftd/tidelift/internal/pace"
+)
+
+// taught returns a pace that has seen those durations, in milliseconds.
+func taught(millis ...int) *pace.Pace {
+	p := pace.New()
+	for _, m := range millis {
+		p.Good(time.Duration(m) * time.Millisecond)
+	}
+	return p
+}
+
+// times repeats a duration.
+func times(count, millis int) []int {
+	all := make([]int, count)
+	for i := range all {
+		all[i] = millis
+	}
+	return all
+}
+
+func TestLate(t *testing.T) {
+	const target = 400 * time.Millisecond
+	cases := []struct {
+		name          string
+		pace          *pace.Pace
+		target        time.Duration
+		least, atMost time.Duration
+	}{
+		{"nothing known", taught(), target, 200 * time.Millisecond, 200 * time.Millisecond},
+		{"nothing known and no target", taught(), 0, 0, 0},
+		{"longer than nearly all", taught(append(times(19, 100), 180)...), target, 100 * time.Millisecond, 115 * time.Millisecond},
+		{"a second copy can be back", taught(append(times(80, 150), times(20, 390)...)...), target, 225 * time.Millisecond, 255 * time.Millisecond},
+		{"not before it has outlasted most", taught(append(times(40, 200), times(60, 380)...)...), target, 375 * time.Millisecond, 430 * time.Millisecond},
+	}
+	for _, c := range cases {
+		if late := c.pace.Late(c.target); late < c.least || late > c.atMost {
+			t.Errorf("%s: late after %v, want %v to %v", c.name, late, c.least, c.atMost)
+		}
+	}
+}
+
+func TestWhatIsUsualFollowsTheLastAnswers(t *testing.T) {
+	p := taught(times(5*pace.Memory, 50)...)
+	for range 2 * pace.Memory {
+		p.Good(500 * time.Millisecond)
+	}
+	if usual, known := p.Usual(); !known || usual < 500*time.Millisecond {
+		t.Fatalf("usual %v, %v", usual, known)
+	}
+}
+
+// TestLateLiesAmongTheAnswers holds that a request is never late before the shortest good
+// answer nor after the longest, whatever was seen.
+func TestLateLiesAmongTheAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		millis := rapid.SliceOfN(rapid.IntRange(1, 60_000), 8, 150).Draw(t, "millis")
+		target := time.Duration(rapid.IntRange(0, 60_000).Draw(t, "target")) * time.Millisecond
+		shortest, longest := millis[0], millis[0]
+		for _, m := range millis {
+			shortest, longest = min(shortest, m), max(longest, m)
+		}
+		late := taught(millis...).Late(target)
+		const class = 1.13 // answers are known to a class
+		if late < time.Duration(shortest)*time.Millisecond || late > time.Duration(float64(longest)*class)*time.Millisecond {
+			t.Fatalf("late after %v, answers took %d to %d ms, target %v", late, shortest, longest, target)
+		}
+	})
+}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -40,7 +40,7 @@
 	Doubted           = Code{2019, "doubted", http.StatusServiceUnavailable, RanNo, "The backend server failed a moment ago; others are asked first."}
 	Busy              = Code{2020, "busy", http.StatusServiceUnavailable, RanNo, "The backend server has no free slot at this moment; the request asked not to wait for one yet."}
 	Unproven          = Code{2021, "unproven", http.StatusServiceUnavailable, RanNo, "The backend server has not shown for a while that it is well; the request asked for one that has."}
-	MovedOn           = Code{2022, "moved-on", http.StatusServiceUnavailable, RanNo, "The request waited long for a slot there, and another backend server keeps one for it."}
+	MovedOn           = Code{2022, "moved-on", http.StatusServiceUnavailable, RanNo, "The request waited long for a slot there, and a copy at another backend server was answered first."}
 	TicketUnanswered  = Code{2015, "ticket-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a ticket in time; the request was never sent."}
 )
 
@@ -50,7 +50,7 @@
 	ConnectionLost       = Code{3002, "connection-lost", http.StatusBadGateway, RanUnknown, "The connection was lost after the request had been sent."}
 	UnframedAnswer       = Code{3003, "unframed-answer", http.StatusBadGateway, RanUnknown, "The answer has neither a length nor chunks, so that a cut one would look whole."}
 	CallerGone           = Code{3004, "caller-gone", StatusCallerGone, RanUnknown, "The caller went away after the request had been sent."}
-	AttemptOverdue       = Code{3006, "attempt-overdue", http.StatusGatewayTimeout, RanUnknown, "The attempt took far longer than the service's others do, so a repeatable request was tried elsewhere."}
+	AttemptOverdue       = Code{3006, "attempt-overdue", http.StatusGatewayTimeout, RanUnknown, "The attempt took longer than nearly all of its route do, and a copy at another backend server was answered first."}
 	SpoiltAnswer         = Code{3007, "spoilt-answer", http.StatusBadGateway, RanUnknown, "The answer is not the backend server's own: its id, digest or coding is wrong."}
 	ServerFailed         = Code{3008, "server-failed", http.StatusBadGateway, RanUnknown, "The backend server answered with a status that promises that the request was not run, without saying so itself."}
 	ServerError          = Code{3009, "server-error", http.StatusBadGateway, RanUnknown, "The backend server answered that it failed; a repeatable request is tried elsewhere, and the answer is passed on if that is no better."}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -182,6 +182,7 @@
 	trial   bool
 	others  detect.Reference
 	target  time.Duration // of the request's route; zero if it is not known
+	lateAt  time.Duration // how long it runs before it has outlasted nearly all of its route; zero if that is not known
 	started time.Time
 	overdue *time.Timer
 	late    atomic.Bool
@@ -190,8 +191,9 @@
 }
 
 // begin starts the clock of the request, and of its being overdue.
-func (s *slot) begin(others detect.Reference, target time.Duration) {
-	s.target = target
+func (s *slot) begin(others detect.Reference, call hop.Call) {
+	s.target = call.Target
+	s.lateAt = call.Late
 	s.others = others
 	s.started = time.Now()
 	limit := s.server.declared.Load().rules.OverdueLimit(others.Typical)
@@ -217,9 +219,15 @@
 // failed takes a failure as evidence.
 func (s *slot) failed(failure *result.Error) {
 	s.saw.Outcome, s.seen = detect.FromResult(failure.Code)
+	if failure.Code.Number == result.CallerGone.Number && s.isLate() {
+		s.saw.Outcome, s.seen = detect.TimedOut, true // whoever asked did not wait for longer than others have to
+	}
 	s.stopClock()
 }
 
+// isLate says whether the request has outlasted nearly all others of its route.
+func (s *slot) isLate() bool { return s.lateAt > 0 && time.Since(s.started) >= s.lateAt }
+
 func (s *slot) stopClock() {
 	s.saw.Took = time.Since(s.started)
 	if s.overdue != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -197,7 +197,7 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	slot.begin(others, call.Target)
+	slot.begin(others, call)
 	response, err := s.exchange(ctx, server, call, in, began) //nolint:bodyclose // the answer carries the body to who closes it
 	if err != nil {
 		slot.failed(result.From(err))
