perf(control): declarations travel packed; a planned stop gives last answers in time

Change: long texts of revisions are packed like hosts are (control/pack.go). A twelfth of the limit before its end, callers that still wait are answered: 503 where nothing was sent, else the new code 3010 (504); the daemon has ended a twenty-fourth before.

Ruled out: an earlier last answer, which would cut work that may still end.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,7 +17,6 @@
 
 import (
 	"github.com/tideliftd/tidelift/internal/floor"
-	"github.com/tideliftd/tidelift/internal/revision"
 )
 
 // Method names a call.
@@ -110,7 +109,7 @@
 type Held struct {
 	// Revision is what the peer has in force, with its text only if that is
 	// above what was asked.
-	Revision revision.Revision `json:"revision"`
+	Revision Revision `json:"revision"`
 	// SilentMs is how long ago the peer knew the platform to answer.
 	SilentMs int64 `json:"silent_ms"`
 	// Digest is of all that the peer knows of hosts; it is left out if the asking
--- a/internal/daemon/ask.go
+++ b/internal/daemon/ask.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/control"
+	"github.com/tideliftd/tidelift/internal/revision"
 )
 
 // askTimeout bounds the question to another daemon which revision it has and what it
@@ -32,7 +33,7 @@
 	d.exchangeHosts(ctx, address, held)
 	d.notePlatform(time.Now().Add(-time.Duration(held.SilentMs) * time.Millisecond))
 	if held.Revision.Number > above.Revision {
-		d.take(held.Revision)
+		d.take(revision.Revision(held.Revision))
 	}
 	return true
 }
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -23,7 +23,7 @@
 	}
 	held.Revision.Number = current.Revision.Number
 	if current.Revision.Number > above {
-		held.Revision = current.Revision
+		held.Revision = control.Revision(current.Revision)
 	}
 	return held
 }
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -12,20 +12,30 @@
 	"github.com/tideliftd/tidelift/internal/wait"
 )
 
-// settleFor is how long a planned stop waits before it closes connections.
-const settleFor = time.Second
+const (
+	// settleFor is how long a planned stop waits before it closes connections.
+	settleFor = time.Second
+	// lastAnswersPart and endPart are the parts of a stop's limit before its end in which
+	// callers that still wait get their last answers and in which the daemon has ended.
+	// Source: whoever stops the daemon kills it at the limit. Of 6 s the one leaves half
+	// a second for the answers' way on a slow host, the other a quarter for the end.
+	lastAnswersPart = 12
+	endPart         = 24
+)
 
 // stop ends the daemon: it says that it is not ready and serves on for a while, then
 // ends callers first, then peers, then operators, each after finishing what it has
-// begun.
+// begun. Callers that still wait shortly before the limit get a last answer then.
 func (d *daemon) stop(l *listeners) error {
 	event.Log(d.config.Logger, event.DaemonStopping, "in_flight", d.ingress.InFlight())
 	d.stopping.Store(true)
 	d.ingress.Settle()
 	limits := d.live.Load().Limits
-	ctx, cancel := context.WithTimeout(context.Background(), limits.Stop)
+	ctx, cancel := context.WithTimeout(context.Background(), limits.Stop-limits.Stop/endPart)
 	defer cancel()
 	go d.forceStop(cancel)
+	lastAnswers := time.AfterFunc(limits.Stop-limits.Stop/lastAnswersPart, d.ingress.AnswerAll)
+	defer lastAnswers.Stop()
 	wait.For(ctx, limits.Unready)
 	d.takeNoMore(l)
 	d.settle(ctx)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -41,6 +41,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tideliftd/tidelift/internal/balance"
@@ -98,6 +99,8 @@
 	metrics   metrics
 	reach     *reach
 	ended     context.Context // ends with the ingress
+	answering context.Context // ends when all callers that still wait get their answers
+	answerAll context.CancelFunc
 	inFlight  atomic.Int64
 	settling  atomic.Bool // a planned stop has begun
 	stopping  atomic.Bool
@@ -140,7 +143,9 @@
 	in.reach = &reach{in: in, away: make(map[string]bool)}
 	ended, cancel := context.WithCancel(context.Background())
 	in.ended = ended
+	in.answering, in.answerAll = context.WithCancel(ended)
 	return in, func() {
+		in.answerAll()
 		cancel()
 		in.end()
 	}
@@ -225,6 +230,13 @@
 // Stop refuses new requests from now on.
 func (in *Ingress) Stop() { in.stopping.Store(true) }
 
+// AnswerAll answers at once what callers still wait for: that it was not run, where that
+// is so, and else that nothing more is known of it.
+func (in *Ingress) AnswerAll() {
+	in.Stop()
+	in.answerAll()
+}
+
 // ServeHTTP serves one caller's request.
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	in.inFlight.Add(1)
@@ -243,11 +255,12 @@
 		in.fail(w, r, started, bodyFailure(err))
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), request.deadline)
+	ctx, answered, cancel := in.untilAnswered(r.Context(), request.deadline)
 	defer cancel()
 	response, err := in.attempts(ctx, request)
+	answered()
 	if err != nil {
-		in.fail(w, r, started, err)
+		in.fail(w, r, started, lastAnswer(ctx, err))
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -257,6 +270,34 @@
 	}
 }
 
+// errStopped ends what callers still wait for at the end of a planned stop.
+var errStopped = errors.New("the daemon stops")
+
+// untilAnswered returns the context in which a request is served, which ends at its
+// deadline, or, until answered is called, when the daemon has to answer all.
+func (in *Ingress) untilAnswered(ctx context.Context, deadline time.Time) (_ context.Context, answered, end func()) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, stop := context.WithCancelCause(ctx)
+	detach := context.AfterFunc(in.answering, func() { stop(errStopped) })
+	return ctx, func() { detach() }, func() {
+		detach()
+		stop(nil)
+		cancel()
+	}
+}
+
+// lastAnswer returns the failure of a request, or what is told in its place if a planned
+// stop has ended it.
+func lastAnswer(ctx context.Context, err error) error {
+	if !errors.Is(context.Cause(ctx), errStopped) {
+		return err
+	}
+	if failure := result.From(err); failure.Code.Ran != result.RanNo {
+		return result.Wrap(result.StoppedWhileRunning, failure)
+	}
+	return result.Wrap(result.Stopping, err).WithRetryAfter(refusedRetry)
+}
+
 // requestID returns the id by which callers name the request; it may be empty.
 func (in *Ingress) requestID(r *http.Request) string {
 	header := in.callers().IDHeader
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -54,6 +54,7 @@
 	SpoiltAnswer         = Code{3007, "spoilt-answer", http.StatusBadGateway, RanUnknown, "The answer is not the backend server's own: its id, digest or coding is wrong."}
 	ServerFailed         = Code{3008, "server-failed", http.StatusBadGateway, RanUnknown, "The backend server answered with a status that promises that the request was not run, without saying so itself."}
 	ServerError          = Code{3009, "server-error", http.StatusBadGateway, RanUnknown, "The backend server answered that it failed; a repeatable request is tried elsewhere, and the answer is passed on if that is no better."}
+	StoppedWhileRunning  = Code{3010, "stopped-while-running", http.StatusGatewayTimeout, RanUnknown, "The daemon had to stop before the answer came to a request that had been sent."}
 	AnswerCut            = Code{3005, "answer-cut", http.StatusBadGateway, RanUnknown, "The answer broke off; the caller's connection was closed so that it does not look whole."}
 )
 
@@ -78,7 +79,7 @@
 		MalformedRequest, NoRoute, AmbiguousFraming, HeadersTooLarge, BodyTooLarge, BadDeadline, UpgradeRefused, ProtocolVersion,
 		NotReady, Stopping, NoneAble, QueueFull, QueueTooSlow, CustomerShare, Leaving, Ejected, PeerUnreachable, ServerUnreachable,
 		TicketExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, TicketUnanswered, PlaceLost, NotTaken, Misdirected, Doubted, Busy, Unproven, MovedOn,
-		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, SpoiltAnswer, ServerFailed, ServerError,
+		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, StoppedWhileRunning, SpoiltAnswer, ServerFailed, ServerError,
 		BadDeclaration, RevisionChanged, PlatformDown, NotDeclared, ChangeUnknown, ValueTooLarge, MalformedCall, PeerSilent, ChangeIDReused, TokenRefused, RoleRefused,
 	}
 }
