feat(admission): a crowded queue refuses at once what would miss its aim; stuck slots are not counted on

And a slot whose request hung was counted on like any other, so that waits were promised that nobody could keep.

Change: where more wait than there are slots, a request that would be answered after its aim, by the time that its route usually takes (package pace), is refused when it comes; ingress.patientPart is gone. A running request that has outlasted nearly all of its route is told to the queue, which leaves its slot out of the predicted wait (late.go).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -20,7 +20,9 @@
 //
 //   - A free slot is given at once.
 //   - A request that could not start before its deadline, by the time that
-//     recent requests took, is refused at once.
+//     recent requests took, is refused at once. So is one that would come too late for
+//     its aim where more wait than there are slots: its slot is better given to one that
+//     can still be in time, and its caller knows at once.
 //   - The most urgent wait least: of two that wait the one of the lower priority
 //     number is served first, but for one grant in UrgentGrants, so that nobody
 //     starves. It may take the place of another that has just come.
@@ -94,8 +96,8 @@
 	Priority int
 	// Aim is when the answer should be there; zero says nothing of it.
 	Aim time.Time
-	// Patience is until when it waits in a crowded queue; zero says nothing of it.
-	Patience time.Time
+	// Usual is how long its answer usually takes; zero if that is not known.
+	Usual time.Duration
 	// Deadline is when the answer has to be there.
 	Deadline time.Time
 }
@@ -113,6 +115,7 @@
 type Queue struct {
 	config      Config
 	running     int
+	stuck       int // of the running ones, those that have outlasted nearly all others
 	waiting     int
 	lines       []*line                // the most urgent first
 	seen        [bucketCount]time.Time // when a customer of the bucket last asked
@@ -157,6 +160,9 @@
 	if now.Add(q.wait(q.before(r.Priority) + 1)).After(r.Deadline) {
 		return Decision{Verdict: RefusedLate, RetryAfter: q.RetryAfter()}
 	}
+	if q.waiting >= q.config.Slots && q.missesAim(now.Add(q.wait(q.before(r.Priority)+1)), r) {
+		return Decision{Verdict: RefusedLate, RetryAfter: q.RetryAfter()}
+	}
 	if q.waiting >= q.config.Depth {
 		return q.offerFull(now, bucket, r)
 	}
@@ -167,6 +173,16 @@
 	return Decision{Verdict: Queued}
 }
 
+// missesAim says whether the request, run from then on, is answered after its aim if it
+// takes as long as usual.
+func (q *Queue) missesAim(from time.Time, r Request) bool {
+	usual := r.Usual
+	if usual == 0 {
+		usual = q.serviceTime
+	}
+	return !r.Aim.IsZero() && from.Add(usual).After(r.Aim)
+}
+
 // before returns how many wait that are served before one of that priority.
 func (q *Queue) before(priority int) int {
 	waiting := 0
@@ -187,15 +203,23 @@
 	return q.lines[at]
 }
 
-// wait returns how long the request at that place in the queue waits.
+// wait returns how long the request at that place in the queue waits. Nobody knows when a
+// slot that is stuck comes free, so the others alone are counted on.
 func (q *Queue) wait(place int) time.Duration {
 	over := q.running + place - q.config.Slots
 	if over <= 0 {
 		return 0
 	}
-	return time.Duration(over) * q.serviceTime / time.Duration(q.config.Slots)
+	moving := max(1, q.config.Slots-q.stuck)
+	return time.Duration(over) * q.serviceTime / time.Duration(moving)
 }
 
+// Stuck takes it that a running request has outlasted nearly all others of its kind.
+func (q *Queue) Stuck() { q.stuck++ }
+
+// Unstuck takes it that one of these has ended.
+func (q *Queue) Unstuck() { q.stuck = max(0, q.stuck-1) }
+
 // push adds a request to the line of its priority.
 func (q *Queue) push(now time.Time, bucket int, r Request) {
 	q.line(r.Priority).push(now, bucket, r)
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -209,3 +209,51 @@
 		q.Done(start, time.Millisecond)
 	}
 }
+
+// TestACrowdedQueueRefusesWhatMissesItsAim holds that a request which would come after its
+// aim is refused at once where more wait than there are slots, and waits where few do.
+func TestACrowdedQueueRefusesWhatMissesItsAim(t *testing.T) {
+	now := time.Now()
+	q := admission.NewQueue(admission.Config{Slots: 2, Depth: 100})
+	offer := func(id uint64, aim time.Duration) admission.Verdict {
+		return q.Offer(now, admission.Request{
+			ID: id, Aim: now.Add(aim), Usual: 400 * time.Millisecond, Deadline: now.Add(time.Minute),
+		}).Verdict
+	}
+	for id := range uint64(4) {
+		if verdict := offer(id+1, 100*time.Millisecond); verdict != admission.Granted && verdict != admission.Queued {
+			t.Fatalf("request %d of a short queue: %s", id+1, verdict)
+		}
+	}
+	if verdict := offer(5, 100*time.Millisecond); verdict != admission.RefusedLate {
+		t.Fatalf("a request that comes after its aim: %s", verdict)
+	}
+	if verdict := offer(6, 10*time.Second); verdict != admission.Queued {
+		t.Fatalf("a request that is in time: %s", verdict)
+	}
+	if late := q.Expire(now.Add(time.Second)); len(late) != 1 || late[0] != 3 {
+		t.Fatalf("%v left, want the oldest that comes too late, after which the queue is not crowded", late)
+	}
+}
+
+// TestStuckSlotsAreNotCountedOn holds that a wait is as long as the slots that move make
+// it.
+func TestStuckSlotsAreNotCountedOn(t *testing.T) {
+	now := time.Now()
+	q := admission.NewQueue(admission.Config{Slots: 4, Depth: 100})
+	for id := range uint64(6) {
+		q.Offer(now, admission.Request{ID: id + 1, Deadline: now.Add(time.Minute)})
+	}
+	all := q.RetryAfter()
+	q.Stuck()
+	q.Stuck()
+	if half := q.RetryAfter(); half != 2*all {
+		t.Fatalf("with half of the slots stuck a wait takes %v, %v before", half, all)
+	}
+	q.Unstuck()
+	q.Unstuck()
+	q.Unstuck() // one more than there are
+	if again := q.RetryAfter(); again != all {
+		t.Fatalf("a wait takes %v once none is stuck, %v before", again, all)
+	}
+}
--- a/internal/admission/remove.go
+++ b/internal/admission/remove.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// Expire takes out the waiting requests that have no hope or, in a crowded queue,
-// no patience left, and returns them. A queue is crowded while more wait than
+// Expire takes out the waiting requests that have no hope or, in a crowded queue, come
+// too late for their aim, and returns them. A queue is crowded while more wait than
 // there are slots.
 func (q *Queue) Expire(now time.Time) []uint64 {
 	return q.remove(func(r Request) bool {
-		impatient := !r.Patience.IsZero() && now.After(r.Patience) && q.waiting > q.config.Slots
-		return impatient || q.isHopeless(now, r)
+		tooLate := q.waiting > q.config.Slots && q.missesAim(now, r)
+		return tooLate || q.isHopeless(now, r)
 	})
 }
 
--- a/internal/hop/call.go
+++ b/internal/hop/call.go
@@ -17,9 +17,8 @@
 	// Late is how long a request of the route runs before it has outlasted nearly all
 	// others; zero if that is not known.
 	Late time.Duration
-	// Patience is how long it may wait in a crowded queue; zero or less if it may
-	// not.
-	Patience time.Duration
+	// Usual is how long an answer of the route usually takes; zero if it is not known.
+	Usual time.Duration
 	// Customer is who the request is for; it may be empty.
 	Customer string
 	// Once says that the request must not run more than once.
--- a/internal/hop/encode.go
+++ b/internal/hop/encode.go
@@ -21,7 +21,7 @@
 	Aim           int64
 	Target        int64
 	Late          int64
-	Patience      int64
+	Usual         int64
 	Priority      int
 	Customer      string
 	Ticket        string
@@ -51,7 +51,7 @@
 		Aim:           leftOf(c.Aim),
 		Target:        leftOf(c.Target),
 		Late:          leftOf(c.Late),
-		Patience:      leftOf(c.Patience),
+		Usual:         leftOf(c.Usual),
 		Priority:      c.Priority,
 		Customer:      c.Customer,
 		Ticket:        c.Ticket,
@@ -110,7 +110,7 @@
 		Aim:           micros(w.Aim),
 		Target:        micros(w.Target),
 		Late:          micros(w.Late),
-		Patience:      micros(w.Patience),
+		Usual:         micros(w.Usual),
 		Priority:      w.Priority,
 		Customer:      w.Customer,
 		Ticket:        w.Ticket,
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -13,7 +13,7 @@
 //	...
 //	call, err := hop.Decode(request.Header)
 //
-// Units: the time left, the aim, the patience and the wait for a slot are in
+// Units: times and the wait for a slot are in
 // microseconds on the wire, when to come back in milliseconds; a load of 1 means that
 // every slot is taken.
 //
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -12,7 +12,7 @@
 	want := hop.Call{
 		BackendServer: "csepel/lookup-1", TimeLeft: 1500 * time.Millisecond, Customer: "county-7", Once: true,
 		WantTicket: true, Ticket: "t", Reference: "1,2,3,4,5", Origin: "records", Priority: 2, Insist: true, NoWait: true,
-		Proven: true, Host: "csepel-1", Aim: 500 * time.Millisecond, Target: 800 * time.Millisecond, Patience: 700 * time.Millisecond,
+		Proven: true, Host: "csepel-1", Aim: 500 * time.Millisecond, Target: 800 * time.Millisecond, Usual: 700 * time.Millisecond,
 		Late: 300 * time.Millisecond,
 	}
 	h := http.Header{}
@@ -62,7 +62,7 @@
 	h := http.Header{}
 	call := hop.Call{
 		BackendServer: "i-7f3a91c2", TimeLeft: 1500 * time.Millisecond, Aim: 500 * time.Millisecond, Target: 800 * time.Millisecond,
-		Patience: 700 * time.Millisecond, Once: true, WantTicket: true, NoWait: true, Proven: true, Origin: "huvo11a",
+		Usual: 700 * time.Millisecond, Once: true, WantTicket: true, NoWait: true, Proven: true, Origin: "huvo11a",
 		Host: "sidecar-angyalfold-1",
 	}
 	if err := call.Encode(h); err != nil {
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -17,11 +17,6 @@
 // notReadyRetry is when to come back to a daemon without a declaration.
 const notReadyRetry = time.Second
 
-// patientPart is the part of its time that a request waits in a crowded queue.
-// Source: whoever is refused in the first half of its time can still do something
-// else; the rest is for the refusal's way.
-const patientPart = 0.45
-
 // request is a caller's request with what the declaration says of it.
 type request struct {
 	*http.Request
@@ -29,7 +24,6 @@
 	name     string
 	began    time.Time
 	aim      time.Time // until when an answer is worth most
-	patient  time.Time // until when it waits in a crowded queue
 	deadline time.Time
 	customer string
 	once     bool
@@ -42,6 +36,13 @@
 // late returns how long an attempt runs before it is late; zero if none is.
 func (r *request) late() time.Duration { return r.pace.Late(r.aim.Sub(r.began)) }
 
+// usual returns how long an answer to the request usually takes; zero if that is not
+// known.
+func (r *request) usual() time.Duration {
+	usual, _ := r.pace.Usual()
+	return usual
+}
+
 // admit finds the service, the deadline and the customer of a request.
 func (in *Ingress) admit(w http.ResponseWriter, r *http.Request, now time.Time) (*request, error) {
 	current, e := in.ready()
@@ -75,7 +76,6 @@
 		name:     name,
 		began:    now,
 		aim:      now.Add(min(match.Target, left)),
-		patient:  now.Add(time.Duration(patientPart * float64(left))),
 		deadline: now.Add(left),
 		customer: r.Header.Get(callers.CustomerHeader),
 		once:     !match.Repeatable(r.Method),
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -96,7 +96,7 @@
 	if r.body.Spent() {
 		return false
 	}
-	if retry.IsFull(story.last.Code) && time.Now().After(r.patient) {
+	if retry.IsFull(story.last.Code) && time.Now().After(r.aim) {
 		return false // the others are as full, and it has waited for its time
 	}
 	decision := retry.Decide(retry.Attempt{Sent: story.sent, Most: r.attempts, Full: story.full, Once: r.once, Err: story.last})
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -34,7 +34,7 @@
 		BackendServer: c.target.Name,
 		TimeLeft:      time.Until(r.deadline),
 		Aim:           time.Until(r.aim),
-		Patience:      time.Until(r.patient),
+		Usual:         r.usual(),
 		Target:        r.aim.Sub(r.began),
 		Late:          r.late(),
 		Customer:      r.customer,
--- /dev/null
+++ b/internal/sidecar/late.go
@@ -0,0 +1,52 @@
+package sidecar
+
+import (
+	"sync"
+	"time"
+)
+
+// lateWatch tells a server's task when a running request has outlasted nearly all others
+// of its route, and when that one has ended. The task hears of the one before the other.
+type lateWatch struct {
+	server *server
+	timer  *time.Timer
+
+	mu    sync.Mutex
+	told  bool // the task knows that the request is late
+	ended bool
+}
+
+// begin starts the watch over a request that is late after so long; zero if that is not
+// known.
+func (w *lateWatch) begin(s *server, after time.Duration) {
+	if after <= 0 {
+		return
+	}
+	w.server = s
+	w.timer = time.AfterFunc(after, w.tell)
+}
+
+// tell tells the task that the request is late, unless it has ended.
+func (w *lateWatch) tell() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return
+	}
+	w.told = true
+	w.server.send(lateMessage{})
+}
+
+// end ends the watch.
+func (w *lateWatch) end() {
+	if w.timer == nil {
+		return
+	}
+	w.timer.Stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	if w.told {
+		w.server.send(lateMessage{ended: true})
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -117,7 +117,7 @@
 		Customer: call.Customer,
 		Priority: call.Priority,
 		Aim:      deadline.Add(call.Aim - call.TimeLeft),
-		Patience: deadline.Add(call.Patience - call.TimeLeft),
+		Usual:    call.Usual,
 		Deadline: deadline,
 	}
 	reply := make(chan grant, 1)
@@ -185,9 +185,10 @@
 	lateAt  time.Duration // how long it runs before it has outlasted nearly all of its route; zero if that is not known
 	started time.Time
 	overdue *time.Timer
-	late    atomic.Bool
-	seen    bool
-	saw     detect.Observation
+	lateWatch
+	late atomic.Bool
+	seen bool
+	saw  detect.Observation
 }
 
 // begin starts the clock of the request, and of its being overdue.
@@ -196,6 +197,7 @@
 	s.lateAt = call.Late
 	s.others = others
 	s.started = time.Now()
+	s.lateWatch.begin(s.server, call.Late)
 	limit := s.server.declared.Load().rules.OverdueLimit(others.Typical)
 	if limit > 0 {
 		s.overdue = time.AfterFunc(limit, s.reportOverdue)
@@ -233,6 +235,7 @@
 	if s.overdue != nil {
 		s.overdue.Stop()
 	}
+	s.lateWatch.end()
 	s.saw.WasOverdue = s.late.Load()
 	s.saw.PastTarget = s.target > 0 && s.saw.Took > s.target
 	if s.seen && !s.trial {
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -109,6 +109,15 @@
 	}
 }
 
+// noteLate counts the slots of which nobody knows when they come free.
+func (t *task) noteLate(m lateMessage) {
+	if m.ended {
+		t.queue.Unstuck()
+		return
+	}
+	t.queue.Stuck()
+}
+
 // settle answers waiting requests: those that got a slot, and those whose deadline
 // is too near to run.
 func (t *task) settle(now time.Time, granted, late []uint64) {
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -86,6 +86,8 @@
 		t.offer(now, m)
 	case observeMessage:
 		t.observe(now, m)
+	case lateMessage:
+		t.noteLate(m)
 	case releaseMessage:
 		t.release(now, m)
 	case cancelMessage:
