feat(doubt): a backend server that seems to hang is seen by its late requests

Cause: a request that had run for 40 ms counted as proof that a backend server was well, a constant learned from one customer's backend servers, which break connections. Where they hang, each request that they swallow proved them well again.

Change: the age of the last proof, and with it provenWithin (150 ms), unprovenFor (500 ms) and the beginnings that were remembered, is replaced by what late requests show: one that began after the last that was answered well has outlasted nearly all others of its route. Requests that ask for a proof are refused until a later one is answered well.

--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -8,12 +8,11 @@
 // finds out whether it is well again, and one that nobody else takes is sent
 // all the same.
 //
-// It also knows how old the last proof is that the backend server is well: a good
-// answer, or a request that it has been working on for a moment. Requests that
-// must not run twice are best sent where that is young, since whoever is first to
-// meet a backend server that has just begun to fail is lost.
+// It also knows whether the backend server seems to hang: a request has run longer than
+// nearly all others of its route do, and no later one has been answered well. Requests that
+// must not run twice are best sent elsewhere then, long before the late one ends.
 //
-// Doubt and its end are in doubt.go, the age of the last proof in proof.go.
+// Doubt and its end are in doubt.go, hanging in proof.go.
 //
 // A Doubt is the aggregate of one backend server. It takes outcomes and the time;
 // it has no clock, goroutine or socket. The sidecar's task owns it.
@@ -23,7 +22,7 @@
 //	d := doubt.New()
 //	d.Bad(now, doubt.Broken)
 //	if d.Doubted() && d.MayProbe(now) { d.Probe(now) }
-//	d.Good(now)
+//	d.Good(now, began)
 package doubt
 
 import "time"
@@ -61,6 +60,10 @@
 	// with two in a row one such time in four ended the doubt too early, with
 	// three one in thirty.
 	proofs = 3
+	// survives is how long a probe has to run to outlive connections that break. Source:
+	// one that a failing backend server breaks is broken within milliseconds; a ticket's
+	// request comes a round trip after its slot was granted.
+	survives = 40 * time.Millisecond
 	// firstPause and longestPause bound the time between probes; each that fails
 	// doubles it. Source: failing probes are retries, which are a fifth of the
 	// requests at most; a server that is well again should not wait for seconds.
@@ -104,7 +107,6 @@
 // Bad takes a bad outcome of that weight and says whether doubt begins with it.
 func (d *Doubt) Bad(now time.Time, weight float64) bool {
 	d.sum += weight
-	d.proof = proof{}
 	d.broke = weight >= Broken
 	d.probed = time.Time{}
 	d.survived = 0
@@ -127,10 +129,11 @@
 	d.next = now.Add(pause)
 }
 
-// Good takes a good answer and says whether doubt ends with it.
-func (d *Doubt) Good(now time.Time) bool {
+// Good takes a good answer to a request that began then and says whether doubt ends with
+// it.
+func (d *Doubt) Good(now, began time.Time) bool {
 	d.sum *= fade
-	d.proof.lastGood = now
+	d.proof.goodSince(began)
 	if !d.doubted {
 		return false
 	}
--- a/internal/sidecar/doubt.go
+++ b/internal/sidecar/doubt.go
@@ -11,17 +11,6 @@
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
-const (
-	// provenWithin is how old the last proof may be for requests that ask for one.
-	// Source: a backend server gets some six requests a second, so that about half
-	// have a proof that young.
-	provenWithin = 150 * time.Millisecond
-	// unprovenFor is how long a backend server without a new proof refuses requests
-	// that ask for one, from the first that does. Source: where there are repeatable
-	// requests one comes within it.
-	unprovenFor = 500 * time.Millisecond
-)
-
 // admitDoubted says whether a doubted backend server takes the request: one that
 // nobody else takes, or a repeatable one that finds out how it does.
 func (t *task) admitDoubted(now time.Time, m offerMessage) *result.Error {
@@ -41,7 +30,7 @@
 	switch saw.Outcome {
 	case detect.OK:
 		if !saw.WasOverdue && !saw.PastTarget {
-			t.noteGood(now)
+			t.noteGood(now, now.Add(-saw.Took))
 			return
 		}
 		weight = doubt.Slow
@@ -69,29 +58,15 @@
 	}
 }
 
-// noteGood takes a good answer in good time.
-func (t *task) noteGood(now time.Time) {
-	if t.doubt.Good(now) {
+// noteGood takes a good answer in good time to a request that began then.
+func (t *task) noteGood(now, began time.Time) {
+	if t.doubt.Good(now, began) {
 		t.trust(now)
 	}
 }
 
-// isUnproven says whether the last proof that the backend server is well is old. It
-// is no reason to refuse for long: then nobody else would make a new one.
-func (t *task) isUnproven(now time.Time) bool {
-	if t.doubt.Doubted() || t.doubt.ProofAge(now) <= provenWithin {
-		t.unproven = time.Time{}
-		return false
-	}
-	if t.unproven.IsZero() {
-		t.unproven = now
-	}
-	return now.Sub(t.unproven) < unprovenFor
-}
-
 // began takes it that a request was given a slot.
 func (t *task) began(now time.Time) {
-	t.doubt.Began(now)
 	if t.doubt.Doubted() {
 		t.doubt.Probe(now)
 		t.log(event.ServerProbed, "good", t.doubt.GoodInARow())
--- a/internal/sidecar/late.go
+++ b/internal/sidecar/late.go
@@ -9,6 +9,7 @@
 // of its route, and when that one has ended. The task hears of the one before the other.
 type lateWatch struct {
 	server *server
+	began  time.Time
 	timer  *time.Timer
 
 	mu    sync.Mutex
@@ -23,6 +24,7 @@
 		return
 	}
 	w.server = s
+	w.began = time.Now()
 	w.timer = time.AfterFunc(after, w.tell)
 }
 
@@ -34,7 +36,7 @@
 		return
 	}
 	w.told = true
-	w.server.send(lateMessage{})
+	w.server.send(lateMessage{began: w.began})
 }
 
 // end ends the watch.
--- a/internal/sidecar/messages.go
+++ b/internal/sidecar/messages.go
@@ -74,7 +74,10 @@
 	}
 	// lateMessage says that a running request has outlasted nearly all others of its
 	// route, or, if it has ended, that it had.
-	lateMessage    struct{ ended bool }
+	lateMessage struct {
+		began time.Time
+		ended bool
+	}
 	releaseMessage struct {
 		took   time.Duration
 		trial  bool
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -26,7 +26,7 @@
 		m.reply <- grant{err: refused}
 		return
 	}
-	if m.call.Proven && t.isUnproven(now) {
+	if m.call.Proven && t.doubt.Hanging() {
 		m.reply <- grant{err: result.New(result.Unproven)}
 		return
 	}
@@ -109,13 +109,15 @@
 	}
 }
 
-// noteLate counts the slots of which nobody knows when they come free.
+// noteLate counts the slots of which nobody knows when they come free, and takes it that
+// the backend server may hang.
 func (t *task) noteLate(m lateMessage) {
 	if m.ended {
 		t.queue.Unstuck()
 		return
 	}
 	t.queue.Stuck()
+	t.doubt.Late(m.began)
 }
 
 // settle answers waiting requests: those that got a slot, and those whose deadline
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -31,7 +31,6 @@
 	selfDrainUntil time.Time // until when its own word that it is leaving counts
 	trying         bool      // a trial request runs
 	doubt          *doubt.Doubt
-	unproven       time.Time       // since when requests that ask for a proof are refused; zero if they are not
 	turnedAway     map[string]bool // hosts whose requests were refused for doubt
 }
 
