feat(nested): calls of running requests are learned, go first and are not refused for being late

Nothing on a request says that a backend server calls for another one.

Change: package nested learns it. A failure of a request that began on a host is followed at once by a failed answer of the backend server there, if that sent it; the hosts of a service tell each other what they see, and three such failures at any of them are enough. Calls go before new work in a queue and wait until their deadline in place of their aim.

Ruled out: reading it from ids or addresses, which nobody promises; an exemption for all repeatable requests, or by the length of the work, which do not tell calls from searches.

Tests: package nested, chance included (at most one host of 25 errs).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,6 +17,7 @@
 
 import (
 	"github.com/tideliftd/tidelift/internal/floor"
+	"github.com/tideliftd/tidelift/internal/nested"
 )
 
 // Method names a call.
@@ -35,6 +36,9 @@
 	// MethodTrusted tells that backend servers of another host are no longer
 	// doubted.
 	MethodTrusted Method = "ingress.trusted"
+	// MethodNested tells a daemon what was seen of routes that the backend servers of its
+	// service may call, and asks which of them it knows to be called.
+	MethodNested Method = "ingress.nested"
 	// MethodHost tells a daemon what the platform's list says of its host.
 	MethodHost Method = "sidecar.host"
 	// MethodNotice tells that there is a revision; MethodRevision asks which one
@@ -65,6 +69,19 @@
 	Names []string `json:"names"`
 }
 
+// Nested is the parameter of MethodNested.
+type Nested struct {
+	// Service is whose backend servers may call the routes.
+	Service string            `json:"service"`
+	Seen    []nested.Evidence `json:"seen"`
+}
+
+// Known answers MethodNested.
+type Known struct {
+	// Routes are those that the one asked knows to be called.
+	Routes []nested.Route `json:"routes,omitempty"`
+}
+
 // Trusted is the parameter of MethodTrusted.
 type Trusted struct {
 	Names []string `json:"names"`
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -26,6 +26,8 @@
 		return done{}, nil
 	case control.MethodTrusted:
 		return d.callTrusted(params)
+	case control.MethodNested:
+		return d.callNested(params)
 	case control.MethodHost:
 		return d.callHost(params)
 	case control.MethodNotice:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,6 +36,7 @@
 //	record.go   this host's record in the store, and the others' at the start
 //	news.go     tells others of hosts
 //	digest.go   finds what two daemons know differently of hosts
+//	nested.go   tells others which routes backend servers call
 //	gone.go     takes a silent host for gone
 package daemon
 
@@ -179,7 +180,10 @@
 	d.atEnd(cleanUp)
 	d.peers, cleanUp = control.NewClient(control.ClientConfig{TLS: d.clientTLS()})
 	d.atEnd(cleanUp)
-	d.sidecar, cleanUp = sidecar.New(sidecar.Config{Host: s.Name, Logger: d.config.Logger, Scope: metrics.Scope, Peer: d.sidecarPeer()})
+	d.sidecar, cleanUp = sidecar.New(sidecar.Config{
+		Host: s.Name, Logger: d.config.Logger, Scope: metrics.Scope,
+		Answered: func(good bool) { d.ingress.ServerAnswered(good) }, Peer: d.sidecarPeer(),
+	})
 	d.atEnd(cleanUp)
 	d.ingress, cleanUp = ingress.New(ingress.Config{
 		Host:        s.Name,
@@ -193,6 +197,7 @@
 		LocalTicket: d.sidecar.Ticket,
 		Ping:        d.ping,
 		Silent:      d.checkGone,
+		Nested:      d.tellNested,
 	})
 	d.atEnd(cleanUp)
 	d.buildLedger()
--- /dev/null
+++ b/internal/daemon/nested.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"github.com/tideliftd/tidelift/internal/control"
+	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/nested"
+)
+
+// maxNestedTold bounds how many hosts are told of a route. Source: a service has some forty
+// backend servers at the size to design for; whoever is not told finds it out itself.
+const maxNestedTold = 64
+
+// tellNested tells the other hosts of this one's service what was seen of routes that its
+// backend servers may call. One that does not hear it finds it out itself.
+func (d *daemon) tellNested(seen []nested.Evidence) {
+	told := control.Nested{Service: d.config.Settings.Service, Seen: seen}
+	for _, host := range d.hostsOfService(told.Service) {
+		go d.tellNestedTo(host, told)
+	}
+}
+
+// tellNestedTo tells one host, and learns from it what it knows already.
+func (d *daemon) tellNestedTo(host fleet.Host, told control.Nested) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	var known control.Known
+	if err := d.peers.Call(ctx, d.controlOf(host), control.MethodNested, told, &known); err != nil {
+		event.Log(d.config.Logger, event.PeerSilent, "address", d.controlOf(host), "call", control.MethodNested, "error", err)
+		return
+	}
+	d.ingress.LearnNested(known.Routes)
+}
+
+// hostsOfService returns the other hosts with a backend server of the service, up to
+// maxNestedTold.
+func (d *daemon) hostsOfService(service string) []fleet.Host {
+	current := d.inForce.Load()
+	if current == nil || service == "" {
+		return nil
+	}
+	declared, _ := current.Index.Service(service)
+	var hosts []fleet.Host
+	for _, b := range declared.BackendServers {
+		host, known := current.Index.Host(b.Host)
+		told := slices.ContainsFunc(hosts, func(h fleet.Host) bool { return h.Name == b.Host })
+		if known && !told && b.Host != d.config.Settings.Name && len(hosts) < maxNestedTold {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// callNested takes what another host has seen of the calls of this one's service.
+func (d *daemon) callNested(params json.RawMessage) (any, error) {
+	var told control.Nested
+	if err := decode(params, &told); err != nil {
+		return nil, err
+	}
+	if told.Service != d.config.Settings.Service {
+		return control.Known{}, nil
+	}
+	return control.Known{Routes: d.ingress.HearNested(told.Seen)}, nil
+}
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -9,6 +9,7 @@
 
 	"github.com/tideliftd/tidelift/internal/body"
 	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/nested"
 	"github.com/tideliftd/tidelift/internal/pace"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/route"
@@ -23,18 +24,24 @@
 	service  *service
 	name     string
 	began    time.Time
-	aim      time.Time // until when an answer is worth most
+	target   time.Duration // within which an answer is worth most
+	aim      time.Time     // until when it may wait in a crowded queue
 	deadline time.Time
 	customer string
 	once     bool
 	attempts int // the most backend servers it may be sent to
 	priority int
 	body     *body.Body
+	route    nested.Route
 	pace     *pace.Pace // of its route
 }
 
+// nestedPriority is the rank of what a backend server calls while it runs a request: before
+// all new work, since a refusal wastes the work on that request.
+const nestedPriority = -1
+
 // late returns how long an attempt runs before it is late; zero if none is.
-func (r *request) late() time.Duration { return r.pace.Late(r.aim.Sub(r.began)) }
+func (r *request) late() time.Duration { return r.pace.Late(r.target) }
 
 // usual returns how long an answer to the request usually takes; zero if that is not
 // known.
@@ -70,11 +77,12 @@
 	// The attempts change the body. net/http must keep its own request as it
 	// was, since by its body it knows whether the caller waits for 100 Continue.
 	own := *r
-	return &request{
+	admitted := &request{
 		Request:  &own,
 		service:  current.services[name],
 		name:     name,
 		began:    now,
+		target:   min(match.Target, left),
 		aim:      now.Add(min(match.Target, left)),
 		deadline: now.Add(left),
 		customer: r.Header.Get(callers.CustomerHeader),
@@ -82,8 +90,14 @@
 		attempts: match.Attempts,
 		priority: match.Priority,
 		body:     body.New(w, r, match.MaxBody),
+		route:    nested.Route{Host: match.Host, Path: match.Path},
 		pace:     in.paces.of(match),
-	}, nil
+	}
+	if in.nested.Is(admitted.route) {
+		admitted.aim = admitted.deadline
+		admitted.priority = nestedPriority
+	}
+	return admitted, nil
 }
 
 // ready returns the state in force, unless the daemon is stopping or has none.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -22,6 +22,7 @@
 //	send     passes the request to the backend server's sidecar       (send.go)
 //	learn    takes what became of an attempt as evidence              (learn.go, judge.go)
 //	answer   passes the answer on                                     (ingress.go)
+//	nested   learns which routes backend servers of this host call    (nested.go)
 //	refuse   answers with the failure, its code and when to come back (refuse.go)
 //
 // Beside requests, the daemons of hosts that cannot be reached are asked until they
@@ -50,6 +51,7 @@
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/metric"
+	"github.com/tideliftd/tidelift/internal/nested"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/sidecar"
 )
@@ -85,6 +87,9 @@
 	Ping func(context.Context, fleet.Host) error
 	// Silent is told of a host that has not answered for long.
 	Silent func(fleet.Host)
+	// Nested is told what is seen of routes that the backend servers of this host may
+	// call; nil if nobody is told.
+	Nested func([]nested.Evidence)
 	// Local runs a request on a backend server of the daemon's own host.
 	Local func(context.Context, hop.Call, *http.Request) (sidecar.Answer, error)
 	// LocalTicket keeps a slot of a backend server of the daemon's own host.
@@ -105,7 +110,8 @@
 	settling  atomic.Bool // a planned stop has begun
 	stopping  atomic.Bool
 
-	paces paces
+	paces  paces
+	nested *nested.Tracker
 
 	mu    sync.Mutex // serialises Reconfigure
 	state atomic.Pointer[state]
@@ -140,6 +146,7 @@
 			seconds:  config.Scope.Histogram("ingress_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)),
 		},
 	}
+	in.nested = nested.New()
 	in.reach = &reach{in: in, away: make(map[string]bool)}
 	ended, cancel := context.WithCancel(context.Background())
 	in.ended = ended
@@ -260,7 +267,9 @@
 	response, err := in.attempts(ctx, request)
 	answered()
 	if err != nil {
-		in.fail(w, r, started, lastAnswer(ctx, err))
+		failure := lastAnswer(ctx, err)
+		in.noteFailed(request, failure)
+		in.fail(w, r, started, failure)
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
--- /dev/null
+++ b/internal/ingress/nested.go
@@ -0,0 +1,74 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/nested"
+	"github.com/tideliftd/tidelift/internal/result"
+)
+
+// noteFailed takes it that a request got no answer, which may fail a backend server of this
+// host that sent it. One whose caller has gone away failed before.
+func (in *Ingress) noteFailed(r *request, err error) {
+	if code := result.From(err).Code; code.Status != result.StatusCallerGone {
+		in.nested.Failed(time.Now(), r.route)
+	}
+}
+
+// ServerAnswered takes an answer of a backend server of this host: a good one, or one that
+// says that it failed.
+func (in *Ingress) ServerAnswered(good bool) {
+	news := in.nested.Answered(time.Now(), good)
+	for _, e := range news {
+		if in.nested.Is(e.Route) {
+			in.logNested(e.Route)
+		}
+	}
+	if len(news) > 0 && in.config.Nested != nil {
+		in.config.Nested(news)
+	}
+}
+
+// HearNested takes what another host of the same service saw of routes that its backend
+// servers may call, and returns those that are known to be called.
+func (in *Ingress) HearNested(told []nested.Evidence) []nested.Route {
+	var known []nested.Route
+	for _, e := range told {
+		before := in.nested.Is(e.Route)
+		if !in.nested.Hear(e) {
+			continue
+		}
+		known = append(known, e.Route)
+		if !before {
+			in.logNested(e.Route)
+		}
+	}
+	return known
+}
+
+// LearnNested takes it from another host of the same service that the routes are called by
+// its backend servers.
+func (in *Ingress) LearnNested(routes []nested.Route) {
+	for _, route := range routes {
+		if !in.nested.Is(route) {
+			in.nested.Learn(route)
+			in.logNested(route)
+		}
+	}
+}
+
+// logNested leaves a line on a route that is known to be called from now on.
+func (in *Ingress) logNested(route nested.Route) {
+	event.Log(in.config.Logger, event.RouteNested, "service", in.config.Service, "host", route.Host, "path", route.Path)
+}
+
+// keepNested forgets the routes that are not declared any more.
+func (in *Ingress) keepNested(routes []fleet.Route) {
+	declared := make(map[nested.Route]bool, len(routes))
+	for _, r := range routes {
+		declared[nested.Route{Host: r.Host, Path: r.Path}] = true
+	}
+	in.nested.Keep(func(route nested.Route) bool { return declared[route] })
+}
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -35,7 +35,7 @@
 		TimeLeft:      time.Until(r.deadline),
 		Aim:           time.Until(r.aim),
 		Usual:         r.usual(),
-		Target:        r.aim.Sub(r.began),
+		Target:        r.target,
 		Late:          r.late(),
 		Customer:      r.customer,
 		Once:          r.once,
--- a/internal/ingress/service.go
+++ b/internal/ingress/service.go
@@ -40,6 +40,7 @@
 		next.services[declared.Name] = in.reconfigureService(declared, index)
 	}
 	in.paces.keep(index.Declaration.Routes)
+	in.keepNested(index.Declaration.Routes)
 	old := in.state.Swap(next)
 	if old != nil {
 		endRemoved(old, next)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -63,6 +63,9 @@
 	Logger *slog.Logger
 	// Scope receives the metrics.
 	Scope tally.Scope
+	// Answered is told of each answer of a backend server of this host, whether it is a
+	// good one or says that it failed; nil if nobody is told.
+	Answered func(good bool)
 	// Peer carries the calls to other backend servers' sidecars.
 	Peer Peer
 }
@@ -205,10 +208,18 @@
 		return Answer{}, err
 	}
 	slot.answered(response)
+	s.tellAnswered(response)
 	response.Body = hop.OnClose(response.Body, slot.release)
 	return Answer{Response: response, Load: server.load(), Waited: waited}, nil
 }
 
+// tellAnswered tells whoever wants to know how a backend server of this host answered.
+func (s *Sidecar) tellAnswered(response *http.Response) {
+	if s.config.Answered != nil {
+		s.config.Answered(response.StatusCode < http.StatusInternalServerError)
+	}
+}
+
 // slotFor returns the slot that the call's ticket kept, or waits for one.
 func (s *Sidecar) slotFor(ctx context.Context, call hop.Call) (*server, *slot, time.Duration, error) {
 	if call.Ticket == "" {
