feat(doubt): one doubted for hanging still takes repeatable requests

A repeatable request loses little at one that hangs, since a copy of it is sent elsewhere in time.

Change: Doubt knows how much of what is held against a backend server came late (BadLate, MostlyLate); while that is most of it, repeatable requests are let in. One that fails at once or breaks connections is passed over as before.

Test: TestMostlyLate.

--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -90,6 +90,7 @@
 // Doubt is what is held against one backend server.
 type Doubt struct {
 	sum     float64
+	late    float64 // the part of the sum that is of outcomes that came late or not at all
 	doubted bool
 	good    int // good answers in a row while doubted
 	pause   time.Duration
@@ -104,6 +105,18 @@
 // New returns the doubt of a backend server that nothing is held against.
 func New() *Doubt { return &Doubt{} }
 
+// BadLate takes a bad outcome that came late or not at all, of that weight, and says whether
+// doubt begins with it.
+func (d *Doubt) BadLate(now time.Time, weight float64) bool {
+	d.late += weight
+	return d.Bad(now, weight)
+}
+
+// MostlyLate says whether most of what is held against the backend server came late or not
+// at all. A repeatable request loses little there, since a copy of it is sent elsewhere
+// before it is too late; where requests fail at once each costs a retry.
+func (d *Doubt) MostlyLate() bool { return 2*d.late > d.sum }
+
 // Bad takes a bad outcome of that weight and says whether doubt begins with it.
 func (d *Doubt) Bad(now time.Time, weight float64) bool {
 	d.sum += weight
@@ -133,6 +146,7 @@
 // it.
 func (d *Doubt) Good(now, began time.Time) bool {
 	d.sum *= fade
+	d.late *= fade
 	d.proof.goodSince(began)
 	if !d.doubted {
 		return false
@@ -164,6 +178,7 @@
 	}
 	d.doubted = false
 	d.sum = 0
+	d.late = 0
 	return true
 }
 
--- a/internal/doubt/doubt_test.go
+++ b/internal/doubt/doubt_test.go
@@ -157,3 +157,23 @@
 		t.Fatal("three good answers are not enough")
 	}
 }
+
+// TestMostlyLate tells a backend server that hangs from one that fails at once.
+func TestMostlyLate(t *testing.T) {
+	hangs := doubt.New()
+	hangs.BadLate(epoch, doubt.Overdue)
+	hangs.BadLate(epoch, doubt.Overdue)
+	if !hangs.Doubted() || !hangs.MostlyLate() {
+		t.Fatal("one that hangs twice is taken for one that fails at once")
+	}
+	hangs.Bad(epoch, doubt.Broken)
+	if hangs.MostlyLate() {
+		t.Fatal("one that breaks connections as well is taken for one that only hangs")
+	}
+	fails := doubt.New()
+	fails.Bad(epoch, doubt.Failed)
+	fails.Bad(epoch, doubt.Failed)
+	if !fails.Doubted() || fails.MostlyLate() {
+		t.Fatal("one that fails at once is taken for one that hangs")
+	}
+}
--- a/internal/sidecar/doubt.go
+++ b/internal/sidecar/doubt.go
@@ -11,10 +11,10 @@
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
-// admitDoubted says whether a doubted backend server takes the request: one that
-// nobody else takes, or a repeatable one that finds out how it does.
+// admitDoubted says whether a doubted backend server takes the request: one that nobody else
+// takes, or a repeatable one that finds out how it does or is copied if it hangs.
 func (t *task) admitDoubted(now time.Time, m offerMessage) *result.Error {
-	if m.call.Insist {
+	if m.call.Insist || !m.call.Once && t.doubt.MostlyLate() {
 		return nil
 	}
 	if !m.call.Once && t.doubt.MayProbe(now) || t.doubt.MayRisk(now) {
@@ -26,26 +26,25 @@
 
 // weigh takes an outcome for the doubt, beside how the others do.
 func (t *task) weigh(now time.Time, saw detect.Observation, others detect.Reference) {
-	weight := 0.0
+	begins := false
 	switch saw.Outcome {
 	case detect.OK:
 		if !saw.WasOverdue && !saw.PastTarget {
 			t.noteGood(now, now.Add(-saw.Took))
 			return
 		}
-		weight = doubt.Slow
+		begins = t.doubt.BadLate(now, doubt.Slow)
 	case detect.Refused, detect.Lost:
-		weight = doubt.Broken
+		begins = t.doubt.Bad(now, doubt.Broken)
 	case detect.Error:
-		weight = doubt.FailedAmong(others.Failure)
+		if weight := doubt.FailedAmong(others.Failure); weight > 0 { // else the others fail as much
+			begins = t.doubt.Bad(now, weight)
+		}
 	case detect.TimedOut, detect.Overdue:
-		weight = doubt.Overdue
-	}
-	if weight == 0 {
-		return // the others fail as much
+		begins = t.doubt.BadLate(now, doubt.Overdue)
 	}
-	if t.doubt.Bad(now, weight) {
-		t.log(event.ServerDoubted, "outcome", saw.Outcome)
+	if begins {
+		t.log(event.ServerDoubted, "outcome", saw.Outcome, "mostly_late", t.doubt.MostlyLate())
 		t.turnAwayWaiting(now)
 	}
 }
