--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,6 +18,7 @@
 import (
 	"github.com/tideliftd/tidelift/internal/floor"
 	"github.com/tideliftd/tidelift/internal/nested"
+	"github.com/tideliftd/tidelift/internal/route"
 )
 
 // Method names a call.
@@ -79,7 +80,7 @@
 // Known answers MethodNested.
 type Known struct {
 	// Routes are those that the one asked knows to be called.
-	Routes []nested.Route `json:"routes,omitempty"`
+	Routes []route.Name `json:"routes,omitempty"`
 }
 
 // Trusted is the parameter of MethodTrusted.
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -9,7 +9,6 @@
 
 	"github.com/tideliftd/tidelift/internal/body"
 	"github.com/tideliftd/tidelift/internal/fleet"
-	"github.com/tideliftd/tidelift/internal/nested"
 	"github.com/tideliftd/tidelift/internal/pace"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/route"
@@ -32,7 +31,7 @@
 	attempts int // the most backend servers it may be sent to
 	priority int
 	body     *body.Body
-	route    nested.Route
+	route    route.Name
 	pace     *pace.Pace // of its route
 }
 
@@ -90,8 +89,8 @@
 		attempts: match.Attempts,
 		priority: match.Priority,
 		body:     body.New(w, r, match.MaxBody),
-		route:    nested.Route{Host: match.Host, Path: match.Path},
-		pace:     in.paces.of(match),
+		route:    route.NameOf(match.Route),
+		pace:     in.paces.of(route.NameOf(match.Route)),
 	}
 	if in.nested.Is(admitted.route) {
 		admitted.aim = admitted.deadline
--- a/internal/ingress/hedge.go
+++ b/internal/ingress/hedge.go
@@ -209,7 +209,7 @@
 			return finished{attempt: a, err: err, unsent: true}
 		}
 	}
-	response, err := a.run(ctx)
+	response, err := a.run(ctx) //nolint:bodyclose // whoever takes it closes it
 	return finished{attempt: a, response: response, err: err}
 }
 
--- a/internal/ingress/nested.go
+++ b/internal/ingress/nested.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/event"
-	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/nested"
 	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/route"
 )
 
 // noteFailed takes it that a request got no answer, which may fail a backend server of this
@@ -33,8 +33,8 @@
 
 // HearNested takes what another host of the same service saw of routes that its backend
 // servers may call, and returns those that are known to be called.
-func (in *Ingress) HearNested(told []nested.Evidence) []nested.Route {
-	var known []nested.Route
+func (in *Ingress) HearNested(told []nested.Evidence) []route.Name {
+	var known []route.Name
 	for _, e := range told {
 		before := in.nested.Is(e.Route)
 		if !in.nested.Hear(e) {
@@ -50,25 +50,16 @@
 
 // LearnNested takes it from another host of the same service that the routes are called by
 // its backend servers.
-func (in *Ingress) LearnNested(routes []nested.Route) {
-	for _, route := range routes {
-		if !in.nested.Is(route) {
-			in.nested.Learn(route)
-			in.logNested(route)
+func (in *Ingress) LearnNested(routes []route.Name) {
+	for _, name := range routes {
+		if !in.nested.Is(name) {
+			in.nested.Learn(name)
+			in.logNested(name)
 		}
 	}
 }
 
 // logNested leaves a line on a route that is known to be called from now on.
-func (in *Ingress) logNested(route nested.Route) {
-	event.Log(in.config.Logger, event.RouteNested, "service", in.config.Service, "host", route.Host, "path", route.Path)
-}
-
-// keepNested forgets the routes that are not declared any more.
-func (in *Ingress) keepNested(routes []fleet.Route) {
-	declared := make(map[nested.Route]bool, len(routes))
-	for _, r := range routes {
-		declared[nested.Route{Host: r.Host, Path: r.Path}] = true
-	}
-	in.nested.Keep(func(route nested.Route) bool { return declared[route] })
+func (in *Ingress) logNested(name route.Name) {
+	event.Log(in.config.Logger, event.RouteNested, "service", in.config.Service, "host", name.Host, "path", name.Path)
 }
--- a/internal/ingress/paces.go
+++ b/internal/ingress/paces.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 
-	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/pace"
 	"github.com/tideliftd/tidelift/internal/route"
 )
@@ -11,33 +10,23 @@
 // paces are the paces of the routes that were asked for. They outlast the declarations
 // that have the route.
 type paces struct {
-	byRoute sync.Map // of *pace.Pace
-}
-
-// routeKey tells routes apart.
-type routeKey struct {
-	host, path string
+	byRoute sync.Map // of *pace.Pace, by route.Name
 }
 
 // of returns the route's pace.
-func (p *paces) of(match *route.Match) *pace.Pace {
-	key := routeKey{match.Host, match.Path}
-	known, ok := p.byRoute.Load(key)
+func (p *paces) of(name route.Name) *pace.Pace {
+	known, ok := p.byRoute.Load(name)
 	if !ok {
-		known, _ = p.byRoute.LoadOrStore(key, pace.New())
+		known, _ = p.byRoute.LoadOrStore(name, pace.New())
 	}
 	return known.(*pace.Pace)
 }
 
-// keep forgets the routes that are not declared any more.
-func (p *paces) keep(routes []fleet.Route) {
-	declared := make(map[routeKey]bool, len(routes))
-	for _, r := range routes {
-		declared[routeKey{r.Host, r.Path}] = true
-	}
-	p.byRoute.Range(func(key, _ any) bool {
-		if !declared[key.(routeKey)] {
-			p.byRoute.Delete(key)
+// keep forgets the routes for which the function says no.
+func (p *paces) keep(declared func(route.Name) bool) {
+	p.byRoute.Range(func(name, _ any) bool {
+		if !declared(name.(route.Name)) {
+			p.byRoute.Delete(name)
 		}
 		return true
 	})
--- a/internal/nested/nested.go
+++ b/internal/nested/nested.go
@@ -24,6 +24,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/tideliftd/tidelift/internal/route"
 )
 
 const (
@@ -40,17 +42,11 @@
 	waiting = 64
 )
 
-// Route names a route.
-type Route struct {
-	Host string `json:"host"`
-	Path string `json:"path"`
-}
-
 // Tracker is what is known of one host's calls.
 type Tracker struct {
 	mu     sync.Mutex
-	nested map[Route]bool
-	seen   map[Route]*count
+	nested map[route.Name]bool
+	seen   map[route.Name]*count
 	failed []failure // not yet followed, the oldest first
 }
 
@@ -62,7 +58,7 @@
 
 // Evidence is what a host saw of a route since it told of it last.
 type Evidence struct {
-	Route Route `json:"route"`
+	Route route.Name `json:"route"`
 	// Failures is how many requests to it got no answer, and Followed how many of them
 	// were followed by a failed answer of a backend server.
 	Failures int `json:"failures"`
@@ -71,35 +67,35 @@
 
 // failure is a request that got no answer.
 type failure struct {
-	at    time.Time
-	route Route
+	at   time.Time
+	name route.Name
 }
 
 // New returns a tracker that knows nothing.
 func New() *Tracker {
-	return &Tracker{nested: make(map[Route]bool), seen: make(map[Route]*count)}
+	return &Tracker{nested: make(map[route.Name]bool), seen: make(map[route.Name]*count)}
 }
 
 // Failed takes it that a request to the route, which began on this host, got no answer.
-func (t *Tracker) Failed(now time.Time, route Route) {
+func (t *Tracker) Failed(now time.Time, name route.Name) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.nested[route] {
+	if t.nested[name] {
 		return
 	}
-	c := t.countOf(route)
+	c := t.countOf(name)
 	c.failures++
 	c.untold++
-	t.failed = append(t.failed, failure{at: now, route: route})
+	t.failed = append(t.failed, failure{at: now, name: name})
 	t.failed = t.failed[max(0, len(t.failed)-waiting):]
 }
 
 // countOf returns the route's count.
-func (t *Tracker) countOf(route Route) *count {
-	c, ok := t.seen[route]
+func (t *Tracker) countOf(name route.Name) *count {
+	c, ok := t.seen[name]
 	if !ok {
 		c = &count{}
-		t.seen[route] = c
+		t.seen[name] = c
 	}
 	return c
 }
@@ -114,14 +110,14 @@
 	}
 	var news []Evidence
 	for _, f := range t.failed {
-		if now.Sub(f.at) > within || t.nested[f.route] {
+		if now.Sub(f.at) > within || t.nested[f.name] {
 			continue
 		}
-		c := t.countOf(f.route)
-		news = append(news, Evidence{Route: f.route, Failures: c.untold, Followed: 1})
+		c := t.countOf(f.name)
+		news = append(news, Evidence{Route: f.name, Failures: c.untold, Followed: 1})
 		c.untold = 0
 		c.followed++
-		t.weigh(f.route, c)
+		t.weigh(f.name, c)
 	}
 	t.failed = t.failed[:0] // the one answer follows all of them, and none twice
 	return news
@@ -143,44 +139,44 @@
 }
 
 // Learn takes it from another host of the same service that the route is called.
-func (t *Tracker) Learn(route Route) {
+func (t *Tracker) Learn(name route.Name) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.learn(route)
+	t.learn(name)
 }
 
 // weigh takes the route for called once enough failures were followed.
-func (t *Tracker) weigh(route Route, c *count) {
+func (t *Tracker) weigh(name route.Name, c *count) {
 	if c.followed >= enough && c.followed >= mostly*c.failures {
-		t.learn(route)
+		t.learn(name)
 	}
 }
 
 // learn takes it that the route is called.
-func (t *Tracker) learn(route Route) {
-	t.nested[route] = true
-	delete(t.seen, route)
+func (t *Tracker) learn(name route.Name) {
+	t.nested[name] = true
+	delete(t.seen, name)
 }
 
 // Is says whether the route is known to be called by the host's backend servers.
-func (t *Tracker) Is(route Route) bool {
+func (t *Tracker) Is(name route.Name) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.nested[route]
+	return t.nested[name]
 }
 
 // Keep forgets the routes for which the function says no.
-func (t *Tracker) Keep(declared func(Route) bool) {
+func (t *Tracker) Keep(declared func(route.Name) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for route := range t.nested {
-		if !declared(route) {
-			delete(t.nested, route)
+	for name := range t.nested {
+		if !declared(name) {
+			delete(t.nested, name)
 		}
 	}
-	for route := range t.seen {
-		if !declared(route) {
-			delete(t.seen, route)
+	for name := range t.seen {
+		if !declared(name) {
+			delete(t.seen, name)
 		}
 	}
 }
--- a/internal/nested/nested_test.go
+++ b/internal/nested/nested_test.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/nested"
+	"github.com/tideliftd/tidelift/internal/route"
 )
 
 var (
 	epoch   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	called  = nested.Route{Host: "a.example", Path: "/balance/"}
-	outside = nested.Route{Host: "a.example", Path: "/search/"}
+	called  = route.Name{Host: "a.example", Path: "/balance/"}
+	outside = route.Name{Host: "a.example", Path: "/search/"}
 )
 
 func TestACalledRouteIsLearned(t *testing.T) {
@@ -28,7 +29,7 @@
 			t.Fatalf("after %d failures: known %t", i+1, tracker.Is(called))
 		}
 	}
-	tracker.Keep(func(nested.Route) bool { return false })
+	tracker.Keep(func(route.Name) bool { return false })
 	if tracker.Is(called) {
 		t.Fatal("a route that is gone is kept")
 	}
@@ -38,8 +39,10 @@
 func TestHostsTeachEachOther(t *testing.T) {
 	tracker := nested.New()
 	seen := nested.Evidence{Route: called, Failures: 1, Followed: 1}
-	if tracker.Hear(seen) || tracker.Hear(seen) {
-		t.Fatal("two failures are enough")
+	for range 2 {
+		if tracker.Hear(seen) {
+			t.Fatal("two failures are enough")
+		}
 	}
 	tracker.Failed(epoch, called)
 	tracker.Answered(epoch.Add(time.Millisecond), false)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -19,6 +19,15 @@
 	"github.com/tideliftd/tidelift/internal/fleet"
 )
 
+// Name tells routes apart.
+type Name struct {
+	Host string `json:"host"`
+	Path string `json:"path"`
+}
+
+// NameOf returns the name of a declared route.
+func NameOf(r fleet.Route) Name { return Name{Host: r.Host, Path: r.Path} }
+
 // Match is a route made ready for serving.
 type Match struct {
 	fleet.Route
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -185,10 +185,10 @@
 	lateAt  time.Duration // how long it runs before it has outlasted nearly all of its route; zero if that is not known
 	started time.Time
 	overdue *time.Timer
-	lateWatch
-	late atomic.Bool
-	seen bool
-	saw  detect.Observation
+	watch   lateWatch
+	late    atomic.Bool
+	seen    bool
+	saw     detect.Observation
 }
 
 // begin starts the clock of the request, and of its being overdue.
@@ -197,7 +197,7 @@
 	s.lateAt = call.Late
 	s.others = others
 	s.started = time.Now()
-	s.lateWatch.begin(s.server, call.Late)
+	s.watch.begin(s.server, call.Late)
 	limit := s.server.declared.Load().rules.OverdueLimit(others.Typical)
 	if limit > 0 {
 		s.overdue = time.AfterFunc(limit, s.reportOverdue)
@@ -235,7 +235,7 @@
 	if s.overdue != nil {
 		s.overdue.Stop()
 	}
-	s.lateWatch.end()
+	s.watch.end()
 	s.saw.WasOverdue = s.late.Load()
 	s.saw.PastTarget = s.target > 0 && s.saw.Took > s.target
 	if s.seen && !s.trial {
--- a/test/compare/main.go
+++ b/test/compare/main.go
@@ -90,7 +90,7 @@
 
 // plays returns the plays of all pairs, the two of a pair one after the other.
 func plays(c *cli.Command, days []string) []bench.Play {
-	var all []bench.Play
+	all := make([]bench.Play, 0, 2*len(days)*len(c.IntSlice("seeds")))
 	for _, day := range days {
 		for _, seed := range c.IntSlice("seeds") {
 			for _, dir := range []string{c.String("before"), c.String("after")} {
