--- a/Makefile
+++ b/Makefile
@@ -64,6 +64,10 @@
 bench: ## Run the benchmarks of the decisions.
 	$(GO) test -run "^$$" -bench . -benchmem ./internal/...
 
+.PHONY: compare
+compare: ## Play days with two checkouts: make compare BENCH=path SITE=file BEFORE=dir AFTER=dir DAYS="name ..." [SEEDS=1,2,3]
+	$(GO) run ./test/compare --bench $(BENCH) --site $(SITE) --before $(BEFORE) --after $(AFTER) $(if $(SEEDS),--seeds $(SEEDS)) $(DAYS)
+
 .PHONY: days
 days: ## Play our own days on the users' bench: make days BENCH=path SITE=file [DAYS="name ..."]
 	$(GO) run ./test/days --bench $(BENCH) --site $(SITE) $(DAYS)
