fix(doubt): a late request that has ended counts for as long again as it ran

Cause: a backend server seemed to hang until a later request was answered well.

Change: hanging ends with the late requests themselves, and as long again as the longest of them ran.

--- a/internal/doubt/doubt_test.go
+++ b/internal/doubt/doubt_test.go
@@ -117,21 +117,22 @@
 // later one alone takes it back.
 func TestHanging(t *testing.T) {
 	d := doubt.New()
-	if d.Hanging() {
+	if d.Hanging(epoch) {
 		t.Fatal("it hangs without a late request")
 	}
 	began := epoch.Add(time.Second)
 	d.Late(began)
 	d.Good(began.Add(time.Second), began.Add(-time.Millisecond))
-	if !d.Hanging() {
+	now := began.Add(2 * time.Second)
+	if !d.Hanging(now) {
 		t.Fatal("a good answer to an earlier request takes it back")
 	}
 	d.Good(began.Add(2*time.Second), began.Add(time.Millisecond))
-	if d.Hanging() {
+	if d.Hanging(now) {
 		t.Fatal("it hangs after a good answer to a later request")
 	}
 	d.Late(began)
-	if d.Hanging() {
+	if d.Hanging(now) {
 		t.Fatal("an old request that is late at last shows hanging")
 	}
 }
@@ -177,3 +178,21 @@
 		t.Fatal("one that fails at once is taken for one that hangs")
 	}
 }
+
+// TestHangingDoesNotLast ends a late request without a good answer after it: nobody but one
+// that must not run twice may be there to find out.
+func TestHangingDoesNotLast(t *testing.T) {
+	d := doubt.New()
+	d.Late(epoch)
+	ended := epoch.Add(3 * time.Second)
+	if !d.Hanging(ended) {
+		t.Fatal("a request that is late shows nothing")
+	}
+	d.LateEnded(ended, epoch)
+	if !d.Hanging(ended.Add(2 * time.Second)) {
+		t.Fatal("it counts for less than it ran")
+	}
+	if d.Hanging(ended.Add(4 * time.Second)) {
+		t.Fatal("it counts for longer than it ran")
+	}
+}
--- a/internal/sidecar/late.go
+++ b/internal/sidecar/late.go
@@ -49,6 +49,6 @@
 	defer w.mu.Unlock()
 	w.ended = true
 	if w.told {
-		w.server.send(lateMessage{ended: true})
+		w.server.send(lateMessage{began: w.began, ended: true})
 	}
 }
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -26,7 +26,7 @@
 		m.reply <- grant{err: refused}
 		return
 	}
-	if m.call.Proven && t.doubt.Hanging() {
+	if m.call.Proven && t.doubt.Hanging(now) {
 		m.reply <- grant{err: result.New(result.Unproven)}
 		return
 	}
@@ -111,9 +111,10 @@
 
 // noteLate counts the slots of which nobody knows when they come free, and takes it that
 // the backend server may hang.
-func (t *task) noteLate(m lateMessage) {
+func (t *task) noteLate(now time.Time, m lateMessage) {
 	if m.ended {
 		t.queue.Unstuck()
+		t.doubt.LateEnded(now, m.began)
 		return
 	}
 	t.queue.Stuck()
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -86,7 +86,7 @@
 	case observeMessage:
 		t.observe(now, m)
 	case lateMessage:
-		t.noteLate(m)
+		t.noteLate(now, m)
 	case releaseMessage:
 		t.release(now, m)
 	case cancelMessage:
