--- a/internal/hop/call.go
+++ b/internal/hop/call.go
@@ -37,8 +37,8 @@
 	Insist bool
 	// NoWait asks for a refusal in place of a wait for a slot.
 	NoWait bool
-	// Proven asks for a refusal if the backend server has not shown for a while
-	// that it is well.
+	// Proven asks for a refusal if the backend server seems to hang: a request is late
+	// there, and no later one has been answered well.
 	Proven bool
 	// Host is the ingress's host.
 	Host string
--- a/internal/ingress/choose.go
+++ b/internal/ingress/choose.go
@@ -20,8 +20,8 @@
 	// maxFarLooks is how many of them may be in other data centres, to which bytes
 	// are dear and round trips long.
 	maxFarLooks = 1
-	// maxUnproven is how many backend servers are asked for one that has just shown
-	// that it is well, before any will do.
+	// maxUnproven is how many backend servers are asked for one that does not seem to
+	// hang, before any will do. Source: five in place of two served no more.
 	maxUnproven = 2
 )
 
@@ -32,7 +32,7 @@
 	trial bool
 	// noWait asks for a refusal in place of a wait for a slot.
 	noWait bool
-	// proven asks for a refusal unless the target has just shown that it is well.
+	// proven asks for a refusal if the target seems to hang.
 	proven bool
 	// insist says that nobody else is left, so that doubt is no reason to refuse.
 	insist bool
--- a/internal/ingress/trail.go
+++ b/internal/ingress/trail.go
@@ -14,7 +14,7 @@
 type trail struct {
 	tried      []*balance.Target
 	busy       []busyTarget      // those that had no free slot
-	unproven   []*balance.Target // that had not shown for a while that they are well
+	unproven   []*balance.Target // that seemed to hang
 	answer     *http.Response    // a failure of a backend server, if nothing better comes
 	busyFar    int               // how many of the busy ones were in other data centres
 	sent       int               // that reached a backend server
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -39,7 +39,7 @@
 	Misdirected       = Code{2018, "misdirected", http.StatusServiceUnavailable, RanNo, "Another backend server has the address; it did not run the request."}
 	Doubted           = Code{2019, "doubted", http.StatusServiceUnavailable, RanNo, "The backend server failed a moment ago; others are asked first."}
 	Busy              = Code{2020, "busy", http.StatusServiceUnavailable, RanNo, "The backend server has no free slot at this moment; the request asked not to wait for one yet."}
-	Unproven          = Code{2021, "unproven", http.StatusServiceUnavailable, RanNo, "The backend server has not shown for a while that it is well; the request asked for one that has."}
+	Unproven          = Code{2021, "unproven", http.StatusServiceUnavailable, RanNo, "The backend server seems to hang: a request takes longer there than nearly all of its route do, and no later one has been answered well."}
 	MovedOn           = Code{2022, "moved-on", http.StatusServiceUnavailable, RanNo, "The request waited long for a slot there, and a copy at another backend server was answered first."}
 	TicketUnanswered  = Code{2015, "ticket-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a ticket in time; the request was never sent."}
 )
