fix(cli): a second SIGTERM does not end a planned stop

Cause: who replaces daemons in series that overlap sends SIGTERM more than once; the second ended the stop at once and cut what was in flight.

Change: SIGINT alone ends a planned stop, as an operator at a terminal sends it.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -40,8 +40,8 @@
 	return &cli.Command{
 		Name:  "tideliftd",
 		Usage: "take callers' requests and send work to this host's backend servers",
-		Description: "SIGTERM or SIGINT starts a planned stop, which cuts nothing in flight; a second\n" +
-			"one, or the settings' limit, ends it at once.",
+		Description: "SIGTERM or SIGINT starts a planned stop, which cuts nothing in flight; SIGINT after\n" +
+			"that, or the settings' limit, ends it at once.",
 		Version:               version.Version,
 		EnableShellCompletion: true,
 		Flags: []cli.Flag{
@@ -147,8 +147,9 @@
 	return slog.New(handler).With("daemon", s.Name), level
 }
 
-// stopSignals returns a context that the first signal ends and a channel that
-// the second one closes.
+// stopSignals returns a context that the first signal ends and a channel that SIGINT
+// closes after that. SIGTERM may come again without that: who replaces daemons in series
+// that overlap sends it more than once.
 func stopSignals(ctx context.Context) (context.Context, <-chan struct{}, func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	signals := make(chan os.Signal, 2)
@@ -157,8 +158,12 @@
 	go func() {
 		<-signals
 		cancel()
-		<-signals
-		close(force)
+		for s := range signals {
+			if s == syscall.SIGINT {
+				close(force)
+				return
+			}
+		}
 	}()
 	return ctx, force, func() {
 		signal.Stop(signals)
