--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -157,10 +157,8 @@
 		q.running++
 		return Decision{Verdict: Granted}
 	}
-	if now.Add(q.wait(q.before(r.Priority) + 1)).After(r.Deadline) {
-		return Decision{Verdict: RefusedLate, RetryAfter: q.RetryAfter()}
-	}
-	if q.waiting >= q.config.Slots && q.missesAim(now.Add(q.wait(q.before(r.Priority)+1)), r) {
+	start := now.Add(q.wait(q.before(r.Priority) + 1))
+	if start.After(r.Deadline) || q.waiting >= q.config.Slots && q.missesAim(start, r) {
 		return Decision{Verdict: RefusedLate, RetryAfter: q.RetryAfter()}
 	}
 	if q.waiting >= q.config.Depth {
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -21,7 +21,6 @@
 	doubtUntil  atomic.Int64 // nanoseconds since the pool's start
 	share       atomic.Uint32
 	trial       atomic.Uint32
-	suspect     atomic.Bool
 	reference   atomic.Pointer[string]
 	typical     atomic.Int64
 	requests    atomic.Int64
@@ -80,12 +79,6 @@
 	return ""
 }
 
-// SetSuspect says whether the evidence against the target has begun to gather.
-func (t *Target) SetSuspect(suspect bool) { t.suspect.Store(suspect) }
-
-// Suspect returns what SetSuspect said.
-func (t *Target) Suspect() bool { return t.suspect.Load() }
-
 // The values of a target's trial.
 const (
 	trialNone uint32 = iota
--- a/internal/hop/encode.go
+++ b/internal/hop/encode.go
@@ -71,19 +71,16 @@
 
 // flags returns the call's flags in one number.
 func (c Call) flags() uint64 {
-	var flags uint64
-	for flag, set := range map[uint64]bool{
-		flagOnce:       c.Once,
-		flagWantTicket: c.WantTicket,
-		flagInsist:     c.Insist,
-		flagNoWait:     c.NoWait,
-		flagProven:     c.Proven,
-	} {
-		if set {
-			flags |= flag
-		}
+	return bit(flagOnce, c.Once) | bit(flagWantTicket, c.WantTicket) | bit(flagInsist, c.Insist) |
+		bit(flagNoWait, c.NoWait) | bit(flagProven, c.Proven)
+}
+
+// bit returns the flag if it is set, and else zero.
+func bit(flag uint64, set bool) uint64 {
+	if set {
+		return flag
 	}
-	return flags
+	return 0
 }
 
 // Decode reads the call's header.
--- a/internal/hop/hold.go
+++ b/internal/hop/hold.go
@@ -41,11 +41,6 @@
 	return nil
 }
 
-// IsHeld says whether the answer, after Hold, lies here whole.
-func IsHeld(response *http.Response) bool {
-	return response.ContentLength >= 0 && response.ContentLength <= maxHeld && len(response.TransferEncoding) == 0
-}
-
 // longBody is what was read of an answer and the rest of it.
 type longBody struct {
 	io.Reader
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -3,8 +3,9 @@
 // sidecar).
 //
 // A hop is an HTTP/1.1 request with headers of its own, all of which start
-// with Tidelift-; what the ingress asks is packed into one of them. They are taken off before a request reaches a backend server
-// and before an answer reaches a caller, and neither can bring its own.
+// with Tidelift-; what the ingress asks is packed into one of them. They are taken off
+// before a request reaches a backend server and before an answer reaches a caller, and
+// neither can bring its own.
 //
 // # Usage
 //
@@ -13,12 +14,11 @@
 //	...
 //	call, err := hop.Decode(request.Header)
 //
-// Units: times and the wait for a slot are in
-// microseconds on the wire, when to come back in milliseconds; a load of 1 means that
-// every slot is taken.
+// Units: times and the wait for a slot are in microseconds on the wire, when to come back
+// in milliseconds; a load of 1 means that every slot is taken.
 //
-// What the ingress asks is in call.go and how that is written in encode.go, one sending to an address in trip.go, what
-// both daemons do with requests and answers on the way in forward.go, and the reading
+// What the ingress asks is in call.go and how that is written in encode.go, one sending
+// to an address in trip.go, what both daemons do with requests and answers on the way in forward.go, and the reading
 // of short answers before they are passed on in hold.go.
 package hop
 
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -61,9 +61,9 @@
 func TestACallIsShort(t *testing.T) {
 	h := http.Header{}
 	call := hop.Call{
-		BackendServer: "i-7f3a91c2", TimeLeft: 1500 * time.Millisecond, Aim: 500 * time.Millisecond, Target: 800 * time.Millisecond,
-		Usual: 700 * time.Millisecond, Once: true, WantTicket: true, NoWait: true, Proven: true, Origin: "huvo11a",
-		Host: "sidecar-angyalfold-1",
+		BackendServer: "lookup-123", TimeLeft: 1500 * time.Millisecond, Aim: 500 * time.Millisecond, Target: 800 * time.Millisecond,
+		Usual: 700 * time.Millisecond, Once: true, WantTicket: true, NoWait: true, Proven: true, Origin: "records",
+		Host: "host-twenty-letters1",
 	}
 	if err := call.Encode(h); err != nil {
 		t.Fatal(err)
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -71,6 +71,7 @@
 		return nil, e
 	}
 	name := match.Choose(rand.Uint64())
+	routeName := route.NameOf(match.Route)
 	addForwarded(r)
 	r.Header.Del(callers.OriginHeader)
 	// The attempts change the body. net/http must keep its own request as it
@@ -89,8 +90,8 @@
 		attempts: match.Attempts,
 		priority: match.Priority,
 		body:     body.New(w, r, match.MaxBody),
-		route:    route.NameOf(match.Route),
-		pace:     in.paces.of(route.NameOf(match.Route)),
+		route:    routeName,
+		pace:     in.paces.of(routeName),
 	}
 	if in.nested.Is(admitted.route) {
 		admitted.aim = admitted.deadline
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -35,11 +35,7 @@
 			story.drop()
 			return f.response, nil
 		}
-		err := f.err
-		if err == nil {
-			err = story.keep(f.response)
-		}
-		story.add(f.attempt.choice, result.From(err), f.attempt.far())
+		story.take(f)
 		again := in.again(r, &story)
 		in.logAttempt(r, f.attempt, &story, again)
 		if !again {
@@ -49,8 +45,8 @@
 	}
 }
 
-// next says whom to ask next. While there are only doubted backend servers, or none, it looks again as long as the
-// request has time for that.
+// next says whom to ask next. While there are only doubted backend servers, or none, it
+// looks again as long as the request has time for that.
 func (in *Ingress) next(ctx context.Context, r *request, story *trail) (choice, bool) {
 	for {
 		c, ok := in.choose(r, story)
--- a/internal/ingress/hedge.go
+++ b/internal/ingress/hedge.go
@@ -119,11 +119,7 @@
 	}
 	f := *r.failed
 	r.failed = nil
-	err := f.err
-	if err == nil {
-		err = r.story.keep(f.response)
-	}
-	r.story.add(f.attempt.choice, result.From(err), f.attempt.far())
+	r.story.take(f)
 	r.in.logAttempt(r.request, f.attempt, r.story, true)
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -150,7 +150,6 @@
 	in.ended = ended
 	in.answering, in.answerAll = context.WithCancel(ended)
 	return in, func() {
-		in.answerAll()
 		cancel()
 		in.end()
 	}
--- a/internal/ingress/judge.go
+++ b/internal/ingress/judge.go
@@ -162,7 +162,6 @@
 	if !o.trial {
 		if o.seen && subject.State(now) == detect.Serving {
 			subject.Observe(now, o.saw, j.group.Reference(o.target.Name))
-			o.target.SetSuspect(subject.Standing(now).Suspect)
 		}
 		return
 	}
--- a/internal/ingress/service.go
+++ b/internal/ingress/service.go
@@ -39,24 +39,14 @@
 	for _, declared := range index.Declaration.Services {
 		next.services[declared.Name] = in.reconfigureService(declared, index)
 	}
-	in.forgetRoutes(index.Declaration.Routes)
+	in.paces.keep(next.routes.Has)
+	in.nested.Keep(next.routes.Has)
 	old := in.state.Swap(next)
 	if old != nil {
 		endRemoved(old, next)
 	}
 }
 
-// forgetRoutes forgets what was learned of routes that are not declared any more.
-func (in *Ingress) forgetRoutes(routes []fleet.Route) {
-	names := make(map[route.Name]bool, len(routes))
-	for _, r := range routes {
-		names[route.NameOf(r)] = true
-	}
-	declared := func(name route.Name) bool { return names[name] }
-	in.paces.keep(declared)
-	in.nested.Keep(declared)
-}
-
 // endRemoved ends the judges of services that are no longer declared.
 func endRemoved(old, next *state) {
 	for name, s := range old.services {
--- a/internal/ingress/trail.go
+++ b/internal/ingress/trail.go
@@ -29,6 +29,17 @@
 	wait   time.Duration
 }
 
+// take takes an attempt that failed, or whose answer is kept if nothing better comes.
+func (t *trail) take(f finished) {
+	var failure *result.Error
+	if f.err == nil {
+		failure = t.keep(f.response)
+	} else {
+		failure = result.From(f.err)
+	}
+	t.add(f.attempt.choice, failure, f.attempt.far())
+}
+
 // add takes the failure of an attempt.
 func (t *trail) add(c choice, failure *result.Error, far bool) {
 	switch failure.Code.Number {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -81,12 +81,22 @@
 func NewTable(routes []fleet.Route) *Table {
 	t := &Table{byKey: make(map[key]*Match, len(routes))}
 	for _, r := range routes {
-		k := key{host: strings.ToLower(r.Host), path: strings.TrimSuffix(r.Path, "/")}
-		t.byKey[k] = newMatch(r)
+		t.byKey[keyOf(NameOf(r))] = newMatch(r)
 	}
 	return t
 }
 
+// keyOf returns the key of the route of that name.
+func keyOf(name Name) key {
+	return key{host: strings.ToLower(name.Host), path: strings.TrimSuffix(name.Path, "/")}
+}
+
+// Has says whether a route of that name is declared.
+func (t *Table) Has(name Name) bool {
+	_, ok := t.byKey[keyOf(name)]
+	return ok
+}
+
 // Find returns the route of the request's host name and path.
 func (t *Table) Find(host, path string) (*Match, bool) {
 	if match, ok := t.findPath(hostName(host), path); ok {
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	s := story.New("9c41d07be2a35f68")
+//	s := story.New("4be1f02c77d9a310")
 //	err := s.Read(file) // for the log of each host, in any order
 //	err = s.Write(os.Stdout)
 //
--- a/test/compare/main.go
+++ b/test/compare/main.go
@@ -29,6 +29,9 @@
 	"github.com/tideliftd/tidelift/test/bench"
 )
 
+// daysAtATime is how many days are played at a time unless said otherwise.
+const daysAtATime = 8
+
 func main() {
 	if err := command().Run(context.Background(), os.Args); err != nil {
 		slog.Error("compare failed", "error", err)
@@ -40,15 +43,12 @@
 	return &cli.Command{
 		Name:  "compare",
 		Usage: "plays days with two builds and prints the difference",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "bench", Usage: "the bench's program", Required: true},
-			&cli.StringFlag{Name: "site", Usage: "the site file", Required: true},
+		Flags: append(bench.Flags(daysAtATime),
 			&cli.StringFlag{Name: "before", Usage: "the first checkout", Required: true},
 			&cli.StringFlag{Name: "after", Usage: "the second checkout", Required: true},
 			&cli.IntSliceFlag{Name: "seeds", Usage: "the seeds of each day", Value: []int{1, 2, 3}},
 			&cli.StringFlag{Name: "why", Usage: "a line for the journals"},
-			&cli.IntFlag{Name: "jobs", Usage: "days played at a time", Value: 8},
-		},
+		),
 		Action: run,
 	}
 }
--- a/test/days/main.go
+++ b/test/days/main.go
@@ -37,6 +37,8 @@
 	daysDir = "test/days/days"
 	// dayEnding is what the name of a day's file ends with.
 	dayEnding = ".toml"
+	// daysAtATime is how many days are played at a time unless said otherwise.
+	daysAtATime = 4
 )
 
 func main() {
@@ -48,13 +50,9 @@
 
 func command() *cli.Command {
 	return &cli.Command{
-		Name:  "days",
-		Usage: "plays days of our own on the users' bench",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "bench", Usage: "the bench's program", Required: true},
-			&cli.StringFlag{Name: "site", Usage: "the site file", Required: true},
-			&cli.IntFlag{Name: "jobs", Usage: "days played at a time", Value: 4},
-		},
+		Name:   "days",
+		Usage:  "plays days of our own on the users' bench",
+		Flags:  bench.Flags(daysAtATime),
 		Action: run,
 	}
 }
