fix(daemon): a planned stop does not wait for connections without a request

Cause: http.Server.Shutdown takes a connection on which no request has come for busy until it is five seconds old. Callers and other daemons open connections in advance, so that stops ran into their limit ("stop cut requests", in_flight 0) and the host stayed away for up to three seconds longer than anything was in flight.

Change: connections without a request are closed once the stop has settled, a second after the listeners. A request that crosses the close was not read.

Before: TestConnectionsWithoutARequestDoNotHoldAStop fails, the stop ends at its limit. After: it passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 //
 //	daemon.go   makes the parts and runs them
 //	listen.go   the listeners and what they serve
+//	unused.go   connections on which no request has come
 //	stop.go     the planned stop
 //	calls.go    control calls, taken and made
 //	keys.go     certificates and tokens
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -33,6 +33,7 @@
 
 	sockets  []net.Listener // of callers and peers
 	refusing atomic.Bool
+	unused   unusedConns // of callers and peers
 }
 
 // refuse takes no new connections; those there are go on. It comes a while
@@ -70,24 +71,29 @@
 // newListeners returns the servers, which do not serve yet.
 func (d *daemon) newListeners(operators http.Handler) *listeners {
 	s := d.config.Settings
-	return &listeners{
-		callers: &http.Server{
-			Handler:           d.closeWhenStopping(d.ingress),
-			ReadHeaderTimeout: s.Limits.HeaderTimeout,
-			IdleTimeout:       s.Limits.IdleTimeout,
-			MaxHeaderBytes:    s.Limits.HeaderBytes + headerSlack,
-			ConnContext:       framing.ConnContext,
-			ConnState:         framing.ConnState,
-		},
-		peers: &http.Server{
-			Handler:           d.closeWhenStopping(d.sidecar.Handler()),
-			ReadHeaderTimeout: peerHeaderTimeout,
-			IdleTimeout:       peerIdleTimeout,
-			MaxHeaderBytes:    s.Limits.HeaderBytes + 2*headerSlack,
-		},
+	l := &listeners{
 		operators: &http.Server{Handler: operators, ReadHeaderTimeout: peerHeaderTimeout},
 		failed:    make(chan error, 5),
 	}
+	l.callers = &http.Server{
+		Handler:           d.closeWhenStopping(d.ingress),
+		ReadHeaderTimeout: s.Limits.HeaderTimeout,
+		IdleTimeout:       s.Limits.IdleTimeout,
+		MaxHeaderBytes:    s.Limits.HeaderBytes + headerSlack,
+		ConnContext:       framing.ConnContext,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			framing.ConnState(c, state)
+			l.unused.track(c, state)
+		},
+	}
+	l.peers = &http.Server{
+		Handler:           d.closeWhenStopping(d.sidecar.Handler()),
+		ReadHeaderTimeout: peerHeaderTimeout,
+		IdleTimeout:       peerIdleTimeout,
+		MaxHeaderBytes:    s.Limits.HeaderBytes + 2*headerSlack,
+		ConnState:         l.unused.track,
+	}
+	return l
 }
 
 // listenForHost opens what only this host's own programs and its platform call.
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -39,6 +39,7 @@
 	wait.For(ctx, limits.Unready)
 	d.takeNoMore(l)
 	d.settle(ctx)
+	l.unused.close()
 	d.ingress.Stop()
 	err := errors.Join(
 		shutDown(ctx, l.callers, "callers"),
--- a/test/registered/registered_test.go
+++ b/test/registered/registered_test.go
@@ -1,6 +1,7 @@
 package registered
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -271,3 +272,22 @@
 		}
 	}
 }
+
+// TestConnectionsWithoutARequestDoNotHoldAStop opens connections as callers and other
+// daemons do in advance, sends nothing on them, and stops the daemon.
+func TestConnectionsWithoutARequestDoNotHoldAStop(t *testing.T) {
+	f := newFleet(t, 2)
+	stopped := f.hosts[0]
+	for _, port := range []string{"1001", "1002"} {
+		c, err := net.Dial("tcp", net.JoinHostPort(stopped.ip(), port))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+	}
+	stopped.get("/once/x") // the connections were accepted before it
+	stopped.end()
+	if stopped.log.contains(`"msg":"stop cut requests"`) || !stopped.log.contains(`"msg":"daemon stopped"`) {
+		t.Fatalf("the stop ran into its limit:\n%s", stopped.log.b.String())
+	}
+}
