feat(compress): bytes between data centres travel compressed

Change: a connection to a daemon of another data centre begins with a preface, after which each write is a deflate frame whose dictionary is the last 8 KB of that side. No state of a compressor is kept for a connection, and a read that ends at its deadline within a frame goes on later, which net/http needs. Not with mutual TLS, where lengths would tell. Daemons of one fleet have to be of one version.

Ruled out: a stream that keeps a compressor, some 300 KB a connection and side, whose reader fails for good at the first read deadline.

--- /dev/null
+++ b/internal/compress/compress.go
@@ -0,0 +1,215 @@
+// Package compress makes connections whose bytes travel compressed.
+//
+// What two daemons exchange is mostly the heads of requests and answers and the texts of
+// calls, each much like the one before. Between data centres bytes are dear, so there each
+// write travels as a frame of its own, compressed with what was written before it as the
+// dictionary.
+//
+// # Usage
+//
+//	socket, err := dialer.DialContext(ctx, "tcp", address)
+//	conn := compress.Client(socket)       // says so in its first bytes
+//	listener = compress.Listen(listener)  // answers either kind of connection in kind
+//
+// # Wire
+//
+// The side that connects first sends the preface: a zero byte, which no request, TLS
+// handshake or framed call begins with, and the version of this format. After that either
+// side sends frames: the length of the compressed bytes in two bytes, the most significant
+// first, and a whole deflate stream. Its dictionary is the last dictionarySize bytes that
+// the same side sent before, uncompressed. A frame holds no more than maxPlain bytes.
+//
+// # State
+//
+// A connection keeps the two dictionaries and the frame that is being read; what compresses
+// and decompresses is shared. A read that ends at its deadline in the middle of a frame loses
+// nothing: the next goes on with it. net/http relies on that.
+//
+// It is not for use inside TLS: the length of what is compressed tells something of a
+// secret that travels beside bytes of somebody else's choosing.
+package compress
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"github.com/klauspost/compress/flate"
+)
+
+const (
+	// dictionarySize is how much of what was sent before a frame refers to, in bytes.
+	// Source: the most that the library's compressor without a state takes.
+	dictionarySize = 8 << 10
+	// maxPlain is the most that one frame holds, in bytes. Source: compressed or not, its
+	// length fits into two bytes.
+	maxPlain = 16 << 10
+	// lengthSize is the size of a frame's length, in bytes.
+	lengthSize = 2
+	// compressedBit marks the length of a frame that is compressed; others hold the bytes as
+	// they are.
+	compressedBit = 1 << 15
+)
+
+// preface begins a connection: a byte that nothing else begins with, and the version.
+var preface = []byte{0, 'T', 'Z', 1}
+
+// conn is a connection whose bytes travel compressed, both ways.
+type conn struct {
+	net.Conn
+
+	reading sync.Mutex
+	frame   []byte // what has come of the next frame
+	plain   []byte // what was decompressed and not read yet
+	taken   dictionary
+
+	writing sync.Mutex
+	begin   []byte // goes before the first frame
+	out     bytes.Buffer
+	sent    dictionary
+}
+
+// Client makes the connection one whose bytes travel compressed. The preface goes with the
+// first bytes that are written.
+func Client(socket net.Conn) net.Conn { return &conn{Conn: socket, begin: preface} }
+
+// Read reads decompressed bytes.
+func (c *conn) Read(p []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	for len(c.plain) == 0 {
+		if len(p) == 0 {
+			return 0, nil
+		}
+		if err := c.readFrame(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, c.plain)
+	c.plain = c.plain[n:]
+	return n, nil
+}
+
+// readFrame reads the next frame. After an error it goes on where that left it.
+func (c *conn) readFrame() error {
+	if err := c.fill(lengthSize); err != nil {
+		return err
+	}
+	head := int(binary.BigEndian.Uint16(c.frame))
+	length := head &^ compressedBit
+	if err := c.fill(lengthSize + length); err != nil {
+		return err
+	}
+	plain, err := c.unpack(head&compressedBit != 0, c.frame[lengthSize:])
+	if err != nil {
+		return err
+	}
+	c.frame = c.frame[:0]
+	c.taken.add(plain)
+	c.plain = plain
+	return nil
+}
+
+// unpack returns what a frame holds.
+func (c *conn) unpack(compressed bool, held []byte) ([]byte, error) {
+	if !compressed {
+		return bytes.Clone(held), nil
+	}
+	return inflate(held, c.taken.bytes)
+}
+
+// fill reads until that much of the frame is there.
+func (c *conn) fill(size int) error {
+	for len(c.frame) < size {
+		have := len(c.frame)
+		c.frame = append(c.frame, make([]byte, size-have)...)
+		n, err := c.Conn.Read(c.frame[have:size])
+		c.frame = c.frame[:have+n]
+		if err != nil && len(c.frame) < size {
+			return c.ended(err)
+		}
+	}
+	return nil
+}
+
+// ended tells an end between two frames from one within.
+func (c *conn) ended(err error) error {
+	if errors.Is(err, io.EOF) && len(c.frame) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// Write compresses the bytes and sends them. After an error the count says whether anything
+// may have arrived, and no more.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.out.Reset()
+	c.out.Write(c.begin)
+	c.begin = nil
+	for rest := p; len(rest) > 0; {
+		piece := rest[:min(len(rest), maxPlain)]
+		rest = rest[len(piece):]
+		if err := c.writeFrame(piece); err != nil {
+			return 0, err
+		}
+	}
+	if n, err := c.Conn.Write(c.out.Bytes()); err != nil {
+		return min(n, len(p)), err
+	}
+	return len(p), nil
+}
+
+// writeFrame adds the frame of a piece to what is sent, compressed if that is shorter.
+func (c *conn) writeFrame(piece []byte) error {
+	at := c.out.Len()
+	c.out.Write(make([]byte, lengthSize))
+	if err := flate.StatelessDeflate(&c.out, piece, true, c.sent.bytes); err != nil {
+		return errors.Wrap(err, "compress")
+	}
+	length := c.out.Len() - at - lengthSize
+	head := length | compressedBit
+	if length >= len(piece) {
+		c.out.Truncate(at + lengthSize)
+		c.out.Write(piece)
+		head = len(piece)
+	}
+	binary.BigEndian.PutUint16(c.out.Bytes()[at:], uint16(head))
+	c.sent.add(piece)
+	return nil
+}
+
+// dictionary is the last bytes that one side sent.
+type dictionary struct{ bytes []byte }
+
+// add takes more of them.
+func (d *dictionary) add(plain []byte) {
+	plain = plain[max(0, len(plain)-dictionarySize):]
+	surplus := max(0, len(d.bytes)+len(plain)-dictionarySize)
+	kept := copy(d.bytes, d.bytes[surplus:])
+	d.bytes = append(d.bytes[:kept], plain...)
+}
+
+// inflaters are kept, since each takes some forty kilobytes.
+var inflaters = sync.Pool{New: func() any { return flate.NewReader(nil) }}
+
+// inflate decompresses a frame.
+func inflate(compressed, dictionary []byte) ([]byte, error) {
+	inflater := inflaters.Get().(io.ReadCloser)
+	defer inflaters.Put(inflater)
+	if err := inflater.(flate.Resetter).Reset(bytes.NewReader(compressed), dictionary); err != nil {
+		return nil, errors.Wrap(err, "decompress")
+	}
+	plain, err := io.ReadAll(io.LimitReader(inflater, maxPlain+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress")
+	}
+	if len(plain) > maxPlain {
+		return nil, errors.Errorf("a frame holds more than %d bytes", maxPlain)
+	}
+	return plain, nil
+}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -36,6 +36,9 @@
 type ClientConfig struct {
 	// TLS is what the daemon proves itself with to others; nil for none.
 	TLS *tls.Config
+	// Far says whether bytes to the address are dear and travel compressed, which they do
+	// without TLS alone; nil if none do.
+	Far func(address string) bool
 }
 
 // NewClient returns a client and a function that closes its connections.
@@ -88,7 +91,7 @@
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := dial.New(dial.ToDaemons())
 	if c.config.TLS == nil {
-		return dialer.DialContext(ctx, "tcp", address)
+		return dial.Compressed(dialer, c.config.Far)(ctx, "tcp", address)
 	}
 	secure := tls.Dialer{NetDialer: dialer, Config: c.config.TLS}
 	return secure.DialContext(ctx, "tcp", address)
--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/tideliftd/tidelift/internal/compress"
 	"github.com/tideliftd/tidelift/internal/control"
 )
 
@@ -63,3 +64,28 @@
 		go func() { _, _ = io.Copy(in, out) }()
 	}
 }
+
+// TestACallToAnotherDataCentreTravelsCompressed calls a peer that takes both kinds of
+// connection, by either.
+func TestACallToAnotherDataCentreTravelsCompressed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(control.Serve(control.ServerConfig{
+		Listener: compress.Listen(listener),
+		Handle: func(_ context.Context, _ control.Method, params json.RawMessage) (any, error) {
+			return params, nil
+		},
+	}))
+	for _, far := range []bool{false, true} {
+		client, cleanUp := control.NewClient(control.ClientConfig{Far: func(string) bool { return far }})
+		defer cleanUp()
+		for range 3 {
+			var back string
+			if err := client.Call(context.Background(), listener.Addr().String(), control.MethodPing, "there", &back); err != nil || back != "there" {
+				t.Fatalf("far %v: %q, %v", far, back, err)
+			}
+		}
+	}
+}
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -198,6 +198,17 @@
 	return d.peers.Call(ctx, d.controlOf(other.Host), control.MethodRelease, control.Release{Name: name, Release: r}, nil)
 }
 
+// isFar says whether the address is outside this data centre, or may be: nothing is known of
+// it yet.
+func (d *daemon) isFar(address string) bool {
+	current := d.inForce.Load()
+	if current == nil {
+		return true
+	}
+	place, ok := current.Index.DataCentreAt(address)
+	return !ok || place != d.config.Settings.DataCentre
+}
+
 // controlOf returns where the host takes control calls from this data centre.
 func (d *daemon) controlOf(host fleet.Host) string {
 	return host.ControlFrom(d.config.Settings.DataCentre)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -179,7 +179,7 @@
 	metrics, cleanUp := metric.New(metric.Config{DataCentre: s.DataCentre})
 	d.metrics = metrics
 	d.atEnd(cleanUp)
-	d.peers, cleanUp = control.NewClient(control.ClientConfig{TLS: d.clientTLS()})
+	d.peers, cleanUp = control.NewClient(control.ClientConfig{TLS: d.clientTLS(), Far: d.isFar})
 	d.atEnd(cleanUp)
 	d.sidecar, cleanUp = sidecar.New(sidecar.Config{
 		Host: s.Name, Logger: d.config.Logger, Scope: metrics.Scope,
@@ -196,6 +196,7 @@
 		Scope:       metrics.Scope,
 		Local:       d.sidecar.Do,
 		LocalTicket: d.sidecar.Ticket,
+		Far:         d.isFar,
 		Ping:        d.ping,
 		Silent:      d.checkGone,
 		Nested:      d.tellNested,
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/tideliftd/tidelift/internal/compress"
 	"github.com/tideliftd/tidelift/internal/keys"
 	"github.com/tideliftd/tidelift/internal/result"
 )
@@ -42,7 +43,7 @@
 // daemons prove themselves.
 func (d *daemon) daemonsOnly(socket net.Listener) net.Listener {
 	if d.certificates == nil {
-		return socket
+		return compress.Listen(socket)
 	}
 	return tls.NewListener(socket, d.certificates.Server())
 }
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -4,14 +4,19 @@
 //
 //	dialer := dial.New(dial.Config{Connect: 500 * time.Millisecond, Unacknowledged: 2 * time.Second})
 //	transport := &http.Transport{DialContext: dialer.DialContext}
+//
+//	toDaemons := dial.Compressed(dial.New(dial.ToDaemons()), far) // where bytes are dear
 package dial
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/tideliftd/tidelift/internal/compress"
 )
 
 const (
@@ -58,6 +63,21 @@
 	}
 }
 
+// Func opens a connection.
+type Func func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Compressed returns what opens connections by the dialer. Bytes travel compressed to the
+// addresses for which far says yes; nil never does.
+func Compressed(dialer *net.Dialer, far func(address string) bool) Func {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		socket, err := dialer.DialContext(ctx, network, address)
+		if err != nil || far == nil || !far(address) {
+			return socket, err
+		}
+		return compress.Client(socket), nil
+	}
+}
+
 // userTimeout returns what makes a socket give up once its bytes have not been
 // acknowledged for that long. A cut is silent; without it a write to a host that
 // is cut off hangs for minutes.
--- a/internal/fleet/index.go
+++ b/internal/fleet/index.go
@@ -9,6 +9,7 @@
 	hosts    map[string]Host
 	services map[string]Service
 	servers  map[string]Placement
+	places   map[string]string // the data centre of each address of a host
 }
 
 // Placement is a backend server with the service and host it belongs to.
@@ -25,9 +26,11 @@
 		hosts:       make(map[string]Host, len(d.Hosts)),
 		services:    make(map[string]Service, len(d.Services)),
 		servers:     make(map[string]Placement),
+		places:      make(map[string]string, 2*len(d.Hosts)),
 	}
 	for _, h := range d.Hosts {
 		index.hosts[h.Name] = h
+		index.place(h)
 	}
 	for _, s := range d.Services {
 		index.services[s.Name] = s
@@ -38,6 +41,22 @@
 	return index
 }
 
+// place notes where the host's addresses are.
+func (x *Index) place(h Host) {
+	x.places[h.Peers] = h.DataCentre
+	x.places[h.Control] = h.DataCentre
+	for _, view := range h.SeenFrom {
+		x.places[view.Peers] = h.DataCentre
+		x.places[view.Control] = h.DataCentre
+	}
+}
+
+// DataCentreAt returns the data centre of the host that has the address.
+func (x *Index) DataCentreAt(address string) (string, bool) {
+	place, ok := x.places[address]
+	return place, ok
+}
+
 // Host returns the host of that name.
 func (x *Index) Host(name string) (Host, bool) {
 	h, ok := x.hosts[name]
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -81,6 +81,9 @@
 	Logger *slog.Logger
 	// Scope receives the metrics.
 	Scope tally.Scope
+	// Far says whether bytes to another daemon's address are dear and travel compressed,
+	// which they do without TLS alone; nil if none do.
+	Far func(address string) bool
 	// Ping asks another host's daemon for any answer; nil if hosts are not asked.
 	Ping func(context.Context, fleet.Host) error
 	// Silent is told of a host that has not answered for long.
@@ -125,12 +128,11 @@
 // New returns an ingress that refuses requests until Reconfigure, and a
 // function that closes its connections.
 func New(config Config) (*Ingress, func()) {
-	dialer := dial.New(dial.ToDaemons())
 	in := &Ingress{
 		config: config,
 		start:  time.Now(),
 		transport: &http.Transport{
-			DialContext:           dialer.DialContext,
+			DialContext:           dialTo(config),
 			TLSClientConfig:       config.TLS,
 			DisableCompression:    true,
 			MaxIdleConnsPerHost:   1024,
@@ -155,6 +157,15 @@
 	}
 }
 
+// dialTo returns what connects to other daemons.
+func dialTo(config Config) dial.Func {
+	far := config.Far
+	if config.TLS != nil {
+		far = nil // the length of what is compressed tells something of it
+	}
+	return dial.Compressed(dial.New(dial.ToDaemons()), far)
+}
+
 // end ends the judges and closes the connections.
 func (in *Ingress) end() {
 	in.mu.Lock()
