feat(retry): the sidecars keep the retry limit; copies of calls wait for a slot

Cause: each ingress had its own part of a service's retry limit.

Change: a retry or copy says so on the hop, and the sidecar that keeps its slot grants it from the backend server's part of the limit, which first sendings there earn. There are fewer backend servers of a service than daemons, so that the parts are larger. The ingress's budget goes. A copy of a call of a backend server waits in the queue, where calls go first.

--- a/internal/hop/call.go
+++ b/internal/hop/call.go
@@ -40,6 +40,9 @@
 	// Proven asks for a refusal if the backend server seems to hang: a request is late
 	// there, and no later one has been answered well.
 	Proven bool
+	// Repeat says that the request has reached a backend server before, or may yet, so that
+	// this sending draws on the service's retry limit.
+	Repeat bool
 	// Host is the ingress's host.
 	Host string
 	// Reference is how the service's other backend servers do, as
--- a/internal/hop/encode.go
+++ b/internal/hop/encode.go
@@ -37,6 +37,7 @@
 	flagInsist
 	flagNoWait
 	flagProven
+	flagRepeat
 )
 
 // callText turns the encoded call into a header's text.
@@ -72,7 +73,8 @@
 // flags returns the call's flags in one number.
 func (c Call) flags() uint64 {
 	return bit(flagOnce, c.Once) | bit(flagWantTicket, c.WantTicket) | bit(flagInsist, c.Insist) |
-		bit(flagNoWait, c.NoWait) | bit(flagProven, c.Proven)
+		bit(flagNoWait, c.NoWait) | bit(flagProven, c.Proven) |
+		bit(flagRepeat, c.Repeat)
 }
 
 // bit returns the flag if it is set, and else zero.
@@ -119,6 +121,7 @@
 		Insist:        w.Flags&flagInsist != 0,
 		NoWait:        w.Flags&flagNoWait != 0,
 		Proven:        w.Flags&flagProven != 0,
+		Repeat:        w.Flags&flagRepeat != 0,
 	}
 }
 
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -33,6 +33,7 @@
 	body     *body.Body
 	route    route.Name
 	pace     *pace.Pace // of its route
+	nested   bool       // a backend server sent it for a request that it is running
 }
 
 // nestedPriority is the rank of what a backend server calls while it runs a request: before
@@ -94,6 +95,7 @@
 		pace:     in.paces.of(routeName),
 	}
 	if in.nested.Is(admitted.route) {
+		admitted.nested = true
 		admitted.aim = admitted.deadline
 		admitted.priority = nestedPriority
 	}
--- a/internal/ingress/attempt_test.go
+++ b/internal/ingress/attempt_test.go
@@ -9,7 +9,6 @@
 	"github.com/tideliftd/tidelift/internal/balance"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/result"
-	"github.com/tideliftd/tidelift/internal/retry"
 )
 
 // TestNoCopyInAPlannedStop leaves a request where it runs once a stop has begun, however
@@ -60,7 +59,7 @@
 	pool.Reconfigure(declaration.Services[0], index)
 	in := &Ingress{config: Config{Logger: slog.New(slog.DiscardHandler)}}
 	r := &round{in: in, story: &trail{}, done: make(chan finished)}
-	r.request = &request{attempts: 3, service: &service{budget: retry.NewBudget()}}
+	r.request = &request{attempts: 3, service: &service{limit: &retryLimit{}}}
 	for range running {
 		a := &attempt{in: in, request: r.request, choice: choice{target: pool.Targets()[0]}, cancel: func(error) {}}
 		r.running = append(r.running, a)
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -18,30 +18,33 @@
 	// servers, or none, looks again. Source: one is trusted again within some tens
 	// of milliseconds of the first proof.
 	lookAgainAfter = 50 * time.Millisecond
+	// maxLimited is how many sidecars are asked for a retry before the failure is final.
+	// Source: each has a part of the limit; where three have spent theirs, most have.
+	maxLimited = 3
 )
 
 // attempts tries the request on one backend server after another until one
 // answers or the failure is final.
 func (in *Ingress) attempts(ctx context.Context, r *request) (*http.Response, error) {
-	r.service.budget.Earn(time.Now())
 	var story trail
 	for {
 		next, ok := in.next(ctx, r, &story)
 		if !ok {
 			return story.end(worst(story.mayHaveRun, noneAble(r, &story)))
 		}
+		next.repeat = story.sent > 0
 		f := in.runRound(ctx, &attempt{in: in, request: r, choice: next}, &story)
 		if f.isAnswer() {
 			story.drop()
 			return f.response, nil
 		}
-		story.take(f)
+		failure := story.take(f)
 		again := in.again(r, &story)
-		in.logAttempt(r, f.attempt, &story, again)
+		in.logAttempt(r, f.attempt, &story, failure, again)
 		if !again {
 			return story.end(worst(story.mayHaveRun, story.last))
 		}
-		in.metrics.retried.Inc(story.last.Code)
+		in.metrics.retried.Inc(failure.Code)
 	}
 }
 
@@ -69,12 +72,12 @@
 }
 
 // logAttempt leaves a line on a failed attempt.
-func (in *Ingress) logAttempt(r *request, a *attempt, story *trail, again bool) {
+func (in *Ingress) logAttempt(r *request, a *attempt, story *trail, failure *result.Error, again bool) {
 	event.Log(in.config.Logger, event.AttemptFailed,
 		"request", in.requestID(r.Request), "service", r.name, "backend_server", a.target.Name, "trial", a.trial,
 		"no_wait", a.noWait, "proven", a.proven, "insist", a.insist,
-		"tried", len(story.tried), "sent", story.sent, "once", r.once, "code", story.last.Code.Number, "result", story.last.Code.Name,
-		"why", story.last.Error(), "again", again)
+		"tried", len(story.tried), "sent", story.sent, "once", r.once, "code", failure.Code.Number, "result", failure.Code.Name,
+		"why", failure.Error(), "again", again)
 }
 
 // worst is the failure to tell the caller: "not run" is true only if it is true
@@ -100,7 +103,7 @@
 	case retry.Free:
 		return true
 	case retry.Again:
-		return r.service.budget.Spend(time.Now())
+		return story.limited < maxLimited
 	case retry.Final:
 	}
 	return false
--- a/internal/ingress/choose.go
+++ b/internal/ingress/choose.go
@@ -34,6 +34,8 @@
 	noWait bool
 	// proven asks for a refusal if the target seems to hang.
 	proven bool
+	// repeat says that the request has reached a backend server, or may yet.
+	repeat bool
 	// insist says that nobody else is left, so that doubt is no reason to refuse.
 	insist bool
 	// ticket is the leave of the target's sidecar to run the request; it may be
@@ -76,7 +78,7 @@
 	if target, ok := s.pool.PickTrial(now); ok {
 		return choice{target: target, trial: true}, true
 	}
-	if !s.budget.Left(now) {
+	if !s.limit.left(now) {
 		return choice{}, false
 	}
 	target, ok := s.pool.PickProbe(now)
@@ -101,7 +103,7 @@
 
 // look chooses one to ask for a free slot.
 func (t *trail) look(r *request, now time.Time) (choice, bool) {
-	mustNotFail := r.once || t.sent > 0 || !r.service.budget.Left(now)
+	mustNotFail := r.once || t.sent > 0 || !r.service.limit.left(now)
 	proven := mustNotFail && len(t.unproven) < maxUnproven
 	if proven {
 		if target, ok := r.service.pool.Pick(now, slices.Concat(t.tried, t.unproven)); ok {
--- a/internal/ingress/hedge.go
+++ b/internal/ingress/hedge.go
@@ -92,7 +92,6 @@
 func (r *round) take(f finished) *finished {
 	r.running = slices.DeleteFunc(r.running, func(a *attempt) bool { return a == f.attempt })
 	if f.unsent {
-		r.request.service.budget.GiveBack(time.Now())
 		r.avoid = slices.DeleteFunc(r.avoid, func(t *balance.Target) bool { return t == f.attempt.target })
 		if len(r.running) == 0 {
 			return r.failed // the attempt that it was to be a copy of
@@ -119,8 +118,8 @@
 	}
 	f := *r.failed
 	r.failed = nil
-	r.story.take(f)
-	r.in.logAttempt(r.request, f.attempt, r.story, true)
+	failure := r.story.take(f)
+	r.in.logAttempt(r.request, f.attempt, r.story, failure, true)
 }
 
 // start runs an attempt beside the round.
@@ -138,7 +137,7 @@
 		return
 	}
 	target, ok := r.request.service.pool.Pick(time.Now(), r.avoid)
-	if !ok || !r.request.service.budget.Spend(time.Now()) {
+	if !ok {
 		return
 	}
 	r.looks++
@@ -146,7 +145,7 @@
 		in:      r.in,
 		request: r.request,
 		copy:    true,
-		choice:  choice{target: target, noWait: true, proven: r.looks <= maxUnproven},
+		choice:  choice{target: target, noWait: !r.request.nested, proven: r.looks <= maxUnproven, repeat: true},
 	})
 }
 
@@ -189,9 +188,6 @@
 func (r *round) drain(count int) {
 	for range count {
 		f := <-r.done
-		if f.unsent {
-			r.request.service.budget.GiveBack(time.Now())
-		}
 		if f.response != nil {
 			_ = f.response.Body.Close() // it is not needed, whether it is whole or not
 		}
--- a/internal/ingress/service.go
+++ b/internal/ingress/service.go
@@ -7,7 +7,6 @@
 	"github.com/tideliftd/tidelift/internal/balance"
 	"github.com/tideliftd/tidelift/internal/detect"
 	"github.com/tideliftd/tidelift/internal/fleet"
-	"github.com/tideliftd/tidelift/internal/retry"
 	"github.com/tideliftd/tidelift/internal/route"
 )
 
@@ -20,10 +19,10 @@
 
 // service is what the ingress keeps of one service.
 type service struct {
-	pool   *balance.Pool
-	budget *retry.Budget
-	judge  *judge
-	rules  detect.Rules
+	pool  *balance.Pool
+	limit *retryLimit
+	judge *judge
+	rules detect.Rules
 }
 
 // Reconfigure puts a declaration in force. Requests that have begun go on
@@ -60,21 +59,15 @@
 // learned of it before.
 func (in *Ingress) reconfigureService(declared fleet.Service, index *fleet.Index) *service {
 	s := &service{
-		pool:   balance.NewPool(balance.Config{DataCentre: in.config.DataCentre, Random: rand.Uint64, Start: in.start}),
-		budget: retry.NewBudget(),
-		rules:  detect.RulesOf(declared.Detection),
+		pool:  balance.NewPool(balance.Config{DataCentre: in.config.DataCentre, Random: rand.Uint64, Start: in.start}),
+		limit: &retryLimit{},
+		rules: detect.RulesOf(declared.Detection),
 	}
 	if old, ok := in.service(declared.Name); ok {
 		s.pool = old.pool
 		s.judge = old.judge
-		s.budget = old.budget
+		s.limit = old.limit
 	}
-	s.budget.Resize(retry.Size{
-		Share:   declared.RetryShare,
-		Slack:   declared.RetrySlack,
-		Window:  declared.RetryWindow,
-		Daemons: len(index.Declaration.Hosts),
-	})
 	s.pool.Reconfigure(declared, index)
 	if s.judge == nil {
 		s.judge = newJudge(in.config, s.pool)
--- a/internal/ingress/trail.go
+++ b/internal/ingress/trail.go
@@ -19,6 +19,7 @@
 	busyFar    int               // how many of the busy ones were in other data centres
 	sent       int               // that reached a backend server
 	full       int               // that met a full queue
+	limited    int               // that had no retry left
 	last       *result.Error
 	mayHaveRun *result.Error // the last that may have run; nil if none may
 }
@@ -29,8 +30,9 @@
 	wait   time.Duration
 }
 
-// take takes an attempt that failed, or whose answer is kept if nothing better comes.
-func (t *trail) take(f finished) {
+// take takes an attempt that failed, or whose answer is kept if nothing better comes, and
+// returns its failure.
+func (t *trail) take(f finished) *result.Error {
 	var failure *result.Error
 	if f.err == nil {
 		failure = t.keep(f.response)
@@ -38,10 +40,16 @@
 		failure = result.From(f.err)
 	}
 	t.add(f.attempt.choice, failure, f.attempt.far())
+	return failure
 }
 
 // add takes the failure of an attempt.
 func (t *trail) add(c choice, failure *result.Error, far bool) {
+	if failure.Code.Number == result.RetryLimit.Number {
+		t.limited++ // the failure before it is what the caller is told
+		t.tried = append(t.tried, c.target)
+		return
+	}
 	switch failure.Code.Number {
 	case result.Doubted.Number: // may be asked again, and is passed over until then
 	case result.Busy.Number:
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -41,6 +41,7 @@
 	Busy              = Code{2020, "busy", http.StatusServiceUnavailable, RanNo, "The backend server has no free slot at this moment; the request asked not to wait for one yet."}
 	Unproven          = Code{2021, "unproven", http.StatusServiceUnavailable, RanNo, "The backend server seems to hang: a request takes longer there than nearly all of its route do, and no later one has been answered well."}
 	MovedOn           = Code{2022, "moved-on", http.StatusServiceUnavailable, RanNo, "The request waited long for a slot there, and a copy at another backend server was answered first."}
+	RetryLimit        = Code{2023, "retry-limit", http.StatusServiceUnavailable, RanNo, "The backend server has had its part of the service's retries for now; first sendings are taken."}
 	TicketUnanswered  = Code{2015, "ticket-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a ticket in time; the request was never sent."}
 )
 
@@ -78,7 +79,7 @@
 	return []Code{
 		MalformedRequest, NoRoute, AmbiguousFraming, HeadersTooLarge, BodyTooLarge, BadDeadline, UpgradeRefused, ProtocolVersion,
 		NotReady, Stopping, NoneAble, QueueFull, QueueTooSlow, CustomerShare, Leaving, Ejected, PeerUnreachable, ServerUnreachable,
-		TicketExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, TicketUnanswered, PlaceLost, NotTaken, Misdirected, Doubted, Busy, Unproven, MovedOn,
+		TicketExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, TicketUnanswered, PlaceLost, NotTaken, Misdirected, Doubted, Busy, Unproven, MovedOn, RetryLimit,
 		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, StoppedWhileRunning, SpoiltAnswer, ServerFailed, ServerError,
 		BadDeclaration, RevisionChanged, PlatformDown, NotDeclared, ChangeUnknown, ValueTooLarge, MalformedCall, PeerSilent, ChangeIDReused, TokenRefused, RoleRefused,
 	}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -19,18 +19,18 @@
 type Size struct {
 	// Share is the retries as a share of the service's requests, from 0 to 1.
 	Share float64
-	// Slack is how many retries beyond that all daemons may make in a window.
+	// Slack is how many retries beyond that the service may get in a window.
 	Slack float64
 	// Window is the time over which both are counted, more than zero.
 	Window time.Duration
-	// Daemons is how many share the slack.
-	Daemons int
+	// Parts is how many budgets share the slack.
+	Parts int
 }
 
-// slack is this daemon's part of it. A part may be less than one retry; the daemon
-// can still make one, which the safety covers.
+// slack is this budget's part of it. A part may be less than one retry; one can still be
+// made, which the safety covers.
 func (s Size) slack() float64 {
-	return max(oneRetry, safety*s.Slack/float64(max(1, s.Daemons)))
+	return max(oneRetry, safety*s.Slack/float64(max(1, s.Parts)))
 }
 
 // allowed is how many retries a window with that many requests may have.
@@ -38,9 +38,9 @@
 	return safety*s.Share*float64(requests) + s.slack()
 }
 
-// Budget bounds the retries of one service over a sliding window. A daemon that made
-// none for a while has all that its requests of the last window earned. It is safe
-// for concurrent use.
+// Budget bounds the retries that one backend server gets over a sliding window. One that
+// got none for a while has all that its requests of the last window earned. It is safe for
+// concurrent use.
 type Budget struct {
 	mu      sync.Mutex
 	size    Size
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -11,24 +11,24 @@
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// TestBudget spends as often as it can. With each retry a daemon's retries of the window
-// that ends there stay within its part of the limit, also when the number of daemons
-// changes on the way. At any other moment requests that paid for a retry may have left
+// TestBudget spends as often as it can. With each retry those of the window that ends
+// there stay within the budget's part of the limit, also when the number of parts changes
+// on the way. At any other moment requests that paid for a retry may have left
 // the window before it; then twice the share of the best of three windows bounds it, this
 // one, the one before and the one half a window ago.
 func TestBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		size := retry.Size{
-			Share:   rapid.Float64Range(0, 1).Draw(t, "share"),
-			Slack:   rapid.Float64Range(0, 100).Draw(t, "slack"),
-			Window:  time.Duration(rapid.IntRange(1, 10).Draw(t, "window")) * time.Second,
-			Daemons: rapid.IntRange(1, 40).Draw(t, "daemons"),
+			Share:  rapid.Float64Range(0, 1).Draw(t, "share"),
+			Slack:  rapid.Float64Range(0, 100).Draw(t, "slack"),
+			Window: time.Duration(rapid.IntRange(1, 10).Draw(t, "window")) * time.Second,
+			Parts:  rapid.IntRange(1, 40).Draw(t, "parts"),
 		}
 		b := retry.NewBudget()
 		b.Resize(size)
 		now := epoch
 		var requests, retries []time.Time
-		most := max(1, size.Slack/float64(size.Daemons))
+		most := max(1, size.Slack/float64(size.Parts))
 		within := func(times []time.Time, ago time.Duration) float64 {
 			return float64(between(times, now.Add(-ago-size.Window), now.Add(-ago)))
 		}
@@ -73,11 +73,11 @@
 	return n
 }
 
-// TestABurstIsPaidFromTheWindow lets a daemon that made no retry for a window make all
+// TestABurstIsPaidFromTheWindow lets one that got no retry for a window get all
 // that its requests earned at once.
 func TestABurstIsPaidFromTheWindow(t *testing.T) {
 	b := retry.NewBudget()
-	b.Resize(retry.Size{Share: 0.2, Slack: 56, Window: 10 * time.Second, Daemons: 21})
+	b.Resize(retry.Size{Share: 0.2, Slack: 56, Window: 10 * time.Second, Parts: 21})
 	now := epoch
 	for range 80 {
 		b.Earn(now)
@@ -88,7 +88,7 @@
 		t.Fatalf("%d retries after 80 requests without one", spent)
 	}
 	now = now.Add(10 * time.Second)
-	const slack = 2 // at most the whole of this daemon's part, 56 / 21
+	const slack = 2 // at most the whole of this part, 56 / 21
 	if spent := spendAll(b, now); spent > slack {
 		t.Fatalf("%d retries in a window without requests", spent)
 	}
@@ -105,7 +105,7 @@
 
 func TestWithoutASizeNothingIsAllowed(t *testing.T) {
 	b := retry.NewBudget()
-	b.Resize(retry.Size{Share: 1, Slack: 1, Window: time.Nanosecond, Daemons: 1})
+	b.Resize(retry.Size{Share: 1, Slack: 1, Window: time.Nanosecond, Parts: 1})
 	b.Earn(epoch)
 	b.GiveBack(epoch)
 	if b.Left(epoch) || b.Spend(epoch) {
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -1,9 +1,11 @@
 // Package retry decides whether a failed attempt may be tried again.
 //
-// Only the ingress retries. A Budget is the aggregate of one service at one
-// daemon: with each retry, its retries of the window that ends there are at most a share
-// of its requests of that window, and its part of the fleet's slack more, so that all
-// daemons together stay within the service's limit without a call.
+// Only the ingress retries, and the sidecar that keeps a slot for a retry says whether there
+// is one left. A Budget is the aggregate of one backend server: with each retry, those of the
+// window that ends there are at most a share of the requests that came there in that window,
+// and its part of the service's slack more, so that all backend servers together stay within
+// the service's limit without a call. There are fewer of them than of daemons that send, so
+// that each part is larger and seldom spent while others are left.
 //
 // Whether an attempt may be tried again is in retry.go, the budget in budget.go, and
 // what the budget counts over time in window.go.
@@ -11,12 +13,12 @@
 // # Usage
 //
 //	budget := retry.NewBudget()
-//	budget.Resize(retry.Size{Share: 0.2, Slack: 56, Window: 10 * time.Second, Daemons: 21})
+//	budget.Resize(retry.Size{Share: 0.2, Slack: 56, Window: 10 * time.Second, Parts: 15})
 //	budget.Earn(now)               // for each request
 //	if budget.Left(now) { ... }    // a retry may be spent on a failure
 //	switch retry.Decide(retry.Attempt{Sent: 1, Most: 2, Once: true, Err: refusal}) {
 //	case retry.Again:
-//		if !budget.Spend(now) { ... }
+//		ok := budget.Spend(now) // at the sidecar
 //	}
 //
 // # Rules
--- a/internal/sidecar/doubt.go
+++ b/internal/sidecar/doubt.go
@@ -53,7 +53,7 @@
 // elsewhere.
 func (t *task) turnAwayWaiting(now time.Time) {
 	for _, id := range t.queue.Clear() {
-		t.reply(id, grant{err: refusal(result.Doubted, t.doubt.HeldFor(now))})
+		t.reply(now, id, grant{err: refusal(result.Doubted, t.doubt.HeldFor(now))})
 	}
 }
 
@@ -64,8 +64,12 @@
 	}
 }
 
-// began takes it that a request was given a slot.
-func (t *task) began(now time.Time) {
+// began takes it that a request was given a slot, be it for a repeat or for the first time,
+// which earns a part of a retry.
+func (t *task) began(now time.Time, repeat bool) {
+	if !repeat {
+		t.retries.Earn(now)
+	}
 	if t.doubt.Doubted() {
 		t.doubt.Probe(now)
 		t.log(event.ServerProbed, "good", t.doubt.GoodInARow())
--- a/internal/sidecar/messages.go
+++ b/internal/sidecar/messages.go
@@ -81,6 +81,7 @@
 	releaseMessage struct {
 		took   time.Duration
 		trial  bool
+		repeat bool
 		seen   bool
 		saw    detect.Observation
 		others detect.Reference
@@ -112,6 +113,12 @@
 	}
 )
 
+// waiter is a request that waits for a slot.
+type waiter struct {
+	reply  chan grant
+	repeat bool // it draws on the retry limit
+}
+
 // grant answers an offer; err is nil if the request has a slot.
 type grant struct {
 	err   *result.Error
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -17,6 +17,7 @@
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/retry"
 )
 
 // mailboxSize is how many messages may wait for a server's task.
@@ -47,6 +48,16 @@
 	return admission.Config{Slots: d.BackendServer.Slots, Depth: d.BackendServer.Queue, Salt: d.BackendServer.Name}
 }
 
+// retrySize is the backend server's part of its service's retry limit.
+func (d *declared) retrySize() retry.Size {
+	return retry.Size{
+		Share:  d.Service.RetryShare,
+		Slack:  d.Service.RetrySlack,
+		Window: d.Service.RetryWindow,
+		Parts:  len(d.Service.BackendServers),
+	}
+}
+
 func (d *declared) adoption() fleet.Adoption { return d.Service.AdoptionIn(d.Host.DataCentre) }
 
 // server is the handle of one backend server's task.
@@ -126,9 +137,9 @@
 	}
 	select {
 	case g := <-reply:
-		return s.granted(ctx, g)
+		return s.granted(ctx, call, g)
 	case <-ctx.Done():
-		s.withdraw(request, reply)
+		s.withdraw(request, call, reply)
 		return nil, cancelled(ctx)
 	case <-s.ended:
 		return nil, result.New(result.Leaving)
@@ -136,11 +147,11 @@
 }
 
 // granted checks that the request is still wanted.
-func (s *server) granted(ctx context.Context, g grant) (*slot, error) {
+func (s *server) granted(ctx context.Context, call hop.Call, g grant) (*slot, error) {
 	if g.err != nil {
 		return nil, g.err
 	}
-	granted := &slot{server: s, trial: g.trial}
+	granted := &slot{server: s, trial: g.trial, repeat: call.Repeat}
 	if ctx.Err() != nil {
 		granted.release()
 		return nil, cancelled(ctx)
@@ -150,7 +161,7 @@
 
 // withdraw takes a request out of the queue, or gives its slot back if it was
 // granted one in the meantime.
-func (s *server) withdraw(request admission.Request, reply chan grant) {
+func (s *server) withdraw(request admission.Request, call hop.Call, reply chan grant) {
 	wasWaiting := make(chan bool, 1)
 	if !s.send(cancelMessage{request: request, reply: wasWaiting}) {
 		return
@@ -164,7 +175,7 @@
 		return
 	}
 	if g := <-reply; g.err == nil {
-		(&slot{server: s, trial: g.trial}).release()
+		(&slot{server: s, trial: g.trial, repeat: call.Repeat}).release()
 	}
 }
 
@@ -180,6 +191,7 @@
 type slot struct {
 	server  *server
 	trial   bool
+	repeat  bool // it draws on the retry limit
 	others  detect.Reference
 	target  time.Duration // of the request's route; zero if it is not known
 	lateAt  time.Duration // how long it runs before it has outlasted nearly all of its route; zero if that is not known
@@ -249,5 +261,5 @@
 	if !s.started.IsZero() {
 		took = time.Since(s.started)
 	}
-	s.server.send(releaseMessage{took: took, trial: s.trial, seen: s.seen, saw: s.saw, others: s.others})
+	s.server.send(releaseMessage{took: took, trial: s.trial, repeat: s.repeat, seen: s.seen, saw: s.saw, others: s.others})
 }
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -11,6 +11,7 @@
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/floor"
+	"github.com/tideliftd/tidelift/internal/retry"
 )
 
 // judgeEvery is how often a task looks at its evidence without a request.
@@ -22,7 +23,8 @@
 	server         *server
 	declared       *declared
 	queue          *admission.Queue
-	waiting        map[uint64]chan grant
+	waiting        map[uint64]waiter
+	retries        *retry.Budget
 	subject        *detect.Subject
 	ledger         *floor.Ledger
 	asking         asking
@@ -35,12 +37,13 @@
 }
 
 func newTask(config Config, s *server, d *declared) *task {
-	return &task{
+	t := &task{
 		config:   config,
 		server:   s,
 		declared: d,
 		queue:    admission.NewQueue(d.size()),
-		waiting:  make(map[uint64]chan grant),
+		waiting:  make(map[uint64]waiter),
+		retries:  retry.NewBudget(),
 		subject:  detect.NewSubject(d.rules),
 		ledger: floor.NewLedger(floor.Config{
 			Name:        d.BackendServer.Name,
@@ -51,6 +54,8 @@
 		doubt:      doubt.New(),
 		turnedAway: make(map[string]bool),
 	}
+	t.retries.Resize(d.retrySize())
+	return t
 }
 
 // run takes messages one at a time until the server ends.
@@ -90,7 +95,7 @@
 	case releaseMessage:
 		t.release(now, m)
 	case cancelMessage:
-		t.cancel(m)
+		t.cancel(now, m)
 	case drainMessage:
 		t.drain(m.leaving)
 	case hostListMessage:
@@ -125,6 +130,7 @@
 	t.declared = d
 	t.subject.SetRules(d.rules)
 	t.queue.Resize(d.size())
+	t.retries.Resize(d.retrySize())
 	names := make([]string, 0, len(d.others))
 	for _, other := range d.others {
 		names = append(names, other.BackendServer.Name)
