fix(hedge): a copy is offered to each backend server before any is asked again

Cause: a look for a copy drew among all that the request was not at, the own data centre first.

Change: who refused a copy is asked again once all others were.

TestCopiesAreOfferedInTurn.

--- a/internal/ingress/attempt_test.go
+++ b/internal/ingress/attempt_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"testing"
@@ -94,3 +95,44 @@
 		t.Fatalf("ended with %+v, %d in the story", end, r.story.sent)
 	}
 }
+
+// TestCopiesAreOfferedInTurn has each backend server refuse a copy: none is asked again
+// before all others have been asked, nor the one where the late attempt runs.
+func TestCopiesAreOfferedInTurn(t *testing.T) {
+	r := newTestRound(t, 1)
+	r.request.service.pool = newTestPool(t, 6)
+	targets := r.request.service.pool.Targets()
+	r.avoid = []*balance.Target{targets[0]}
+	for turn := range 3 {
+		asked := make(map[*balance.Target]bool)
+		for range len(targets) - 1 {
+			target, ok := r.pick(time.Now())
+			if !ok || target == targets[0] || asked[target] {
+				t.Fatalf("turn %d: %v is asked after %d others", turn, target, len(asked))
+			}
+			asked[target] = true
+			r.avoid = append(r.avoid, target)
+			r.running = append(r.running, &attempt{in: r.in, request: r.request, choice: choice{target: target}})
+			r.take(finished{attempt: r.running[1], err: result.New(result.RetryLimit), unsent: true})
+		}
+		if r.asked != (turn > 0) {
+			t.Fatalf("turn %d: all have been asked: %t", turn, r.asked)
+		}
+	}
+}
+
+// newTestPool returns a pool of so many backend servers of one host.
+func newTestPool(t *testing.T, count int) *balance.Pool {
+	t.Helper()
+	text := "hosts: [{name: h1, data-centre: dc, peers: '127.0.0.1:1', control: '127.0.0.1:2'}]\nservices:\n- name: lookup\n  floor: 1\n  backend-servers:\n"
+	for n := range count {
+		text += fmt.Sprintf("  - {name: s%d, host: h1, address: '127.0.0.1:%d'}\n", n, 10+n)
+	}
+	declaration, err := fleet.Parse("fleet.yaml", []byte(text+"routes: [{host: a.example, service: lookup}]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := balance.NewPool(balance.Config{DataCentre: "dc", Random: rand.Uint64})
+	pool.Reconfigure(declaration.Services[0], fleet.NewIndex(declaration))
+	return pool
+}
--- a/internal/ingress/hedge.go
+++ b/internal/ingress/hedge.go
@@ -34,7 +34,8 @@
 	avoid   []*balance.Target // where a copy is not sent
 	failed  *finished         // the last that failed, which is not in the story yet
 	late    time.Duration     // after which an attempt is late; zero if none is
-	looks   int
+	refused []*balance.Target // that had no slot or no retry for a copy; asked again after all others
+	asked   bool              // all have been asked once
 	done    chan finished
 }
 
@@ -93,6 +94,7 @@
 	r.running = slices.DeleteFunc(r.running, func(a *attempt) bool { return a == f.attempt })
 	if f.unsent {
 		r.avoid = slices.DeleteFunc(r.avoid, func(t *balance.Target) bool { return t == f.attempt.target })
+		r.refused = append(r.refused, f.attempt.target)
 		if len(r.running) == 0 {
 			return r.failed // the attempt that it was to be a copy of
 		}
@@ -136,19 +138,30 @@
 	if !r.mayCopy() {
 		return
 	}
-	target, ok := r.request.service.pool.Pick(time.Now(), r.avoid)
+	target, ok := r.pick(time.Now())
 	if !ok {
 		return
 	}
-	r.looks++
 	r.start(ctx, &attempt{
 		in:      r.in,
 		request: r.request,
 		copy:    true,
-		choice:  choice{target: target, noWait: !r.request.nested, proven: r.looks <= maxUnproven, repeat: true},
+		choice:  choice{target: target, noWait: !r.request.nested, proven: !r.asked, repeat: true},
 	})
 }
 
+// pick chooses where a copy may be sent: one that has not refused one yet, and once all have,
+// any again, also one that seems to hang.
+func (r *round) pick(now time.Time) (*balance.Target, bool) {
+	pool := r.request.service.pool
+	if target, ok := pool.Pick(now, slices.Concat(r.avoid, r.refused)); ok {
+		return target, true
+	}
+	r.refused = nil
+	r.asked = true
+	return pool.Pick(now, r.avoid)
+}
+
 // mayCopy says whether the request may have another copy now. In a planned stop none is
 // sent, since others may not take it any more.
 func (r *round) mayCopy() bool {
