feat(nested): calls are learned from trials that are weighed against chance

One failed answer of a backend server counted for every failure of the last 100 ms, and sick backend servers fail often by chance. What was learned was never unlearned.

Change: failures that come together are one trial, and each weighs the logarithm of how much likelier its outcome is for a call than by chance, which is measured. What loses its weight is unlearned. Hosts tell weights in place of counts, and nothing of what they know.

TestChanceTeachesLittle asks for one in a hundred at three rates over a minute, where it asked for one in twenty-five at one rate and twenty failures; the tests of learning ask the same.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -146,7 +146,7 @@
 			seconds:  config.Scope.Histogram("ingress_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)),
 		},
 	}
-	in.nested = nested.New()
+	in.nested = nested.New(nested.Config{Changed: in.logNested})
 	in.reach = &reach{in: in, away: make(map[string]bool)}
 	ended, cancel := context.WithCancel(context.Background())
 	in.ended = ended
--- a/internal/ingress/nested.go
+++ b/internal/ingress/nested.go
@@ -21,11 +21,6 @@
 // says that it failed.
 func (in *Ingress) ServerAnswered(good bool) {
 	news := in.nested.Answered(time.Now(), good)
-	for _, e := range news {
-		if in.nested.Is(e.Route) {
-			in.logNested(e.Route)
-		}
-	}
 	if len(news) > 0 && in.config.Nested != nil {
 		in.config.Nested(news)
 	}
@@ -36,13 +31,8 @@
 func (in *Ingress) HearNested(told []nested.Evidence) []route.Name {
 	var known []route.Name
 	for _, e := range told {
-		before := in.nested.Is(e.Route)
-		if !in.nested.Hear(e) {
-			continue
-		}
-		known = append(known, e.Route)
-		if !before {
-			in.logNested(e.Route)
+		if in.nested.Hear(e) {
+			known = append(known, e.Route)
 		}
 	}
 	return known
@@ -52,14 +42,11 @@
 // its backend servers.
 func (in *Ingress) LearnNested(routes []route.Name) {
 	for _, name := range routes {
-		if !in.nested.Is(name) {
-			in.nested.Learn(name)
-			in.logNested(name)
-		}
+		in.nested.Learn(name)
 	}
 }
 
-// logNested leaves a line on a route that is known to be called from now on.
-func (in *Ingress) logNested(name route.Name) {
-	event.Log(in.config.Logger, event.RouteNested, "service", in.config.Service, "host", name.Host, "path", name.Path)
+// logNested leaves a line on a route that is taken for called from now on, or no longer.
+func (in *Ingress) logNested(name route.Name, called bool) {
+	event.Log(in.config.Logger, event.RouteNested, "service", in.config.Service, "host", name.Host, "path", name.Path, "called", called)
 }
--- a/internal/nested/nested.go
+++ b/internal/nested/nested.go
@@ -4,17 +4,27 @@
 // Nothing on a request says that a backend server sends it for another one that it is
 // running. But a backend server whose call fails mostly fails the request that needed it,
 // at once. So a route is called by the host's backend servers if failures of requests to
-// it, seen where they begin, are followed by failed answers of those backend servers more
-// often than not. Whoever knows that can keep such calls from being refused: each one
-// wastes the work on the request that needed it. The hosts of a service tell each other
-// what they see, so that a few failures at any of them teach all.
+// it, seen where they begin, are followed by a failed answer of those backend servers far
+// more often than chance has it. Whoever knows that can keep such calls from being refused:
+// each one wastes the work on the request that needed it. The hosts of a service tell each
+// other what they see, so that a few failures at any of them teach all.
+//
+// # Rules
+//
+// Each failure of a route opens a trial, unless one is open or has just been followed: what
+// fails together shows no more than one failure does. A trial that a failed answer follows soon speaks for the route, one
+// that none follows speaks against it, by the logarithm of how much likelier that is if the
+// route is called than by chance. Chance is how often the backend servers fail at any time,
+// which is much where they are sick. The sum is the weight of the route: from Enough on it is
+// taken for called, and until the weight is gone again. The sum is bounded, so that what was
+// learned wrongly is unlearned soon.
 //
 // A Tracker is the aggregate of one host. It takes routes, outcomes and the time; it has no
 // clock, goroutine or socket. It is safe for concurrent use.
 //
 // # Usage
 //
-//	tracker := nested.New()
+//	tracker := nested.New(nested.Config{Changed: log})
 //	tracker.Failed(now, route)          // a request that began here got no answer
 //	news := tracker.Answered(now, false) // a backend server of the host answered; false: that it failed
 //	known := tracker.Hear(evidence)     // what another host of the same service saw
@@ -22,6 +32,7 @@
 package nested
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -32,72 +43,139 @@
 	// within is how soon a backend server fails after a call of it has. Source: its own
 	// answer's way on the host, and some milliseconds of its work.
 	within = 100 * time.Millisecond
-	// enough is how many failures have to be followed by one of a backend server.
-	// Source: a backend server that fails once a second by itself follows a failure by
-	// chance in a tenth of the cases, and most of three or more in one of fifty hosts.
-	enough = 3
-	// mostly is the share of failures that have to be followed.
-	mostly = 0.6
-	// waiting bounds the failures that wait for what follows them.
-	waiting = 64
+	// followed is the share of a called route's trials that a failed answer follows. Source:
+	// what needs a call fails without it; some was given up by its caller before.
+	followed = 0.8
+	// leastChance and mostChance bound the share of trials that a failed answer follows by
+	// chance. Source: a backend server that fails once in two seconds follows one in twenty;
+	// where most are followed by chance, nothing can be learned.
+	leastChance = 0.05
+	mostChance  = 0.4
+	// remembered is the time over which failed answers are averaged. Source: a backend
+	// server is sick for some seconds at a time.
+	remembered = 10 * time.Second
+	// startRate is the rate of failed answers, a second, that is assumed at first, as if it had
+	// been seen for startTime. Source: what a host with a sick backend server has; another rate
+	// shows within seconds.
+	startRate = 1.0
+	startTime = 2 * time.Second
 )
 
+// Enough is the weight from which a route is taken for called. Source: with the logarithm of
+// a thousand one route in a thousand is taken so by chance; three trials are enough where
+// backend servers seldom fail, four at first.
+var Enough = math.Log(1000)
+
+// Config says who is told.
+type Config struct {
+	// Changed is told of a route that is taken for called from now on, or no longer. It must
+	// not call the tracker.
+	Changed func(name route.Name, called bool)
+}
+
 // Tracker is what is known of one host's calls.
 type Tracker struct {
+	config Config
+
 	mu     sync.Mutex
-	nested map[route.Name]bool
-	seen   map[route.Name]*count
-	failed []failure // not yet followed, the oldest first
+	routes map[route.Name]*record
+	rate   float64   // of failed answers, a second
+	rated  time.Time // when that was
+	began  time.Time // when the first failure was seen
 }
 
-// count is how many failures of a route there were, and how many were followed.
-type count struct {
-	failures, followed float64
-	untold             int // failures that other hosts have not been told of
+// record is what is known of one route.
+type record struct {
+	name   route.Name
+	weight float64
+	untold float64 // of the weight, what other hosts have not been told
+	known  bool    // it is taken for called
+	opened time.Time
+	ended  time.Time // the last trial that a failed answer followed
 }
 
 // Evidence is what a host saw of a route since it told of it last.
 type Evidence struct {
 	Route route.Name `json:"route"`
-	// Failures is how many requests to it got no answer, and Followed how many of them
-	// were followed by a failed answer of a backend server.
-	Failures int `json:"failures"`
-	Followed int `json:"followed"`
-}
-
-// failure is a request that got no answer.
-type failure struct {
-	at   time.Time
-	name route.Name
+	// Weight is the logarithm of how much likelier that is if the route is called than by
+	// chance.
+	Weight float64 `json:"weight"`
 }
 
 // New returns a tracker that knows nothing.
-func New() *Tracker {
-	return &Tracker{nested: make(map[route.Name]bool), seen: make(map[route.Name]*count)}
+func New(config Config) *Tracker {
+	return &Tracker{config: config, routes: make(map[route.Name]*record)}
 }
 
 // Failed takes it that a request to the route, which began on this host, got no answer.
 func (t *Tracker) Failed(now time.Time, name route.Name) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.nested[name] {
-		return
+	if t.began.IsZero() {
+		t.began = now
+		t.rate, t.rated = startRate, now
+	}
+	r := t.recordOf(name)
+	t.expire(now, r)
+	if r.opened.IsZero() && now.Sub(r.ended) > within {
+		r.opened = now
 	}
-	c := t.countOf(name)
-	c.failures++
-	c.untold++
-	t.failed = append(t.failed, failure{at: now, name: name})
-	t.failed = t.failed[max(0, len(t.failed)-waiting):]
 }
 
-// countOf returns the route's count.
-func (t *Tracker) countOf(name route.Name) *count {
-	c, ok := t.seen[name]
+// recordOf returns what is known of the route.
+func (t *Tracker) recordOf(name route.Name) *record {
+	r, ok := t.routes[name]
 	if !ok {
-		c = &count{}
-		t.seen[name] = c
+		r = &record{name: name}
+		t.routes[name] = r
+	}
+	return r
+}
+
+// expire ends a trial that no failed answer followed.
+func (t *Tracker) expire(now time.Time, r *record) {
+	if r.opened.IsZero() || now.Sub(r.opened) <= within {
+		return
+	}
+	r.opened = time.Time{}
+	t.weigh(r, math.Log((1-followed)/(1-t.chance(now))))
+}
+
+// chance is the share of trials that a failed answer follows by chance.
+func (t *Tracker) chance(now time.Time) float64 {
+	return min(mostChance, max(leastChance, 1-math.Exp(-t.rateAt(now)*within.Seconds())))
+}
+
+// rateAt is the rate of failed answers, fading since the last one.
+func (t *Tracker) rateAt(now time.Time) float64 {
+	return t.rate * math.Exp(-now.Sub(t.rated).Seconds()/t.averaged(now))
+}
+
+// averaged is the time in seconds over which failed answers are averaged: as long as they
+// have been seen, up to a limit.
+func (t *Tracker) averaged(now time.Time) float64 {
+	return min(remembered, startTime+now.Sub(t.began)).Seconds()
+}
+
+// weigh adds to the weight what was seen here.
+func (t *Tracker) weigh(r *record, weight float64) {
+	r.untold += weight
+	t.add(r, weight)
+}
+
+// add adds to the weight, and draws the conclusion.
+func (t *Tracker) add(r *record, weight float64) {
+	r.weight = min(Enough, max(-Enough, r.weight+weight))
+	known := r.known
+	switch {
+	case r.weight >= Enough:
+		r.known = true
+	case r.weight <= 0:
+		r.known = false
+	}
+	if r.known != known {
+		t.config.Changed(r.name, r.known)
 	}
-	return c
 }
 
 // Answered takes an answer of a backend server of this host, and returns what to tell the
@@ -105,78 +183,71 @@
 func (t *Tracker) Answered(now time.Time, good bool) []Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if good || len(t.failed) == 0 {
+	if good {
 		return nil
 	}
 	var news []Evidence
-	for _, f := range t.failed {
-		if now.Sub(f.at) > within || t.nested[f.name] {
+	chance := t.chance(now) // without this answer
+	for _, r := range t.routes {
+		t.expire(now, r)
+		if r.opened.IsZero() {
 			continue
 		}
-		c := t.countOf(f.name)
-		news = append(news, Evidence{Route: f.name, Failures: c.untold, Followed: 1})
-		c.untold = 0
-		c.followed++
-		t.weigh(f.name, c)
+		news = append(news, t.follow(now, r, math.Log(followed/chance))...)
+	}
+	if !t.began.IsZero() {
+		t.rate = t.rateAt(now) + 1/t.averaged(now)
+		t.rated = now
 	}
-	t.failed = t.failed[:0] // the one answer follows all of them, and none twice
 	return news
 }
 
+// follow ends a trial that a failed answer followed, and returns what to tell of it: nothing
+// once the route has been taken for called for a while.
+func (t *Tracker) follow(now time.Time, r *record, weight float64) []Evidence {
+	r.opened, r.ended = time.Time{}, now
+	wasKnown := r.known
+	t.weigh(r, weight)
+	untold := r.untold
+	r.untold = 0
+	if wasKnown {
+		return nil
+	}
+	return []Evidence{{Route: r.name, Weight: untold}}
+}
+
 // Hear takes what another host of the same service saw, and says whether the route is known
 // to be called.
 func (t *Tracker) Hear(e Evidence) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.nested[e.Route] {
-		return true
-	}
-	c := t.countOf(e.Route)
-	c.failures += float64(e.Failures)
-	c.followed += float64(e.Followed)
-	t.weigh(e.Route, c)
-	return t.nested[e.Route]
+	r := t.recordOf(e.Route)
+	t.add(r, min(Enough, max(-Enough, e.Weight)))
+	return r.known
 }
 
 // Learn takes it from another host of the same service that the route is called.
 func (t *Tracker) Learn(name route.Name) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.learn(name)
-}
-
-// weigh takes the route for called once enough failures were followed.
-func (t *Tracker) weigh(name route.Name, c *count) {
-	if c.followed >= enough && c.followed >= mostly*c.failures {
-		t.learn(name)
-	}
-}
-
-// learn takes it that the route is called.
-func (t *Tracker) learn(name route.Name) {
-	t.nested[name] = true
-	delete(t.seen, name)
+	t.add(t.recordOf(name), 2*Enough)
 }
 
 // Is says whether the route is known to be called by the host's backend servers.
 func (t *Tracker) Is(name route.Name) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.nested[name]
+	r, ok := t.routes[name]
+	return ok && r.known
 }
 
 // Keep forgets the routes for which the function says no.
 func (t *Tracker) Keep(declared func(route.Name) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for name := range t.nested {
-		if !declared(name) {
-			delete(t.nested, name)
-		}
-	}
-	for name := range t.seen {
+	for name := range t.routes {
 		if !declared(name) {
-			delete(t.seen, name)
+			delete(t.routes, name)
 		}
 	}
 }
--- a/internal/nested/nested_test.go
+++ b/internal/nested/nested_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,14 +16,33 @@
 	outside = route.Name{Host: "a.example", Path: "/search/"}
 )
 
+// newTracker returns the tracker of a host of which nothing is known.
+func newTracker() *nested.Tracker {
+	return nested.New(nested.Config{Changed: func(route.Name, bool) {}})
+}
+
+// newCalm returns the tracker of a host whose backend servers have not failed for long.
+func newCalm() *nested.Tracker {
+	tracker := newTracker()
+	tracker.Failed(epoch.Add(-time.Minute), route.Name{Path: "/other/"})
+	return tracker
+}
+
+// seenOnce is what one trial shows that a failed answer follows, where they are seldom.
+func seenOnce() nested.Evidence {
+	tracker := newCalm()
+	tracker.Failed(epoch, called)
+	return tracker.Answered(epoch.Add(time.Millisecond), false)[0]
+}
+
 func TestACalledRouteIsLearned(t *testing.T) {
-	tracker := nested.New()
+	tracker := newCalm()
 	now := epoch
 	for i := range 3 {
-		now = now.Add(time.Second)
+		now = now.Add(10 * time.Second)
 		tracker.Failed(now, called)
 		news := tracker.Answered(now.Add(5*time.Millisecond), false)
-		if len(news) != 1 || news[0] != (nested.Evidence{Route: called, Failures: 1, Followed: 1}) {
+		if len(news) != 1 || news[0] != seenOnce() {
 			t.Fatalf("failure %d is told as %v", i+1, news)
 		}
 		if tracker.Is(called) != (i == 2) {
@@ -37,22 +57,54 @@
 
 // TestHostsTeachEachOther lets three hosts see one failure each.
 func TestHostsTeachEachOther(t *testing.T) {
-	tracker := nested.New()
-	seen := nested.Evidence{Route: called, Failures: 1, Followed: 1}
+	tracker := newCalm()
 	for range 2 {
-		if tracker.Hear(seen) {
+		if tracker.Hear(seenOnce()) {
 			t.Fatal("two failures are enough")
 		}
 	}
 	tracker.Failed(epoch, called)
 	tracker.Answered(epoch.Add(time.Millisecond), false)
-	if !tracker.Is(called) || !tracker.Hear(seen) {
+	if !tracker.Is(called) || !tracker.Hear(seenOnce()) {
 		t.Fatal("a third, seen here, teaches nothing")
 	}
-	other := nested.New()
+	other := newTracker()
+	other.Learn(outside)
+	if !other.Is(outside) {
+		t.Fatal("what another host knows is not taken")
+	}
 	for range 5 {
-		if other.Hear(nested.Evidence{Route: outside, Failures: 9, Followed: 1}) {
-			t.Fatal("what is seldom followed is taken for called")
+		other.Hear(nested.Evidence{Route: outside, Weight: -2})
+	}
+	if other.Is(outside) {
+		t.Fatal("what is seldom followed is taken for called")
+	}
+}
+
+// TestFailuresAtOnceShowNoMoreThanOne lets many requests to a route fail together, and one
+// answer of a backend server after them.
+func TestFailuresAtOnceShowNoMoreThanOne(t *testing.T) {
+	tracker := newTracker()
+	for i := range 50 {
+		tracker.Failed(epoch.Add(time.Duration(i)*time.Millisecond), outside)
+	}
+	tracker.Answered(epoch.Add(60*time.Millisecond), false)
+	if tracker.Is(outside) {
+		t.Fatal("one answer speaks for fifty failures")
+	}
+}
+
+// TestWhatWasLearnedWronglyIsUnlearned has failures of a route that is taken for called be
+// followed by nothing.
+func TestWhatWasLearnedWronglyIsUnlearned(t *testing.T) {
+	tracker := newTracker()
+	tracker.Learn(outside)
+	now := epoch
+	for i := range 10 {
+		now = now.Add(time.Second)
+		tracker.Failed(now, outside)
+		if i > 5 && tracker.Is(outside) {
+			t.Fatalf("still taken for called after %d failures that nothing followed", i)
 		}
 	}
 }
@@ -60,7 +112,7 @@
 // TestOneAnswerFollowsOnce lets one failed answer come after several failures: each is
 // followed once.
 func TestOneAnswerFollowsOnce(t *testing.T) {
-	tracker := nested.New()
+	tracker := newTracker()
 	tracker.Failed(epoch, called)
 	tracker.Answered(epoch.Add(time.Millisecond), false)
 	tracker.Answered(epoch.Add(2*time.Millisecond), false)
@@ -70,33 +122,50 @@
 	}
 }
 
-// TestChanceTeachesLittle lets a host's backend server fail by itself, once a second by
-// chance, while requests from outside fail at other moments.
+// TestChanceTeachesLittle lets a host's backend servers fail by themselves, by chance, while
+// requests from outside fail at other moments.
 func TestChanceTeachesLittle(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	const hosts = 1000
-	wrong := 0
-	for range hosts {
-		tracker := nested.New()
-		now := epoch
-		for range 20 {
-			now = now.Add(time.Second)
-			tracker.Failed(now, outside)
-			next := time.Duration(random.ExpFloat64() * float64(time.Second))
-			tracker.Answered(now.Add(next), false)
+	for _, rate := range []float64{0.3, 1, 3} {
+		wrong := 0
+		for range hosts {
+			if takesChanceForACall(random, rate) {
+				wrong++
+			}
 		}
-		if tracker.Is(outside) {
-			wrong++
+		const most = hosts / 100
+		if wrong > most {
+			t.Errorf("%d of %d hosts took chance for a call, with %g failed answers a second", wrong, hosts, rate)
 		}
 	}
-	const most = hosts / 25
-	if wrong > most {
-		t.Fatalf("%d of %d hosts took chance for a call", wrong, hosts)
+}
+
+// takesChanceForACall plays a minute with so many failed answers a second, and twice as many
+// failures of a route. It says whether the route was ever taken for called.
+func takesChanceForACall(random *rand.Rand, rate float64) bool {
+	tracker := newTracker()
+	next := func(rate float64) time.Duration {
+		return time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 	}
+	answer, failure := next(rate), next(2*rate)
+	for answer < time.Minute {
+		if answer < failure {
+			tracker.Answered(epoch.Add(answer), false)
+			answer += next(rate)
+		} else {
+			tracker.Failed(epoch.Add(failure), outside)
+			failure += next(2 * rate)
+		}
+		if tracker.Is(outside) {
+			return true
+		}
+	}
+	return false
 }
 
 func TestGoodAnswersAndLateOnesTeachNothing(t *testing.T) {
-	tracker := nested.New()
+	tracker := newTracker()
 	now := epoch
 	for range 20 {
 		now = now.Add(time.Second)
@@ -108,3 +177,28 @@
 		t.Fatal("learned from good or late answers")
 	}
 }
+
+// TestEachChangeIsToldOnce learns a route, sees it fail on, and unlearns it.
+func TestEachChangeIsToldOnce(t *testing.T) {
+	var changes []bool
+	tracker := nested.New(nested.Config{Changed: func(name route.Name, is bool) {
+		if name == called {
+			changes = append(changes, is)
+		}
+	}})
+	now := epoch
+	for range 20 {
+		now = now.Add(time.Second)
+		tracker.Failed(now, called)
+		if news := tracker.Answered(now.Add(time.Millisecond), false); len(news) > 0 && len(changes) > 0 && now.Sub(epoch) > 10*time.Second {
+			t.Fatal("other hosts are told of what has long been known")
+		}
+	}
+	for range 20 {
+		now = now.Add(time.Second)
+		tracker.Failed(now, called)
+	}
+	if !slices.Equal(changes, []bool{true, false}) {
+		t.Fatalf("told of %v", changes)
+	}
+}
