--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -98,7 +98,7 @@
 	if retry.IsFull(story.last.Code) && time.Now().After(r.aim) {
 		return false // the others are as full, and it has waited for its time
 	}
-	decision := retry.Decide(retry.Attempt{Sent: story.sent, Most: r.attempts, Full: story.full, Once: r.once, Err: story.last})
+	decision := retry.Decide(retry.Attempt{Sent: story.sent, Most: r.attempts, Full: story.full, Once: r.once, Nested: r.nested, Err: story.last})
 	switch decision {
 	case retry.Free:
 		return true
--- a/internal/ingress/choose.go
+++ b/internal/ingress/choose.go
@@ -56,7 +56,7 @@
 			return c, true
 		}
 	}
-	if len(story.busy) < lookCount(pool) && story.busyFar < maxFarLooks {
+	if story.mayLook(r) {
 		if c, ok := story.look(r, now); ok {
 			return c, true
 		}
@@ -64,7 +64,7 @@
 	if len(story.busy) > 0 {
 		return choice{target: story.leastBusy()}, true
 	}
-	if story.full > 0 {
+	if story.full > 0 && !r.nested {
 		return choice{}, false // a doubted one would most likely fail it, and a refusal is true
 	}
 	target, ok := pool.PickDoubted(now, story.tried)
@@ -93,12 +93,18 @@
 	return r.aim.Sub(r.began)/part - now.Sub(r.began)
 }
 
-// lookCount returns how many are asked for a free slot.
-func lookCount(pool *balance.Pool) int {
-	if pool.BusyShare() > crowded {
-		return crowdedLooks
+// mayLook says whether another is asked for a free slot. For a call of a backend server all are:
+// a refusal wastes what was done for the request that needs it, which costs more than a round
+// trip to each.
+func (t *trail) mayLook(r *request) bool {
+	if r.nested {
+		return true
 	}
-	return maxLooks
+	looks := maxLooks
+	if r.service.pool.BusyShare() > crowded {
+		looks = crowdedLooks
+	}
+	return len(t.busy) < looks && t.busyFar < maxFarLooks
 }
 
 // look chooses one to ask for a free slot.
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -25,7 +25,8 @@
 //
 //   - A refusal by a sidecar cost the backend servers nothing, so another may be
 //     asked without drawing on the budget; a few times if queues are full, as
-//     long as there is one if the refusing one takes no work at all.
+//     long as there is one if the refusing one takes no work at all or a backend server
+//     needs the answer.
 //   - What reached a backend server is tried elsewhere within the route's
 //     attempts and the budget, and only if it did not run or may run twice.
 //   - What another backend server would not change is final: the customer's own
@@ -62,6 +63,9 @@
 	Full int
 	// Once says that the request must not run more than once.
 	Once bool
+	// Nested says that a backend server sent it for a request that it is running, so that it
+	// is worth more queues.
+	Nested bool
 	// Err is how it failed.
 	Err *result.Error
 }
@@ -72,7 +76,7 @@
 	case isFinal(a.Err.Code):
 		return Final
 	case IsFull(a.Err.Code):
-		if a.Full >= MaxQueues {
+		if a.Full >= MaxQueues && !a.Nested {
 			return Final
 		}
 		return Free
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -23,6 +23,7 @@
 		{"not taken, the last attempt", retry.Attempt{Sent: 2, Most: 2, Err: result.New(result.NotTaken)}, retry.Final},
 		{"a full queue, once", retry.Attempt{Full: 1, Err: result.New(result.QueueFull)}, retry.Free},
 		{"a full queue, too often", retry.Attempt{Full: retry.MaxQueues, Err: result.New(result.QueueFull)}, retry.Final},
+		{"a full queue, as often, for a call", retry.Attempt{Full: retry.MaxQueues, Nested: true, Err: result.New(result.QueueFull)}, retry.Free},
 		{"a customer's share", retry.Attempt{Most: 2, Err: result.New(result.CustomerShare)}, retry.Final},
 		{"the deadline", retry.Attempt{Sent: 1, Most: 2, Err: result.New(result.DeadlineWhileRunning)}, retry.Final},
 	}
