--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -19,7 +19,7 @@
 // drawn there is less loaded by SpillMargin.
 //
 // A target is passed over while it is paused, which is how long it said to stay
-// away, and while it is doubted, unless there is no other or the request is one that
+// away, and while it is suspected, unless there is no other or the request is one that
 // finds out whether it is well again. It is drawn less often while its share is below
 // FullShare.
 //
--- a/internal/balance/pause.go
+++ b/internal/balance/pause.go
@@ -13,42 +13,42 @@
 	t.pausedUntil.Store(p.clock(until))
 }
 
-// Doubt keeps the target from being chosen until then, unless there is no other.
-func (p *Pool) Doubt(t *Target, until time.Time) {
-	t.doubtUntil.Store(p.clock(until))
+// Suspect keeps the target from being chosen until then, unless there is no other.
+func (p *Pool) Suspect(t *Target, until time.Time) {
+	t.suspectUntil.Store(p.clock(until))
 }
 
 // Trust lets the target be chosen again.
-func (p *Pool) Trust(t *Target) { t.doubtUntil.Store(0) }
+func (p *Pool) Trust(t *Target) { t.suspectUntil.Store(0) }
 
 // Paused says whether the target is paused.
 func (p *Pool) Paused(t *Target, now time.Time) bool {
 	return t.pausedUntil.Load() > p.clock(now)
 }
 
-// PickProbe takes a target of the own data centre that was doubted and may be
+// PickProbe takes a target of the own data centre that was suspected and may be
 // tried again. It says false if there is none.
 func (p *Pool) PickProbe(now time.Time) (*Target, bool) {
 	since := p.clock(now)
 	for _, t := range p.view.Load().own {
-		until := t.doubtUntil.Load()
+		until := t.suspectUntil.Load()
 		if until == 0 || until > since || t.pausedUntil.Load() > since {
 			continue
 		}
-		if t.doubtUntil.CompareAndSwap(until, since+int64(probeLasts)) {
+		if t.suspectUntil.CompareAndSwap(until, since+int64(probeLasts)) {
 			return t, true
 		}
 	}
 	return nil, false
 }
 
-// PickDoubted chooses the least loaded target that is passed over for doubt
+// PickSuspected chooses the least loaded target that is passed over for suspicion
 // alone. It says false if there is none.
-func (p *Pool) PickDoubted(now time.Time, tried []*Target) (*Target, bool) {
+func (p *Pool) PickSuspected(now time.Time, tried []*Target) (*Target, bool) {
 	since := p.clock(now)
 	var best *Target
 	for _, t := range p.view.Load().all {
-		if t.doubtUntil.Load() <= since || t.pausedUntil.Load() > since || slices.Contains(tried, t) {
+		if t.suspectUntil.Load() <= since || t.pausedUntil.Load() > since || slices.Contains(tried, t) {
 			continue
 		}
 		if best == nil || t.cost(since) < best.cost(since) {
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -13,18 +13,18 @@
 	// Name is the backend server's name.
 	Name string
 
-	placement   atomic.Pointer[fleet.Placement]
-	inFlight    atomic.Int64
-	loadBits    atomic.Uint64
-	reported    atomic.Int64 // nanoseconds since the pool's start
-	pausedUntil atomic.Int64 // nanoseconds since the pool's start
-	doubtUntil  atomic.Int64 // nanoseconds since the pool's start
-	share       atomic.Uint32
-	trial       atomic.Uint32
-	reference   atomic.Pointer[string]
-	typical     atomic.Int64
-	requests    atomic.Int64
-	failures    atomic.Int64
+	placement    atomic.Pointer[fleet.Placement]
+	inFlight     atomic.Int64
+	loadBits     atomic.Uint64
+	reported     atomic.Int64 // nanoseconds since the pool's start
+	pausedUntil  atomic.Int64 // nanoseconds since the pool's start
+	suspectUntil atomic.Int64 // nanoseconds since the pool's start
+	share        atomic.Uint32
+	trial        atomic.Uint32
+	reference    atomic.Pointer[string]
+	typical      atomic.Int64
+	requests     atomic.Int64
+	failures     atomic.Int64
 }
 
 // Placement returns the target's place in the declaration in force.
--- a/internal/cli/request.go
+++ b/internal/cli/request.go
@@ -7,7 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
-	"github.com/tideliftd/tidelift/internal/story"
+	"github.com/tideliftd/tidelift/internal/trace"
 )
 
 // newRequest returns the command that tells the story of one request.
@@ -26,7 +26,7 @@
 	if c.Args().Len() == 0 {
 		return errors.Wrap(errUsage, "request wants the request's id, and logs or standard input")
 	}
-	told := story.New(c.Args().First())
+	told := trace.New(c.Args().First())
 	if c.Args().Len() == 1 {
 		if err := told.Read(os.Stdin); err != nil {
 			return err
@@ -40,7 +40,7 @@
 	return told.Write(c.Root().Writer)
 }
 
-func readLog(told *story.Story, name string) error {
+func readLog(told *trace.Story, name string) error {
 	log, err := os.Open(name)
 	if err != nil {
 		return errors.Wrap(err, "open log")
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,8 +17,8 @@
 
 import (
 	"github.com/tideliftd/tidelift/internal/floor"
-	"github.com/tideliftd/tidelift/internal/nested"
 	"github.com/tideliftd/tidelift/internal/route"
+	"github.com/tideliftd/tidelift/internal/subrequest"
 )
 
 // Method names a call.
@@ -35,11 +35,11 @@
 	// MethodPing asks for any answer.
 	MethodPing Method = "daemon.ping"
 	// MethodTrusted tells that backend servers of another host are no longer
-	// doubted.
+	// suspected.
 	MethodTrusted Method = "ingress.trusted"
-	// MethodNested tells a daemon what was seen of routes that the backend servers of its
+	// MethodSubrequest tells a daemon what was seen of routes that the backend servers of its
 	// service may call, and asks which of them it knows to be called.
-	MethodNested Method = "ingress.nested"
+	MethodSubrequest Method = "ingress.subrequest"
 	// MethodHost tells a daemon what the platform's list says of its host.
 	MethodHost Method = "sidecar.host"
 	// MethodNotice tells that there is a revision; MethodRevision asks which one
@@ -70,14 +70,14 @@
 	Names []string `json:"names"`
 }
 
-// Nested is the parameter of MethodNested.
-type Nested struct {
+// Subrequest is the parameter of MethodSubrequest.
+type Subrequest struct {
 	// Service is whose backend servers may call the routes.
-	Service string            `json:"service"`
-	Seen    []nested.Evidence `json:"seen"`
+	Service string                `json:"service"`
+	Seen    []subrequest.Evidence `json:"seen"`
 }
 
-// Known answers MethodNested.
+// Known answers MethodSubrequest.
 type Known struct {
 	// Routes are those that the one asked knows to be called.
 	Routes []route.Name `json:"routes,omitempty"`
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -26,8 +26,8 @@
 		return done{}, nil
 	case control.MethodTrusted:
 		return d.callTrusted(params)
-	case control.MethodNested:
-		return d.callNested(params)
+	case control.MethodSubrequest:
+		return d.callSubrequest(params)
 	case control.MethodHost:
 		return d.callHost(params)
 	case control.MethodNotice:
@@ -146,7 +146,7 @@
 }
 
 // tellTrusted tells the ingresses of the hosts that a backend server of this one
-// is no longer doubted. One that does not hear it comes back by itself later.
+// is no longer suspected. One that does not hear it comes back by itself later.
 func (d *daemon) tellTrusted(hosts []string, backendServer string) {
 	current := d.inForce.Load()
 	if current == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,7 +27,7 @@
 //	inforce.go  puts a revision in force in every part
 //	watch.go    watches the platform while that is this daemon's part
 //	platform.go whether the platform answers, here or elsewhere
-//	spread.go   tells others of a revision
+//	gossip.go   tells others of a revision
 //	poll.go     asks others for theirs now and then
 //	ask.go      one such question, which also finds what is known of hosts
 //	hosts.go    the list of leaving hosts in the store
@@ -37,7 +37,7 @@
 //	record.go   this host's record in the store, and the others' at the start
 //	news.go     tells others of hosts
 //	digest.go   finds what two daemons know differently of hosts
-//	nested.go   tells others which routes backend servers call
+//	subrequest.go   tells others which routes backend servers call
 //	gone.go     takes a silent host for gone
 package daemon
 
@@ -55,6 +55,7 @@
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/gossip"
 	"github.com/tideliftd/tidelift/internal/ingress"
 	"github.com/tideliftd/tidelift/internal/keys"
 	"github.com/tideliftd/tidelift/internal/member"
@@ -65,7 +66,6 @@
 	"github.com/tideliftd/tidelift/internal/revision"
 	"github.com/tideliftd/tidelift/internal/settings"
 	"github.com/tideliftd/tidelift/internal/sidecar"
-	"github.com/tideliftd/tidelift/internal/spread"
 	"github.com/tideliftd/tidelift/internal/store"
 	"github.com/tideliftd/tidelift/internal/version"
 )
@@ -130,7 +130,7 @@
 	source   source
 	members  *members
 	news     chan news
-	plan     atomic.Pointer[spread.Plan]
+	plan     atomic.Pointer[gossip.Plan]
 	watching atomic.Bool
 	lastSeen atomic.Int64 // when the platform was last known to answer, in Unix nanoseconds
 	cleanUps []func()
@@ -187,19 +187,19 @@
 	})
 	d.atEnd(cleanUp)
 	d.ingress, cleanUp = ingress.New(ingress.Config{
-		Host:        s.Name,
-		DataCentre:  s.DataCentre,
-		Service:     s.Service,
-		TLS:         d.clientTLS(),
-		HeaderBytes: s.Limits.HeaderBytes,
-		Logger:      d.config.Logger,
-		Scope:       metrics.Scope,
-		Local:       d.sidecar.Do,
-		LocalTicket: d.sidecar.Ticket,
-		Far:         d.isFar,
-		Ping:        d.ping,
-		Silent:      d.checkGone,
-		Nested:      d.tellNested,
+		Host:             s.Name,
+		DataCentre:       s.DataCentre,
+		Service:          s.Service,
+		TLS:              d.clientTLS(),
+		HeaderBytes:      s.Limits.HeaderBytes,
+		Logger:           d.config.Logger,
+		Scope:            metrics.Scope,
+		Local:            d.sidecar.Do,
+		LocalReservation: d.sidecar.Reserve,
+		Far:              d.isFar,
+		Ping:             d.ping,
+		Silent:           d.checkGone,
+		Subrequest:       d.tellSubrequest,
 	})
 	d.atEnd(cleanUp)
 	d.buildLedger()
--- a/internal/daemon/spread.go
+++ b/internal/daemon/gossip.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/control"
+	"github.com/tideliftd/tidelift/internal/gossip"
 	"github.com/tideliftd/tidelift/internal/revision"
-	"github.com/tideliftd/tidelift/internal/spread"
 )
 
 // peerTimeout bounds a call about revisions to another daemon.
@@ -40,7 +40,7 @@
 }
 
 // notifyPeers tells a few other daemons of the revision that was just put in force.
-func (d *daemon) notifyPeers(r revision.Revision, plan *spread.Plan) {
+func (d *daemon) notifyPeers(r revision.Revision, plan *gossip.Plan) {
 	notice := control.Notice{Host: d.config.Settings.Name, Revision: r.Number}
 	for _, host := range plan.Notify() {
 		go d.callPeer(d.controlOf(host), control.MethodNotice, notice)
--- a/internal/daemon/inforce.go
+++ b/internal/daemon/inforce.go
@@ -6,9 +6,9 @@
 
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/gossip"
 	"github.com/tideliftd/tidelift/internal/operator"
 	"github.com/tideliftd/tidelift/internal/revision"
-	"github.com/tideliftd/tidelift/internal/spread"
 )
 
 // take puts a revision in force, if it is above the one that is.
@@ -53,7 +53,7 @@
 
 // planWith makes the plan of whom to tell of news.
 func (d *daemon) planWith(hosts []fleet.Host) {
-	d.plan.Store(spread.NewPlan(spread.Config{
+	d.plan.Store(gossip.NewPlan(gossip.Config{
 		Host:       d.config.Settings.Name,
 		DataCentre: d.config.Settings.DataCentre,
 		Random:     rand.Uint64,
--- a/internal/daemon/poll.go
+++ b/internal/daemon/poll.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 
 	"github.com/tideliftd/tidelift/internal/event"
-	"github.com/tideliftd/tidelift/internal/spread"
+	"github.com/tideliftd/tidelift/internal/gossip"
 	"github.com/tideliftd/tidelift/internal/wait"
 )
 
@@ -25,7 +25,7 @@
 		} else {
 			d.pollSeeds(ctx)
 		}
-		wait.For(ctx, spread.PollEvery/2+rand.N(spread.PollEvery))
+		wait.For(ctx, gossip.PollEvery/2+rand.N(gossip.PollEvery))
 	}
 }
 
--- a/internal/daemon/nested.go
+++ b/internal/daemon/subrequest.go
@@ -8,36 +8,36 @@
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
-	"github.com/tideliftd/tidelift/internal/nested"
+	"github.com/tideliftd/tidelift/internal/subrequest"
 )
 
-// maxNestedTold bounds how many hosts are told of a route. Source: a service has some forty
+// maxSubrequestTold bounds how many hosts are told of a route. Source: a service has some forty
 // backend servers at the size to design for; whoever is not told finds it out itself.
-const maxNestedTold = 64
+const maxSubrequestTold = 64
 
-// tellNested tells the other hosts of this one's service what was seen of routes that its
+// tellSubrequest tells the other hosts of this one's service what was seen of routes that its
 // backend servers may call. One that does not hear it finds it out itself.
-func (d *daemon) tellNested(seen []nested.Evidence) {
-	told := control.Nested{Service: d.config.Settings.Service, Seen: seen}
+func (d *daemon) tellSubrequest(seen []subrequest.Evidence) {
+	told := control.Subrequest{Service: d.config.Settings.Service, Seen: seen}
 	for _, host := range d.hostsOfService(told.Service) {
-		go d.tellNestedTo(host, told)
+		go d.tellSubrequestTo(host, told)
 	}
 }
 
-// tellNestedTo tells one host, and learns from it what it knows already.
-func (d *daemon) tellNestedTo(host fleet.Host, told control.Nested) {
+// tellSubrequestTo tells one host, and learns from it what it knows already.
+func (d *daemon) tellSubrequestTo(host fleet.Host, told control.Subrequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
 	var known control.Known
-	if err := d.peers.Call(ctx, d.controlOf(host), control.MethodNested, told, &known); err != nil {
-		event.Log(d.config.Logger, event.PeerSilent, "address", d.controlOf(host), "call", control.MethodNested, "error", err)
+	if err := d.peers.Call(ctx, d.controlOf(host), control.MethodSubrequest, told, &known); err != nil {
+		event.Log(d.config.Logger, event.PeerSilent, "address", d.controlOf(host), "call", control.MethodSubrequest, "error", err)
 		return
 	}
-	d.ingress.LearnNested(known.Routes)
+	d.ingress.LearnSubrequest(known.Routes)
 }
 
 // hostsOfService returns the other hosts with a backend server of the service, up to
-// maxNestedTold.
+// maxSubrequestTold.
 func (d *daemon) hostsOfService(service string) []fleet.Host {
 	current := d.inForce.Load()
 	if current == nil || service == "" {
@@ -48,21 +48,21 @@
 	for _, b := range declared.BackendServers {
 		host, known := current.Index.Host(b.Host)
 		told := slices.ContainsFunc(hosts, func(h fleet.Host) bool { return h.Name == b.Host })
-		if known && !told && b.Host != d.config.Settings.Name && len(hosts) < maxNestedTold {
+		if known && !told && b.Host != d.config.Settings.Name && len(hosts) < maxSubrequestTold {
 			hosts = append(hosts, host)
 		}
 	}
 	return hosts
 }
 
-// callNested takes what another host has seen of the calls of this one's service.
-func (d *daemon) callNested(params json.RawMessage) (any, error) {
-	var told control.Nested
+// callSubrequest takes what another host has seen of the calls of this one's service.
+func (d *daemon) callSubrequest(params json.RawMessage) (any, error) {
+	var told control.Subrequest
 	if err := decode(params, &told); err != nil {
 		return nil, err
 	}
 	if told.Service != d.config.Settings.Service {
 		return control.Known{}, nil
 	}
-	return control.Known{Routes: d.ingress.HearNested(told.Seen)}, nil
+	return control.Known{Routes: d.ingress.HearSubrequest(told.Seen)}, nil
 }
--- a/internal/detect/outcome.go
+++ b/internal/detect/outcome.go
@@ -23,7 +23,7 @@
 // false if it says nothing, as a full queue or a caller that went away.
 func FromResult(code result.Code) (Outcome, bool) {
 	switch code.Number {
-	case result.DeadlineWhileRunning.Number, result.AttemptOverdue.Number, result.TicketUnanswered.Number:
+	case result.DeadlineWhileRunning.Number, result.AttemptOverdue.Number, result.ReservationUnanswered.Number:
 		return TimedOut, true
 	case result.ServerUnreachable.Number, result.PeerUnreachable.Number:
 		return Refused, true
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,15 +49,15 @@
 
 // The events of backend servers.
 var (
-	ServerAvoided  = Event{301, slog.LevelWarn, "backend server avoided", "This daemon prefers others, from what it sees on the path to the backend server."}
-	ServerEjected  = Event{302, slog.LevelWarn, "backend server ejected", "The backend server's own daemon refuses work for it."}
-	ServerReturned = Event{304, slog.LevelInfo, "backend server returned", "The backend server passed its trial and gets work again, at first a growing share."}
-	FloorHeld      = Event{305, slog.LevelWarn, "floor held", "A backend server looks sick but stays, because the floor allows no more to be ejected."}
-	ServerLeaving  = Event{306, slog.LevelInfo, "backend server leaving", "The backend server takes no new work."}
-	ServerDoubted  = Event{308, slog.LevelInfo, "backend server doubted", "The backend server failed a request; others are asked first until repeatable requests succeed."}
-	ServerProbed   = Event{310, slog.LevelInfo, "backend server probed", "A doubted backend server was sent a request that finds out how it does."}
-	ServerTrusted  = Event{309, slog.LevelInfo, "backend server trusted again", "Repeatable requests succeeded, so that the backend server is no longer asked last."}
-	ServerBack     = Event{307, slog.LevelInfo, "backend server no longer leaving", "The backend server takes new work again."}
+	ServerAvoided   = Event{301, slog.LevelWarn, "backend server avoided", "This daemon prefers others, from what it sees on the path to the backend server."}
+	ServerEjected   = Event{302, slog.LevelWarn, "backend server ejected", "The backend server's own daemon refuses work for it."}
+	ServerReturned  = Event{304, slog.LevelInfo, "backend server returned", "The backend server passed its trial and gets work again, at first a growing share."}
+	FloorHeld       = Event{305, slog.LevelWarn, "floor held", "A backend server looks sick but stays, because the floor allows no more to be ejected."}
+	ServerLeaving   = Event{306, slog.LevelInfo, "backend server leaving", "The backend server takes no new work."}
+	ServerSuspected = Event{308, slog.LevelInfo, "backend server suspected", "The backend server failed a request; others are asked first until repeatable requests succeed."}
+	ServerProbed    = Event{310, slog.LevelInfo, "backend server probed", "A suspected backend server was sent a request that finds out how it does."}
+	ServerTrusted   = Event{309, slog.LevelInfo, "backend server trusted again", "Repeatable requests succeeded, so that the backend server is no longer asked last."}
+	ServerBack      = Event{307, slog.LevelInfo, "backend server no longer leaving", "The backend server takes new work again."}
 )
 
 // The events of hosts and backend servers that register themselves.
@@ -75,11 +75,11 @@
 
 // The events of callers' requests.
 var (
-	RequestFailed  = Event{501, slog.LevelInfo, "request failed", "A caller got a refusal or a failure; the line has its id, the result code and what led to it."}
-	AttemptFailed  = Event{502, slog.LevelInfo, "attempt failed", "One sending of a request failed; the line says where, how, and whether it is tried elsewhere."}
-	RequestCopied  = Event{504, slog.LevelInfo, "late request copied", "A repeatable request takes longer than nearly all of its route do; a copy is sent to another backend server, and the first answer is passed on."}
-	RouteNested    = Event{505, slog.LevelInfo, "route is called by backend servers", "Requests to the route that begin on this host are calls of its backend servers while they run others; they go before new work and are not refused for coming late. With called=false they are so no longer."}
-	RequestRefused = Event{503, slog.LevelDebug, "work refused", "This daemon refused work for a backend server of its host, for the reason given."}
+	RequestFailed   = Event{501, slog.LevelInfo, "request failed", "A caller got a refusal or a failure; the line has its id, the result code and what led to it."}
+	AttemptFailed   = Event{502, slog.LevelInfo, "attempt failed", "One sending of a request failed; the line says where, how, and whether it is tried elsewhere."}
+	RequestHedged   = Event{504, slog.LevelInfo, "late request hedged", "A repeatable request takes longer than nearly all of its route do; it is sent to another backend server too, and the first answer is passed on."}
+	RouteSubrequest = Event{505, slog.LevelInfo, "route is called by backend servers", "Requests to the route that begin on this host are calls of its backend servers while they run others; they go before new work and are not refused for coming late. With called=false they are so no longer."}
+	RequestRefused  = Event{503, slog.LevelDebug, "work refused", "This daemon refused work for a backend server of its host, for the reason given."}
 )
 
 // All returns every event in the order of their numbers.
@@ -87,8 +87,8 @@
 	return []Event{
 		DaemonStarted, DaemonStopping, DaemonStopped, StopCut, ServeFailed, SettingsTaken, SettingsRefused,
 		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers,
-		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerLeaving, ServerBack, ServerDoubted, ServerTrusted, ServerProbed,
-		RequestFailed, AttemptFailed, RequestRefused, RequestCopied, RouteNested,
+		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerLeaving, ServerBack, ServerSuspected, ServerTrusted, ServerProbed,
+		RequestFailed, AttemptFailed, RequestRefused, RequestHedged, RouteSubrequest,
 		ServersRegistered, CheckInRefused, HostLearned, RecordRefused, PeerSilent, HostAway, HostBack, HostGone, NewsDropped,
 	}
 }
--- a/internal/spread/spread.go
+++ b/internal/gossip/gossip.go
@@ -1,4 +1,4 @@
-// Package spread decides how a revision of the declaration and news of hosts
+// Package gossip decides how a revision of the declaration and news of hosts
 // reach every daemon: who watches the platform, whom a daemon tells of what is new,
 // and whom it asks now and then for what it missed.
 //
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	plan := spread.NewPlan(spread.Config{Host: "csepel-1", DataCentre: "csepel", Random: rand.Uint64}, hosts)
+//	plan := gossip.NewPlan(gossip.Config{Host: "csepel-1", DataCentre: "csepel", Random: rand.Uint64}, hosts)
 //	if plan.Watches(freshAt, now) { ... }   // watch the platform oneself
 //	for _, host := range plan.Notify() { ... } // a new revision: tell these
 //	for _, host := range plan.Near() { ... }   // news of hosts: tell these,
@@ -31,7 +31,7 @@
 //   - A daemon that has not heard of an answer of the platform for StaleAfter, and
 //     a random time as long again, watches the platform itself, since the watchers
 //     may be gone.
-package spread
+package gossip
 
 import (
 	"cmp"
--- a/internal/spread/spread_test.go
+++ b/internal/gossip/gossip_test.go
@@ -1,4 +1,4 @@
-package spread_test
+package gossip_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/fleet"
-	"github.com/tideliftd/tidelift/internal/spread"
+	"github.com/tideliftd/tidelift/internal/gossip"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -22,11 +22,11 @@
 	return all
 }
 
-func plans(all []fleet.Host, seed uint64) map[string]*spread.Plan {
+func plans(all []fleet.Host, seed uint64) map[string]*gossip.Plan {
 	random := rand.New(rand.NewPCG(seed, 1))
-	made := make(map[string]*spread.Plan)
+	made := make(map[string]*gossip.Plan)
 	for _, h := range all {
-		made[h.Name] = spread.NewPlan(spread.Config{Host: h.Name, DataCentre: h.DataCentre, Random: random.Uint64}, all)
+		made[h.Name] = gossip.NewPlan(gossip.Config{Host: h.Name, DataCentre: h.DataCentre, Random: random.Uint64}, all)
 	}
 	return made
 }
@@ -38,11 +38,11 @@
 		if plan.Watches(epoch, epoch) {
 			watchers++
 		}
-		if !plan.Watches(epoch, epoch.Add(2*spread.StaleAfter)) {
+		if !plan.Watches(epoch, epoch.Add(2*gossip.StaleAfter)) {
 			t.Fatalf("%s relies on others that are silent", name)
 		}
 	}
-	if watchers != 15*spread.WatchersEach {
+	if watchers != 15*gossip.WatchersEach {
 		t.Fatalf("%d watch", watchers)
 	}
 }
--- a/internal/hop/call.go
+++ b/internal/hop/call.go
@@ -23,16 +23,16 @@
 	Customer string
 	// Once says that the request must not run more than once.
 	Once bool
-	// WantTicket asks for a ticket in place of running anything.
-	WantTicket bool
-	// Ticket is the sidecar's leave to run the request; it may be empty.
-	Ticket string
+	// WantReservation asks for a reservation in place of running anything.
+	WantReservation bool
+	// Reservation is the sidecar's leave to run the request; it may be empty.
+	Reservation string
 	// Origin is the service of the host where the request began; it may be
 	// empty.
 	Origin string
 	// Priority is the request's rank in a queue; 0 is served first.
 	Priority int
-	// Insist says that nobody else takes the request, so that doubt is no reason
+	// Insist says that nobody else takes the request, so that suspicion is no reason
 	// to refuse it.
 	Insist bool
 	// NoWait asks for a refusal in place of a wait for a slot.
--- a/internal/hop/encode.go
+++ b/internal/hop/encode.go
@@ -24,7 +24,7 @@
 	Usual         int64
 	Priority      int
 	Customer      string
-	Ticket        string
+	Reservation   string
 	Origin        string
 	Host          string
 	Reference     string
@@ -33,7 +33,7 @@
 // The flags of a call.
 const (
 	flagOnce uint64 = 1 << iota
-	flagWantTicket
+	flagWantReservation
 	flagInsist
 	flagNoWait
 	flagProven
@@ -55,7 +55,7 @@
 		Usual:         leftOf(c.Usual),
 		Priority:      c.Priority,
 		Customer:      c.Customer,
-		Ticket:        c.Ticket,
+		Reservation:   c.Reservation,
 		Origin:        c.Origin,
 		Host:          c.Host,
 		Reference:     c.Reference,
@@ -72,7 +72,7 @@
 
 // flags returns the call's flags in one number.
 func (c Call) flags() uint64 {
-	return bit(flagOnce, c.Once) | bit(flagWantTicket, c.WantTicket) | bit(flagInsist, c.Insist) |
+	return bit(flagOnce, c.Once) | bit(flagWantReservation, c.WantReservation) | bit(flagInsist, c.Insist) |
 		bit(flagNoWait, c.NoWait) | bit(flagProven, c.Proven) |
 		bit(flagRepeat, c.Repeat)
 }
@@ -104,24 +104,24 @@
 // call returns what the wire's form says.
 func (w wireCall) call() Call {
 	return Call{
-		BackendServer: w.BackendServer,
-		TimeLeft:      micros(w.TimeLeft),
-		Aim:           micros(w.Aim),
-		Target:        micros(w.Target),
-		Late:          micros(w.Late),
-		Usual:         micros(w.Usual),
-		Priority:      w.Priority,
-		Customer:      w.Customer,
-		Ticket:        w.Ticket,
-		Origin:        w.Origin,
-		Host:          w.Host,
-		Reference:     w.Reference,
-		Once:          w.Flags&flagOnce != 0,
-		WantTicket:    w.Flags&flagWantTicket != 0,
-		Insist:        w.Flags&flagInsist != 0,
-		NoWait:        w.Flags&flagNoWait != 0,
-		Proven:        w.Flags&flagProven != 0,
-		Repeat:        w.Flags&flagRepeat != 0,
+		BackendServer:   w.BackendServer,
+		TimeLeft:        micros(w.TimeLeft),
+		Aim:             micros(w.Aim),
+		Target:          micros(w.Target),
+		Late:            micros(w.Late),
+		Usual:           micros(w.Usual),
+		Priority:        w.Priority,
+		Customer:        w.Customer,
+		Reservation:     w.Reservation,
+		Origin:          w.Origin,
+		Host:            w.Host,
+		Reference:       w.Reference,
+		Once:            w.Flags&flagOnce != 0,
+		WantReservation: w.Flags&flagWantReservation != 0,
+		Insist:          w.Flags&flagInsist != 0,
+		NoWait:          w.Flags&flagNoWait != 0,
+		Proven:          w.Flags&flagProven != 0,
+		Repeat:          w.Flags&flagRepeat != 0,
 	}
 }
 
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -36,8 +36,8 @@
 const (
 	// HeaderCall carries a Call.
 	HeaderCall = "Tidelift-Call"
-	// HeaderTicket answers a call that wants a ticket.
-	HeaderTicket = "Tidelift-Ticket"
+	// HeaderReservation answers a call that wants a reservation.
+	HeaderReservation = "Tidelift-Reservation"
 	// HeaderServed carries the load of the backend server and the wait for a slot.
 	HeaderServed = "Tidelift-Served"
 	// HeaderDetail and HeaderRetryAfter go with a refusal, beside its code.
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -11,7 +11,7 @@
 func TestCallTravels(t *testing.T) {
 	want := hop.Call{
 		BackendServer: "csepel/lookup-1", TimeLeft: 1500 * time.Millisecond, Customer: "county-7", Once: true,
-		WantTicket: true, Ticket: "t", Reference: "1,2,3,4,5", Origin: "records", Priority: 2, Insist: true, NoWait: true,
+		WantReservation: true, Reservation: "t", Reference: "1,2,3,4,5", Origin: "records", Priority: 2, Insist: true, NoWait: true,
 		Proven: true, Host: "csepel-1", Aim: 500 * time.Millisecond, Target: 800 * time.Millisecond, Usual: 700 * time.Millisecond,
 		Late: 300 * time.Millisecond,
 	}
@@ -28,7 +28,7 @@
 func TestCopyEndToEnd(t *testing.T) {
 	in := http.Header{
 		"Connection": {"close, X-Private"}, "X-Private": {"1"}, "Keep-Alive": {"1"}, "Te": {"trailers"},
-		"Tidelift-Ticket": {"forged"}, "Accept": {"text/html", "text/plain"},
+		"Tidelift-Reservation": {"forged"}, "Accept": {"text/html", "text/plain"},
 	}
 	out := http.Header{}
 	hop.CopyEndToEnd(out, in)
@@ -62,7 +62,7 @@
 	h := http.Header{}
 	call := hop.Call{
 		BackendServer: "lookup-123", TimeLeft: 1500 * time.Millisecond, Aim: 500 * time.Millisecond, Target: 800 * time.Millisecond,
-		Usual: 700 * time.Millisecond, Once: true, WantTicket: true, NoWait: true, Proven: true, Origin: "records",
+		Usual: 700 * time.Millisecond, Once: true, WantReservation: true, NoWait: true, Proven: true, Origin: "records",
 		Host: "host-twenty-letters1",
 	}
 	if err := call.Encode(h); err != nil {
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -9,7 +9,7 @@
 
 	"github.com/tideliftd/tidelift/internal/body"
 	"github.com/tideliftd/tidelift/internal/fleet"
-	"github.com/tideliftd/tidelift/internal/pace"
+	"github.com/tideliftd/tidelift/internal/latency"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/route"
 )
@@ -20,33 +20,33 @@
 // request is a caller's request with what the declaration says of it.
 type request struct {
 	*http.Request
-	service  *service
-	name     string
-	began    time.Time
-	target   time.Duration // within which an answer is worth most
-	aim      time.Time     // until when it may wait in a crowded queue
-	deadline time.Time
-	customer string
-	once     bool
-	attempts int // the most backend servers it may be sent to
-	priority int
-	body     *body.Body
-	route    route.Name
-	pace     *pace.Pace // of its route
-	nested   bool       // a backend server sent it for a request that it is running
+	service    *service
+	name       string
+	began      time.Time
+	target     time.Duration // within which an answer is worth most
+	aim        time.Time     // until when it may wait in a crowded queue
+	deadline   time.Time
+	customer   string
+	once       bool
+	attempts   int // the most backend servers it may be sent to
+	priority   int
+	body       *body.Body
+	route      route.Name
+	latency    *latency.Estimate // of its route
+	subrequest bool              // a backend server sent it for a request that it is running
 }
 
-// nestedPriority is the rank of what a backend server calls while it runs a request: before
+// subrequestPriority is the rank of what a backend server calls while it runs a request: before
 // all new work, since a refusal wastes the work on that request.
-const nestedPriority = -1
+const subrequestPriority = -1
 
 // late returns how long an attempt runs before it is late; zero if none is.
-func (r *request) late() time.Duration { return r.pace.Late(r.target) }
+func (r *request) late() time.Duration { return r.latency.Late(r.target) }
 
 // usual returns how long an answer to the request usually takes; zero if that is not
 // known.
 func (r *request) usual() time.Duration {
-	usual, _ := r.pace.Usual()
+	usual, _ := r.latency.Usual()
 	return usual
 }
 
@@ -92,12 +92,12 @@
 		priority: match.Priority,
 		body:     body.New(w, r, match.MaxBody),
 		route:    routeName,
-		pace:     in.paces.of(routeName),
+		latency:  in.latencies.of(routeName),
 	}
-	if in.nested.Is(admitted.route) {
-		admitted.nested = true
+	if in.subrequest.Is(admitted.route) {
+		admitted.subrequest = true
 		admitted.aim = admitted.deadline
-		admitted.priority = nestedPriority
+		admitted.priority = subrequestPriority
 	}
 	return admitted, nil
 }
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -12,15 +12,15 @@
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
-// errOverdue ends an attempt that a copy sent later has overtaken.
-var errOverdue = errors.New("a later copy was answered first")
+// errOverdue ends an attempt that a hedge sent later has overtaken.
+var errOverdue = errors.New("a later hedge was answered first")
 
 // attempt is one sending of a request to one backend server.
 type attempt struct {
 	in      *Ingress
 	request *request
 	choice
-	copy      bool        // it is a copy beside a late attempt
+	hedge     bool        // it is a hedge beside a late attempt
 	overdue   atomic.Bool // it took far longer than others would
 	startedAt time.Time
 	cancel    context.CancelCauseFunc // ends it
@@ -31,7 +31,7 @@
 	started := time.Now()
 	clock := a.startClock()
 	a.target.Begin()
-	own := *a.request.Request // a copy beside it has a body of its own
+	own := *a.request.Request // a hedge beside it has a body of its own
 	a.request.body.Rewind(&own)
 	answer, err := a.in.send(ctx, a.request, &own, a.choice)
 	clock.stop()
--- a/internal/ingress/attempt_test.go
+++ b/internal/ingress/attempt_test.go
@@ -12,38 +12,38 @@
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
-// TestNoCopyInAPlannedStop leaves a request where it runs once a stop has begun, however
+// TestNoHedgeInAPlannedStop leaves a request where it runs once a stop has begun, however
 // long it takes there.
-func TestNoCopyInAPlannedStop(t *testing.T) {
+func TestNoHedgeInAPlannedStop(t *testing.T) {
 	in := &Ingress{}
 	late := &attempt{startedAt: time.Now().Add(-time.Second)}
-	r := &round{in: in, request: &request{attempts: 2}, story: &trail{}, late: time.Millisecond, running: []*attempt{late}}
-	if !r.mayCopy() {
-		t.Fatal("a late attempt of a repeatable request has no copy")
+	r := &round{in: in, request: &request{attempts: 2}, trace: &attemptTrace{}, late: time.Millisecond, running: []*attempt{late}}
+	if !r.mayHedge() {
+		t.Fatal("a late attempt of a repeatable request has no hedge")
 	}
 	in.Settle()
-	if r.mayCopy() {
-		t.Fatal("a copy is sent in a planned stop")
+	if r.mayHedge() {
+		t.Fatal("a hedge is sent in a planned stop")
 	}
 }
 
-// TestWhatMustNotRunTwiceIsNeverCopied holds it, and the route's limit on attempts.
-func TestWhatMustNotRunTwiceIsNeverCopied(t *testing.T) {
+// TestWhatMustNotRunTwiceIsNeverHedged holds it, and the route's limit on attempts.
+func TestWhatMustNotRunTwiceIsNeverHedged(t *testing.T) {
 	late := &attempt{startedAt: time.Now().Add(-time.Second)}
 	for name, r := range map[string]*round{
-		"once":          {request: &request{attempts: 2, once: true}, story: &trail{}},
-		"one attempt":   {request: &request{attempts: 1}, story: &trail{}},
-		"sent before":   {request: &request{attempts: 2}, story: &trail{sent: 1}},
-		"not late yet":  {request: &request{attempts: 2}, story: &trail{}, late: time.Hour},
-		"failed beside": {request: &request{attempts: 2}, story: &trail{}, failed: &finished{}},
-		"nothing known": {request: &request{attempts: 2}, story: &trail{}, late: 0},
+		"once":          {request: &request{attempts: 2, once: true}, trace: &attemptTrace{}},
+		"one attempt":   {request: &request{attempts: 1}, trace: &attemptTrace{}},
+		"sent before":   {request: &request{attempts: 2}, trace: &attemptTrace{sent: 1}},
+		"not late yet":  {request: &request{attempts: 2}, trace: &attemptTrace{}, late: time.Hour},
+		"failed beside": {request: &request{attempts: 2}, trace: &attemptTrace{}, failed: &finished{}},
+		"nothing known": {request: &request{attempts: 2}, trace: &attemptTrace{}, late: 0},
 	} {
 		r.in, r.running = &Ingress{}, []*attempt{late}
 		if name != "nothing known" {
 			r.late = max(r.late, time.Millisecond)
 		}
-		if r.mayCopy() {
-			t.Errorf("%s: a copy is sent", name)
+		if r.mayHedge() {
+			t.Errorf("%s: a hedge is sent", name)
 		}
 	}
 }
@@ -59,7 +59,7 @@
 	pool := balance.NewPool(balance.Config{DataCentre: "dc", Random: rand.Uint64})
 	pool.Reconfigure(declaration.Services[0], index)
 	in := &Ingress{config: Config{Logger: slog.New(slog.DiscardHandler)}}
-	r := &round{in: in, story: &trail{}, done: make(chan finished)}
+	r := &round{in: in, trace: &attemptTrace{}, done: make(chan finished)}
 	r.request = &request{attempts: 3, service: &service{limit: &retryLimit{}}}
 	for range running {
 		a := &attempt{in: in, request: r.request, choice: choice{target: pool.Targets()[0]}, cancel: func(error) {}}
@@ -68,37 +68,37 @@
 	return r
 }
 
-// TestACopyWithoutASlotEndsTheRoundOfAFailedAttempt lets an attempt fail while a copy of
+// TestAHedgeWithoutASlotEndsTheRoundOfAFailedAttempt lets an attempt fail while a hedge of
 // it still looks for a slot.
-func TestACopyWithoutASlotEndsTheRoundOfAFailedAttempt(t *testing.T) {
+func TestAHedgeWithoutASlotEndsTheRoundOfAFailedAttempt(t *testing.T) {
 	r := newTestRound(t, 2)
 	first, looking := r.running[0], r.running[1]
 	if end := r.take(finished{attempt: first, err: result.New(result.ConnectionLost)}); end != nil {
-		t.Fatal("the round ended while a copy may still be sent")
+		t.Fatal("the round ended while a hedge may still be sent")
 	}
 	end := r.take(finished{attempt: looking, err: result.New(result.Busy), unsent: true})
 	if end == nil || end.attempt != first {
 		t.Fatalf("ended with %+v, want the attempt that failed", end)
 	}
-	if r.story.sent != 0 {
-		t.Fatal("the failure that ends the round is in the story already")
+	if r.trace.sent != 0 {
+		t.Fatal("the failure that ends the round is in the trace already")
 	}
 }
 
-// TestTheLastFailureEndsTheRound keeps the one before it in the story.
+// TestTheLastFailureEndsTheRound keeps the one before it in the trace.
 func TestTheLastFailureEndsTheRound(t *testing.T) {
 	r := newTestRound(t, 2)
 	first, second := r.running[0], r.running[1]
 	r.take(finished{attempt: first, err: result.New(result.ConnectionLost)})
 	end := r.take(finished{attempt: second, err: result.New(result.DeadlineWhileRunning)})
-	if end == nil || end.attempt != second || r.story.sent != 1 {
-		t.Fatalf("ended with %+v, %d in the story", end, r.story.sent)
+	if end == nil || end.attempt != second || r.trace.sent != 1 {
+		t.Fatalf("ended with %+v, %d in the trace", end, r.trace.sent)
 	}
 }
 
-// TestCopiesAreOfferedInTurn has each backend server refuse a copy: none is asked again
+// TestHedgesAreOfferedInTurn has each backend server refuse a hedge: none is asked again
 // before all others have been asked, nor the one where the late attempt runs.
-func TestCopiesAreOfferedInTurn(t *testing.T) {
+func TestHedgesAreOfferedInTurn(t *testing.T) {
 	r := newTestRound(t, 1)
 	r.request.service.pool = newTestPool(t, 6)
 	targets := r.request.service.pool.Targets()
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -14,7 +14,7 @@
 const (
 	// noneAbleRetry is when to come back to a service that nobody can serve.
 	noneAbleRetry = time.Second
-	// lookAgainAfter is the pause before a request that finds only doubted backend
+	// lookAgainAfter is the pause before a request that finds only suspected backend
 	// servers, or none, looks again. Source: one is trusted again within some tens
 	// of milliseconds of the first proof.
 	lookAgainAfter = 50 * time.Millisecond
@@ -26,35 +26,35 @@
 // attempts tries the request on one backend server after another until one
 // answers or the failure is final.
 func (in *Ingress) attempts(ctx context.Context, r *request) (*http.Response, error) {
-	var story trail
+	var trace attemptTrace
 	for {
-		next, ok := in.next(ctx, r, &story)
+		next, ok := in.next(ctx, r, &trace)
 		if !ok {
-			return story.end(worst(story.mayHaveRun, noneAble(r, &story)))
+			return trace.end(worst(trace.mayHaveRun, noneAble(r, &trace)))
 		}
-		next.repeat = story.sent > 0
-		f := in.runRound(ctx, &attempt{in: in, request: r, choice: next}, &story)
+		next.repeat = trace.sent > 0
+		f := in.runRound(ctx, &attempt{in: in, request: r, choice: next}, &trace)
 		if f.isAnswer() {
-			story.drop()
+			trace.drop()
 			return f.response, nil
 		}
-		failure := story.take(f)
-		again := in.again(r, &story)
-		in.logAttempt(r, f.attempt, &story, failure, again)
+		failure := trace.take(f)
+		again := in.again(r, &trace)
+		in.logAttempt(r, f.attempt, &trace, failure, again)
 		if !again {
-			return story.end(worst(story.mayHaveRun, story.last))
+			return trace.end(worst(trace.mayHaveRun, trace.last))
 		}
 		in.metrics.retried.Inc(failure.Code)
 	}
 }
 
-// next says whom to ask next. While there are only doubted backend servers, or none, it
+// next says whom to ask next. While there are only suspected backend servers, or none, it
 // looks again as long as the request has time for that.
-func (in *Ingress) next(ctx context.Context, r *request, story *trail) (choice, bool) {
+func (in *Ingress) next(ctx context.Context, r *request, trace *attemptTrace) (choice, bool) {
 	for {
-		c, ok := in.choose(r, story)
+		c, ok := in.choose(r, trace)
 		found := ok && !c.insist
-		if found || !story.mayFind(r) || !in.waitABit(ctx, r) {
+		if found || !trace.mayFind(r) || !in.waitABit(ctx, r) {
 			return c, ok
 		}
 	}
@@ -72,11 +72,11 @@
 }
 
 // logAttempt leaves a line on a failed attempt.
-func (in *Ingress) logAttempt(r *request, a *attempt, story *trail, failure *result.Error, again bool) {
+func (in *Ingress) logAttempt(r *request, a *attempt, trace *attemptTrace, failure *result.Error, again bool) {
 	event.Log(in.config.Logger, event.AttemptFailed,
 		"request", in.requestID(r.Request), "service", r.name, "backend_server", a.target.Name, "trial", a.trial,
 		"no_wait", a.noWait, "proven", a.proven, "insist", a.insist,
-		"tried", len(story.tried), "sent", story.sent, "once", r.once, "code", failure.Code.Number, "result", failure.Code.Name,
+		"tried", len(trace.tried), "sent", trace.sent, "once", r.once, "code", failure.Code.Number, "result", failure.Code.Name,
 		"why", failure.Error(), "again", again)
 }
 
@@ -91,19 +91,19 @@
 }
 
 // again says whether the last failed attempt may be followed by another.
-func (in *Ingress) again(r *request, story *trail) bool {
+func (in *Ingress) again(r *request, trace *attemptTrace) bool {
 	if r.body.Spent() {
 		return false
 	}
-	if retry.IsFull(story.last.Code) && time.Now().After(r.aim) {
+	if retry.IsFull(trace.last.Code) && time.Now().After(r.aim) {
 		return false // the others are as full, and it has waited for its time
 	}
-	decision := retry.Decide(retry.Attempt{Sent: story.sent, Most: r.attempts, Full: story.full, Once: r.once, Nested: r.nested, Err: story.last})
+	decision := retry.Decide(retry.Attempt{Sent: trace.sent, Most: r.attempts, Full: trace.full, Once: r.once, Subrequest: r.subrequest, Err: trace.last})
 	switch decision {
 	case retry.Free:
 		return true
 	case retry.Again:
-		return story.limited < maxLimited
+		return trace.limited < maxLimited
 	case retry.Final:
 	}
 	return false
@@ -111,10 +111,10 @@
 
 // noneAble is the answer when no target is left to try: the last failure, unless there
 // was none or the last one asked gets no work.
-func noneAble(r *request, story *trail) *result.Error {
-	if story.last == nil || takesNoWork(story.last) {
+func noneAble(r *request, trace *attemptTrace) *result.Error {
+	if trace.last == nil || takesNoWork(trace.last) {
 		return result.New(result.NoneAble).WithRetryAfter(noneAbleRetry).
-			WithDetail("%d backend servers known, %d tried", len(r.service.pool.Targets()), len(story.tried))
+			WithDetail("%d backend servers known, %d tried", len(r.service.pool.Targets()), len(trace.tried))
 	}
-	return story.last
+	return trace.last
 }
--- a/internal/ingress/choose.go
+++ b/internal/ingress/choose.go
@@ -36,43 +36,43 @@
 	proven bool
 	// repeat says that the request has reached a backend server, or may yet.
 	repeat bool
-	// insist says that nobody else is left, so that doubt is no reason to refuse.
+	// insist says that nobody else is left, so that suspicion is no reason to refuse.
 	insist bool
-	// ticket is the leave of the target's sidecar to run the request; it may be
+	// reservation is the leave of the target's sidecar to run the request; it may be
 	// empty.
-	ticket string
+	reservation string
 }
 
 // choose says whom to ask next: first for a free slot, then where the wait for
-// one is shortest, and one that is doubted if nobody else is left. A first
-// attempt that may be repeated goes to one on trial or in doubt, if there is one;
+// one is shortest, and one that is suspected if nobody else is left. A first
+// attempt that may be repeated goes to one on trial or under suspicion, if there is one;
 // what must not be lost goes to one that has just shown that it is well, if that
 // is soon found.
-func (in *Ingress) choose(r *request, story *trail) (choice, bool) {
+func (in *Ingress) choose(r *request, trace *attemptTrace) (choice, bool) {
 	now := time.Now()
 	pool := r.service.pool
-	if !r.once && len(story.tried) == 0 {
+	if !r.once && len(trace.tried) == 0 {
 		if c, ok := r.service.findOut(now); ok {
 			return c, true
 		}
 	}
-	if story.mayLook(r) {
-		if c, ok := story.look(r, now); ok {
+	if trace.mayLook(r) {
+		if c, ok := trace.look(r, now); ok {
 			return c, true
 		}
 	}
-	if len(story.busy) > 0 {
-		return choice{target: story.leastBusy()}, true
+	if len(trace.busy) > 0 {
+		return choice{target: trace.leastBusy()}, true
 	}
-	if story.full > 0 && !r.nested {
-		return choice{}, false // a doubted one would most likely fail it, and a refusal is true
+	if trace.full > 0 && !r.subrequest {
+		return choice{}, false // a suspected one would most likely fail it, and a refusal is true
 	}
-	target, ok := pool.PickDoubted(now, story.tried)
+	target, ok := pool.PickSuspected(now, trace.tried)
 	return choice{target: target, insist: true}, ok
 }
 
 // findOut chooses a target of which a request shows whether it is well again: one on
-// trial, or one of this data centre that was doubted and may be tried again, if
+// trial, or one of this data centre that was suspected and may be tried again, if
 // there is a retry left for a failure.
 func (s *service) findOut(now time.Time) (choice, bool) {
 	if target, ok := s.pool.PickTrial(now); ok {
@@ -86,7 +86,7 @@
 }
 
 // patience is how long a request may look for a backend server that is not
-// doubted. Source: a refusal is best given within a quarter of the time in which
+// suspected. Source: a refusal is best given within a quarter of the time in which
 // an answer is worth most.
 func (r *request) patience(now time.Time) time.Duration {
 	const part = 4
@@ -96,8 +96,8 @@
 // mayLook says whether another is asked for a free slot. For a call of a backend server all are:
 // a refusal wastes what was done for the request that needs it, which costs more than a round
 // trip to each.
-func (t *trail) mayLook(r *request) bool {
-	if r.nested {
+func (t *attemptTrace) mayLook(r *request) bool {
+	if r.subrequest {
 		return true
 	}
 	looks := maxLooks
@@ -108,7 +108,7 @@
 }
 
 // look chooses one to ask for a free slot.
-func (t *trail) look(r *request, now time.Time) (choice, bool) {
+func (t *attemptTrace) look(r *request, now time.Time) (choice, bool) {
 	mustNotFail := r.once || t.sent > 0 || !r.service.limit.left(now)
 	proven := mustNotFail && len(t.unproven) < maxUnproven
 	if proven {
--- a/internal/ingress/hedge.go
+++ b/internal/ingress/hedge.go
@@ -21,20 +21,20 @@
 )
 
 // round is an attempt of a request and, once that is late and if the request may be
-// repeated, copies of it at other backend servers. The first whole answer wins and the
-// rest is cancelled. A copy is sent only where a slot is kept for it, so that none waits;
+// repeated, hedges of it at other backend servers. The first whole answer wins and the
+// rest is cancelled. A hedge is sent only where a slot is kept for it, so that none waits;
 // the late attempt goes on meanwhile, since its answer may be the first.
 //
 // One goroutine owns the round; each attempt runs in its own and tells what became of it.
 type round struct {
 	in      *Ingress
 	request *request
-	story   *trail
+	trace   *attemptTrace
 	running []*attempt
-	avoid   []*balance.Target // where a copy is not sent
-	failed  *finished         // the last that failed, which is not in the story yet
+	avoid   []*balance.Target // where a hedge is not sent
+	failed  *finished         // the last that failed, which is not in the trace yet
 	late    time.Duration     // after which an attempt is late; zero if none is
-	refused []*balance.Target // that had no slot or no retry for a copy; asked again after all others
+	refused []*balance.Target // that had no slot or no retry for a hedge; asked again after all others
 	asked   bool              // all have been asked once
 	done    chan finished
 }
@@ -44,7 +44,7 @@
 	attempt  *attempt
 	response *http.Response
 	err      error
-	unsent   bool // it is a copy for which no slot was found
+	unsent   bool // it is a hedge for which no slot was found
 }
 
 // isAnswer says whether the attempt has an answer that is passed on.
@@ -52,14 +52,14 @@
 	return f.err == nil && !mayImprove(f.attempt.request, f.response)
 }
 
-// runRound runs the attempt and, where it is late, copies of it. It returns the one that
-// has the answer, or the last that failed; the failures of the others are in the story.
-func (in *Ingress) runRound(ctx context.Context, first *attempt, story *trail) finished {
+// runRound runs the attempt and, where it is late, hedges of it. It returns the one that
+// has the answer, or the last that failed; the failures of the others are in the trace.
+func (in *Ingress) runRound(ctx context.Context, first *attempt, trace *attemptTrace) finished {
 	r := &round{
 		in:      in,
 		request: first.request,
-		story:   story,
-		avoid:   story.notBusy(),
+		trace:   trace,
+		avoid:   trace.notBusy(),
 		late:    first.request.late(),
 		done:    make(chan finished),
 	}
@@ -73,13 +73,13 @@
 				return *end
 			}
 		case <-look.C:
-			r.tryCopy(ctx)
+			r.tryHedge(ctx)
 			look.Reset(max(r.late/hedgeLooks, shortestLook))
 		}
 	}
 }
 
-// firstLook returns the timer of the looks for a copy. It never fires if none may be sent.
+// firstLook returns the timer of the looks for a hedge. It never fires if none may be sent.
 func (r *round) firstLook() *time.Timer {
 	look := time.NewTimer(r.late)
 	if r.late == 0 || r.request.once {
@@ -96,7 +96,7 @@
 		r.avoid = slices.DeleteFunc(r.avoid, func(t *balance.Target) bool { return t == f.attempt.target })
 		r.refused = append(r.refused, f.attempt.target)
 		if len(r.running) == 0 {
-			return r.failed // the attempt that it was to be a copy of
+			return r.failed // the attempt that it was to be a hedge of
 		}
 		return nil
 	}
@@ -112,7 +112,7 @@
 	return nil
 }
 
-// noteFailed puts the last failure into the story, once another attempt has ended after
+// noteFailed puts the last failure into the trace, once another attempt has ended after
 // it.
 func (r *round) noteFailed() {
 	if r.failed == nil {
@@ -120,8 +120,8 @@
 	}
 	f := *r.failed
 	r.failed = nil
-	failure := r.story.take(f)
-	r.in.logAttempt(r.request, f.attempt, r.story, failure, true)
+	failure := r.trace.take(f)
+	r.in.logAttempt(r.request, f.attempt, r.trace, failure, true)
 }
 
 // start runs an attempt beside the round.
@@ -133,9 +133,9 @@
 	go func() { r.done <- a.finish(ctx) }()
 }
 
-// tryCopy sends a copy if the attempt sent last is late and another may be sent.
-func (r *round) tryCopy(ctx context.Context) {
-	if !r.mayCopy() {
+// tryHedge sends a hedge if the attempt sent last is late and another may be sent.
+func (r *round) tryHedge(ctx context.Context) {
+	if !r.mayHedge() {
 		return
 	}
 	target, ok := r.pick(time.Now())
@@ -145,12 +145,12 @@
 	r.start(ctx, &attempt{
 		in:      r.in,
 		request: r.request,
-		copy:    true,
-		choice:  choice{target: target, noWait: !r.request.nested, proven: !r.asked, repeat: true},
+		hedge:   true,
+		choice:  choice{target: target, noWait: !r.request.subrequest, proven: !r.asked, repeat: true},
 	})
 }
 
-// pick chooses where a copy may be sent: one that has not refused one yet, and once all have,
+// pick chooses where a hedge may be sent: one that has not refused one yet, and once all have,
 // any again, also one that seems to hang.
 func (r *round) pick(now time.Time) (*balance.Target, bool) {
 	pool := r.request.service.pool
@@ -162,9 +162,9 @@
 	return pool.Pick(now, r.avoid)
 }
 
-// mayCopy says whether the request may have another copy now. In a planned stop none is
+// mayHedge says whether the request may have another hedge now. In a planned stop none is
 // sent, since others may not take it any more.
-func (r *round) mayCopy() bool {
+func (r *round) mayHedge() bool {
 	if r.late == 0 || r.request.once || r.in.settling.Load() || r.request.body.Spent() {
 		return false
 	}
@@ -177,7 +177,7 @@
 
 // sent counts the backend servers that the request has reached or may yet reach.
 func (r *round) sent() int {
-	sent := r.story.sent + len(r.running)
+	sent := r.trace.sent + len(r.running)
 	if r.failed != nil {
 		sent++
 	}
@@ -207,9 +207,9 @@
 	}
 }
 
-// finish runs the attempt, a copy only once a slot is kept for it.
+// finish runs the attempt, a hedge only once a slot is kept for it.
 func (a *attempt) finish(ctx context.Context) finished {
-	if a.copy {
+	if a.hedge {
 		if err := a.takeSlot(ctx); err != nil {
 			return finished{attempt: a, err: err, unsent: true}
 		}
@@ -218,15 +218,15 @@
 	return finished{attempt: a, response: response, err: err}
 }
 
-// takeSlot has the target keep a slot for the copy, and takes a refusal as evidence.
+// takeSlot has the target keep a slot for the hedge, and takes a refusal as evidence.
 func (a *attempt) takeSlot(ctx context.Context) error {
-	ticket, err := a.in.ticket(ctx, a.request, a.choice)
+	reservation, err := a.in.reserve(ctx, a.request, a.choice)
 	if err != nil {
 		a.learn(result.From(err), 0)
 		return err
 	}
-	a.ticket = ticket
-	event.Log(a.in.config.Logger, event.RequestCopied,
+	a.reservation = reservation
+	event.Log(a.in.config.Logger, event.RequestHedged,
 		"request", a.in.requestID(a.request.Request), "service", a.request.name, "backend_server", a.target.Name,
 		"after_ms", time.Since(a.request.began).Milliseconds())
 	return nil
--- a/internal/ingress/hedge_test.go
+++ b/internal/ingress/hedge_test.go
@@ -48,7 +48,7 @@
 	slow    atomic.Bool
 	waits   atomic.Bool  // the slow one keeps requests waiting for a slot
 	full    atomic.Bool  // the other has no slot, and its queue is full
-	granted atomic.Int64 // tickets
+	granted atomic.Int64 // reservations
 }
 
 func (b *twoBackends) do(ctx context.Context, call hop.Call, r *http.Request) (sidecar.Answer, error) {
@@ -85,7 +85,7 @@
 	return sidecar.Answer{Response: response}
 }
 
-func (b *twoBackends) ticket(_ context.Context, call hop.Call) (string, error) {
+func (b *twoBackends) reservation(_ context.Context, call hop.Call) (string, error) {
 	if call.BackendServer == "other" && b.full.Load() {
 		return "", result.New(result.Busy)
 	}
@@ -100,7 +100,7 @@
 	b := &twoBackends{}
 	in, cleanUp := New(Config{
 		Host: "h1", DataCentre: "dc", Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, HeaderBytes: 1 << 16,
-		Local: b.do, LocalTicket: b.ticket,
+		Local: b.do, LocalReservation: b.reservation,
 	})
 	t.Cleanup(cleanUp)
 	declaration, err := fleet.Parse("fleet.yaml", []byte(twoServers))
@@ -144,9 +144,9 @@
 	return failures.Load(), slowly.Load()
 }
 
-// TestLateRequestsAreCopied lets the other backend server have free slots again while
+// TestLateRequestsAreHedged lets the other backend server have free slots again while
 // requests are overdue at the slow one, be it that they run or wait there.
-func TestLateRequestsAreCopied(t *testing.T) {
+func TestLateRequestsAreHedged(t *testing.T) {
 	for name, waits := range map[string]bool{"running": false, "waiting": true} {
 		t.Run(name, func(t *testing.T) {
 			in, b := newTwoBackends(t)
@@ -156,7 +156,7 @@
 			time.AfterFunc(slowFor/2, func() { b.full.Store(false) })
 			failed, bySlow := many(in)
 			if failed > 0 || bySlow > manyOf/2 || b.granted.Load() == 0 {
-				t.Fatalf("%d of %d failed, the slow one answered %d, %d tickets", failed, manyOf, bySlow, b.granted.Load())
+				t.Fatalf("%d of %d failed, the slow one answered %d, %d reservations", failed, manyOf, bySlow, b.granted.Load())
 			}
 		})
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -4,7 +4,7 @@
 //
 //	in, cleanUp := ingress.New(ingress.Config{
 //		Host: "csepel-1", DataCentre: "csepel",
-//		Logger: logger, Scope: scope, Local: sidecar.Do, LocalTicket: sidecar.Ticket,
+//		Logger: logger, Scope: scope, Local: sidecar.Do, LocalReservation: sidecar.Reserve,
 //	})
 //	defer cleanUp()
 //	in.Reconfigure(index)
@@ -12,18 +12,18 @@
 //
 // A request passes these steps, each in a file of its own:
 //
-//	check    refuses what is malformed, ambiguous or too large        (check.go)
-//	admit    finds the route, the deadline and the customer           (admit.go)
-//	attempts tries, and again where allowed                           (attempts.go)
-//	choose   says whom to ask next, by what was tried so far          (choose.go, trail.go)
-//	hedge    sends copies of a late request, the first answer wins    (hedge.go, paces.go)
-//	attempt  is one sending, watched for being overdue                (attempt.go, clock.go)
-//	ticket   asks a sidecar to keep a slot for the request            (ticket.go)
-//	send     passes the request to the backend server's sidecar       (send.go)
-//	learn    takes what became of an attempt as evidence              (learn.go, judge.go)
-//	answer   passes the answer on                                     (serve.go)
-//	nested   learns which routes backend servers of this host call    (nested.go)
-//	refuse   answers with the failure, its code and when to come back (refuse.go)
+//	check       refuses what is malformed, ambiguous or too large        (check.go)
+//	admit       finds the route, the deadline and the customer           (admit.go)
+//	attempts    tries, and again where allowed                           (attempts.go)
+//	choose      says whom to ask next, by what was tried so far          (choose.go, trace.go)
+//	hedge       sends hedges of a late request, the first answer wins    (hedge.go, latencies.go)
+//	attempt     is one sending, watched for being overdue                (attempt.go, clock.go)
+//	reserve     asks a sidecar to keep a slot for the request            (reservation.go)
+//	send        passes the request to the backend server's sidecar       (send.go)
+//	learn       takes what became of an attempt as evidence              (learn.go, judge.go)
+//	answer      passes the answer on                                     (serve.go)
+//	subrequest  learns which routes backend servers of this host call    (subrequest.go)
+//	refuse      answers with the failure, its code and when to come back (refuse.go)
 //
 // Beside requests, the daemons of hosts that cannot be reached are asked until they
 // answer (reach.go), and each declaration renews what is kept of the services
@@ -50,8 +50,8 @@
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/metric"
-	"github.com/tideliftd/tidelift/internal/nested"
 	"github.com/tideliftd/tidelift/internal/sidecar"
+	"github.com/tideliftd/tidelift/internal/subrequest"
 )
 
 const (
@@ -88,13 +88,13 @@
 	Ping func(context.Context, fleet.Host) error
 	// Silent is told of a host that has not answered for long.
 	Silent func(fleet.Host)
-	// Nested is told what is seen of routes that the backend servers of this host may
+	// Subrequest is told what is seen of routes that the backend servers of this host may
 	// call; nil if nobody is told.
-	Nested func([]nested.Evidence)
+	Subrequest func([]subrequest.Evidence)
 	// Local runs a request on a backend server of the daemon's own host.
 	Local func(context.Context, hop.Call, *http.Request) (sidecar.Answer, error)
-	// LocalTicket keeps a slot of a backend server of the daemon's own host.
-	LocalTicket func(context.Context, hop.Call) (string, error)
+	// LocalReservation keeps a slot of a backend server of the daemon's own host.
+	LocalReservation func(context.Context, hop.Call) (string, error)
 }
 
 // Ingress takes callers' requests.
@@ -111,8 +111,8 @@
 	settling  atomic.Bool // a planned stop has begun
 	stopping  atomic.Bool
 
-	paces  paces
-	nested *nested.Tracker
+	latencies  latencies
+	subrequest *subrequest.Tracker
 
 	mu    sync.Mutex // serialises Reconfigure
 	state atomic.Pointer[state]
@@ -146,7 +146,7 @@
 			seconds:  config.Scope.Histogram("ingress_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)),
 		},
 	}
-	in.nested = nested.New(nested.Config{Changed: in.logNested})
+	in.subrequest = subrequest.New(subrequest.Config{Changed: in.logSubrequest})
 	in.reach = &reach{in: in, away: make(map[string]bool)}
 	ended, cancel := context.WithCancel(context.Background())
 	in.ended = ended
@@ -210,7 +210,7 @@
 	in.eachTarget(names, func(pool *balance.Pool, target *balance.Target) { pool.Pause(target, until) })
 }
 
-// Trusted takes it that backend servers are no longer doubted.
+// Trusted takes it that backend servers are no longer suspected.
 func (in *Ingress) Trusted(names []string) {
 	in.eachTarget(names, func(pool *balance.Pool, target *balance.Target) { pool.Trust(target) })
 }
--- /dev/null
+++ b/internal/ingress/latencies.go
@@ -0,0 +1,33 @@
+package ingress
+
+import (
+	"sync"
+
+	"github.com/tideliftd/tidelift/internal/latency"
+	"github.com/tideliftd/tidelift/internal/route"
+)
+
+// latencies are the latencies of the routes that were asked for. They outlast the declarations
+// that have the route.
+type latencies struct {
+	byRoute sync.Map // of *latency.Estimate, by route.Name
+}
+
+// of returns the route's latency.
+func (p *latencies) of(name route.Name) *latency.Estimate {
+	known, ok := p.byRoute.Load(name)
+	if !ok {
+		known, _ = p.byRoute.LoadOrStore(name, latency.New())
+	}
+	return known.(*latency.Estimate)
+}
+
+// keep forgets the routes for which the function says no.
+func (p *latencies) keep(declared func(route.Name) bool) {
+	p.byRoute.Range(func(name, _ any) bool {
+		if !declared(name.(route.Name)) {
+			p.byRoute.Delete(name)
+		}
+		return true
+	})
+}
--- a/internal/ingress/learn.go
+++ b/internal/ingress/learn.go
@@ -15,7 +15,7 @@
 	// when it does not say for how long.
 	refusedPause = time.Second
 	// farStaysAway is how long ingresses of other data centres keep away from a
-	// doubted target unless they are told earlier that it is trusted again.
+	// suspected target unless they are told earlier that it is trusted again.
 	farStaysAway = 4 * time.Second
 	// unreachablePause is how long a target that cannot be reached is passed over.
 	unreachablePause = 500 * time.Millisecond
@@ -25,7 +25,7 @@
 // anybody or from this one.
 func takesNoWork(failure *result.Error) bool {
 	switch failure.Code.Number {
-	case result.Leaving.Number, result.Stopping.Number, result.UnknownServer.Number, result.Ejected.Number, result.Doubted.Number:
+	case result.Leaving.Number, result.Stopping.Number, result.UnknownServer.Number, result.Ejected.Number, result.Suspected.Number:
 		return true
 	default:
 		return false
@@ -43,7 +43,7 @@
 	case seen && outcome != detect.OK:
 		a.target.Fail()
 	case seen:
-		a.request.pace.Good(took)
+		a.request.latency.Good(took)
 	}
 	a.tell(detect.Observation{Outcome: outcome, Took: took, WasOverdue: a.overdue.Load()}, seen)
 }
@@ -63,8 +63,8 @@
 		pool.Looked(false)
 	case failure.Code.Number == result.RetryLimit.Number:
 		a.request.service.limit.hit(time.Now())
-	case failure.Code.Number == result.Doubted.Number:
-		pool.Doubt(a.target, time.Now().Add(a.stayAway(failure)))
+	case failure.Code.Number == result.Suspected.Number:
+		pool.Suspect(a.target, time.Now().Add(a.stayAway(failure)))
 	case takesNoWork(failure):
 		pool.Pause(a.target, time.Now().Add(pauseFor(failure)))
 	case isPathFailure(failure) && a.in.config.Ping != nil:
@@ -76,7 +76,7 @@
 
 // isPathFailure says whether the failure is one of the path to the host.
 func isPathFailure(failure *result.Error) bool {
-	return failure.Code.Number == result.PeerUnreachable.Number || failure.Code.Number == result.TicketUnanswered.Number
+	return failure.Code.Number == result.PeerUnreachable.Number || failure.Code.Number == result.ReservationUnanswered.Number
 }
 
 // tell gives the service's judge what the attempt saw.
@@ -90,7 +90,7 @@
 	a.request.service.judge.record(observation{target: a.target, trial: a.trial, seen: seen, saw: saw})
 }
 
-// stayAway is how long to keep away from a doubted target. Those near it find out
+// stayAway is how long to keep away from a suspected target. Those near it find out
 // when it is well again, each at a time of its own; whoever was turned away is
 // told then.
 func (a *attempt) stayAway(failure *result.Error) time.Duration {
--- a/internal/ingress/limit.go
+++ b/internal/ingress/limit.go
@@ -6,7 +6,7 @@
 )
 
 // limitedFor is how long a service's retry limit counts as reached after a sidecar said so.
-// Source: a few times the pause between two looks for a copy, so that what depends on a retry
+// Source: a few times the pause between two looks for a hedge, so that what depends on a retry
 // being left does not count on one that was refused a moment ago.
 const limitedFor = 250 * time.Millisecond
 
--- /dev/null
+++ b/internal/ingress/reservation.go
@@ -0,0 +1,81 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tideliftd/tidelift/internal/hop"
+	"github.com/tideliftd/tidelift/internal/result"
+)
+
+const (
+	// reservationPart is the part of the time left that a reservation may take if it does
+	// not wait for a slot: what is left then is enough to try another backend
+	// server.
+	reservationPart = 3
+	// reservationWithin bounds it further. Source: ten round trips between data
+	// centres, and a lost packet's first repeat after 200 ms.
+	reservationWithin = 400 * time.Millisecond
+)
+
+// reserve asks the target's sidecar, directly if it is the daemon's own, to keep a slot for
+// the request, and returns its leave to run it.
+func (in *Ingress) reserve(ctx context.Context, r *request, c choice) (string, error) {
+	call := in.call(r, c)
+	if call.TimeLeft <= 0 {
+		return "", result.New(result.DeadlineBeforeRun)
+	}
+	if address, remote := in.remote(c.target); remote {
+		return in.askReservation(ctx, call, address)
+	}
+	return in.config.LocalReservation(ctx, call)
+}
+
+// reservationTime is how long the call's reservation may take. One that waits for a slot
+// may wait as long as there is time; the sidecar refuses it earlier if no slot
+// can come in time.
+func reservationTime(call hop.Call) time.Duration {
+	if !call.NoWait {
+		return call.TimeLeft
+	}
+	return min(call.TimeLeft/reservationPart, reservationWithin)
+}
+
+// askReservation asks the daemon at the address for a reservation. Asking runs nothing, so whatever becomes of it,
+// without a reservation the request was not run and will not be.
+func (in *Ingress) askReservation(ctx context.Context, call hop.Call, address string) (string, error) {
+	within := reservationTime(call)
+	asking, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	call.WantReservation = true
+	call.TimeLeft = within
+	call.Reference = "" // is of use to what runs
+	ask := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Host: address, Header: http.Header{}}
+	response, err := in.hop(asking, call, ask, address)
+	if err != nil {
+		return "", reservationFailure(ctx, result.From(err))
+	}
+	defer func() { _ = response.Body.Close() }()
+	id := response.Header.Get(hop.HeaderReservation)
+	if id == "" {
+		return "", result.New(result.ReservationUnanswered).WithDetail("%s answered without a reservation", address)
+	}
+	return id, nil
+}
+
+// reservationFailure says that the request was not run. If only the time for the
+// reservation is over, another backend server may still be asked.
+func reservationFailure(ctx context.Context, failure *result.Error) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return result.Wrap(result.CancelledBefore, failure) // it is no longer wanted, which says nothing of the host
+	}
+	onlyReservation := ctx.Err() == nil && failure.Code.Number == result.DeadlineBeforeRun.Number
+	if failure.Code.Ran == result.RanNo && !onlyReservation {
+		return failure
+	}
+	return result.Wrap(result.ReservationUnanswered, failure)
+}
--- /dev/null
+++ b/internal/ingress/reservation_test.go
@@ -0,0 +1,31 @@
+package ingress
+
+import (
+	"context"
+	"testing"
+
+	"github.com/tideliftd/tidelift/internal/detect"
+	"github.com/tideliftd/tidelift/internal/result"
+)
+
+// TestAReservationThatIsNotWantedBlamesNobody ends the question for a reservation, since the caller
+// left or the answer came meanwhile: that is no evidence against who was asked.
+func TestAReservationThatIsNotWantedBlamesNobody(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	failure := result.From(reservationFailure(ctx, result.New(result.CallerGone)))
+	if failure.Code.Number != result.CancelledBefore.Number {
+		t.Fatalf("got %s", failure.Code.Name)
+	}
+	if _, seen := detect.FromResult(failure.Code); seen || isPathFailure(failure) {
+		t.Fatal("the host that was asked is blamed")
+	}
+}
+
+// TestAReservationThatDoesNotComeIsEvidence keeps what a silent host shows.
+func TestAReservationThatDoesNotComeIsEvidence(t *testing.T) {
+	failure := result.From(reservationFailure(context.Background(), result.New(result.DeadlineBeforeRun)))
+	if failure.Code.Number != result.ReservationUnanswered.Number || !isPathFailure(failure) {
+		t.Fatalf("got %s", failure.Code.Name)
+	}
+}
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -43,7 +43,7 @@
 		NoWait:        c.noWait,
 		Proven:        c.proven,
 		Repeat:        c.repeat,
-		Ticket:        c.ticket,
+		Reservation:   c.reservation,
 		Host:          in.config.Host,
 		Origin:        in.config.Service,
 		Priority:      r.priority,
@@ -58,14 +58,14 @@
 }
 
 // sendRemote passes the request to another daemon. One that must not run twice
-// first gets a ticket there, unless it has one.
+// first gets a reservation there, unless it has one.
 func (in *Ingress) sendRemote(ctx context.Context, call hop.Call, r *http.Request, address string) (sidecar.Answer, error) {
-	if call.Once && call.Ticket == "" {
-		ticket, err := in.askTicket(ctx, call, address)
+	if call.Once && call.Reservation == "" {
+		reservation, err := in.askReservation(ctx, call, address)
 		if err != nil {
 			return sidecar.Answer{}, err
 		}
-		call.Ticket = ticket
+		call.Reservation = reservation
 	}
 	response, err := in.hop(ctx, call, r, address) //nolint:bodyclose // the answer carries the body to who closes it
 	if err != nil {
--- a/internal/ingress/service.go
+++ b/internal/ingress/service.go
@@ -38,8 +38,8 @@
 	for _, declared := range index.Declaration.Services {
 		next.services[declared.Name] = in.reconfigureService(declared, index)
 	}
-	in.paces.keep(next.routes.Has)
-	in.nested.Keep(next.routes.Has)
+	in.latencies.keep(next.routes.Has)
+	in.subrequest.Keep(next.routes.Has)
 	old := in.state.Swap(next)
 	if old != nil {
 		endRemoved(old, next)
--- /dev/null
+++ b/internal/ingress/subrequest.go
@@ -0,0 +1,52 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/route"
+	"github.com/tideliftd/tidelift/internal/subrequest"
+)
+
+// noteFailed takes it that a request got no answer, which may fail a backend server of this
+// host that sent it. One whose caller has gone away failed before.
+func (in *Ingress) noteFailed(r *request, err error) {
+	if code := result.From(err).Code; code.Status != result.StatusCallerGone {
+		in.subrequest.Failed(time.Now(), r.route)
+	}
+}
+
+// ServerAnswered takes an answer of a backend server of this host: a good one, or one that
+// says that it failed.
+func (in *Ingress) ServerAnswered(good bool) {
+	news := in.subrequest.Answered(time.Now(), good)
+	if len(news) > 0 && in.config.Subrequest != nil {
+		in.config.Subrequest(news)
+	}
+}
+
+// HearSubrequest takes what another host of the same service saw of routes that its backend
+// servers may call, and returns those that are known to be called.
+func (in *Ingress) HearSubrequest(told []subrequest.Evidence) []route.Name {
+	var known []route.Name
+	for _, e := range told {
+		if in.subrequest.Hear(e) {
+			known = append(known, e.Route)
+		}
+	}
+	return known
+}
+
+// LearnSubrequest takes it from another host of the same service that the routes are called by
+// its backend servers.
+func (in *Ingress) LearnSubrequest(routes []route.Name) {
+	for _, name := range routes {
+		in.subrequest.Learn(name)
+	}
+}
+
+// logSubrequest leaves a line on a route that is taken for called from now on, or no longer.
+func (in *Ingress) logSubrequest(name route.Name, called bool) {
+	event.Log(in.config.Logger, event.RouteSubrequest, "service", in.config.Service, "host", name.Host, "path", name.Path, "called", called)
+}
--- a/internal/ingress/trail.go
+++ b/internal/ingress/trace.go
@@ -10,8 +10,8 @@
 	"github.com/tideliftd/tidelift/internal/retry"
 )
 
-// trail is what became of a request's attempts so far.
-type trail struct {
+// attemptTrace is what became of a request's attempts so far.
+type attemptTrace struct {
 	tried      []*balance.Target
 	busy       []busyTarget      // those that had no free slot
 	unproven   []*balance.Target // that seemed to hang
@@ -32,7 +32,7 @@
 
 // take takes an attempt that failed, or whose answer is kept if nothing better comes, and
 // returns its failure.
-func (t *trail) take(f finished) *result.Error {
+func (t *attemptTrace) take(f finished) *result.Error {
 	var failure *result.Error
 	if f.err == nil {
 		failure = t.keep(f.response)
@@ -44,14 +44,14 @@
 }
 
 // add takes the failure of an attempt.
-func (t *trail) add(c choice, failure *result.Error, far bool) {
+func (t *attemptTrace) add(c choice, failure *result.Error, far bool) {
 	if failure.Code.Number == result.RetryLimit.Number {
 		t.limited++ // the failure before it is what the caller is told
 		t.tried = append(t.tried, c.target)
 		return
 	}
 	switch failure.Code.Number {
-	case result.Doubted.Number: // may be asked again, and is passed over until then
+	case result.Suspected.Number: // may be asked again, and is passed over until then
 	case result.Busy.Number:
 		if far {
 			t.busyFar++
@@ -77,13 +77,13 @@
 
 // mayFind says whether another look may find somebody: not if queues are full or
 // everybody was tried. Where nobody is known yet somebody may soon be.
-func (t *trail) mayFind(r *request) bool {
+func (t *attemptTrace) mayFind(r *request) bool {
 	known := len(r.service.pool.Targets())
 	return t.full == 0 && (known == 0 || len(t.tried) < known)
 }
 
 // notBusy returns those that were tried, but for those that only had no free slot then.
-func (t *trail) notBusy() []*balance.Target {
+func (t *attemptTrace) notBusy() []*balance.Target {
 	isBusy := func(tried *balance.Target) bool {
 		return slices.ContainsFunc(t.busy, func(b busyTarget) bool { return b.target == tried })
 	}
@@ -91,7 +91,7 @@
 }
 
 // leastBusy takes the target out where the wait is shortest.
-func (t *trail) leastBusy() *balance.Target {
+func (t *attemptTrace) leastBusy() *balance.Target {
 	best := 0
 	for i := range t.busy {
 		if t.busy[i].wait < t.busy[best].wait {
@@ -105,7 +105,7 @@
 
 // keep keeps a failure of a backend server as the answer if nothing better comes,
 // in place of the one before, and returns it as a failure.
-func (t *trail) keep(answer *http.Response) *result.Error {
+func (t *attemptTrace) keep(answer *http.Response) *result.Error {
 	t.drop()
 	t.answer = answer
 	return result.New(result.ServerError).WithDetail("status %d", answer.StatusCode)
@@ -113,7 +113,7 @@
 
 // end returns the answer of a backend server if there is one, and else the
 // failure.
-func (t *trail) end(failure *result.Error) (*http.Response, error) {
+func (t *attemptTrace) end(failure *result.Error) (*http.Response, error) {
 	if t.answer != nil {
 		return t.answer, nil
 	}
@@ -121,7 +121,7 @@
 }
 
 // drop closes the answer that is not needed any more.
-func (t *trail) drop() {
+func (t *attemptTrace) drop() {
 	if t.answer != nil {
 		_ = t.answer.Body.Close() // it was read whole
 	}
--- a/internal/pace/pace.go
+++ b/internal/latency/latency.go
@@ -1,4 +1,4 @@
-// Package pace learns how long good answers of one kind of request take, and says from
+// Package latency learns how long good answers of one kind of request take, and says from
 // when on a running one is late.
 //
 // Requests of one service differ more by what they ask for than by who answers: a call of
@@ -6,12 +6,12 @@
 // usual is learned for each route, from its own good answers, and no part of it is a
 // constant of one fleet.
 //
-// A Pace is the aggregate of one route at one daemon. It takes durations and gives
+// A Estimate is the aggregate of one route at one daemon. It takes durations and gives
 // durations; it has no clock, goroutine or socket. It is safe for concurrent use.
 //
 // # Usage
 //
-//	p := pace.New()
+//	p := latency.New()
 //	p.Good(180 * time.Millisecond)         // for each good answer
 //	late := p.Late(400 * time.Millisecond) // the route's target
 //
@@ -21,10 +21,10 @@
 //     known to that precision in a fixed space. Old counts fade: of Memory answers the
 //     half that came first weighs half.
 //   - A request is late once it has run longer than nearly all good answers did. It is
-//     late earlier if a second copy could otherwise not be back within the target, but
+//     late earlier if a hedge could otherwise not be back within the target, but
 //     not before it has run longer than most.
 //   - Until enough answers are known, a request is late after half of its target.
-package pace
+package latency
 
 import (
 	"math"
@@ -47,29 +47,29 @@
 	enough = 8
 	// most and nearly are the shares of good answers that a request has outlasted when it
 	// may be late and when it is. Source: of requests that run as long as nearly all, one
-	// in twenty would have been answered in a moment; a second copy for these is a
+	// in twenty would have been answered in a moment; a hedge for these is a
 	// quarter of what a service's retry limit usually allows.
 	most   = 0.75
 	nearly = 0.95
-	// middle is the quantile that a second copy is expected to take.
+	// middle is the quantile that a hedge is expected to take.
 	middle = 0.5
 	// untaught is the part of the target after which a request is late while too little
-	// is known: the other half is for a second copy.
+	// is known: the other half is for a hedge.
 	untaught = 0.5
 )
 
-// Pace is what is known of one route's good answers.
-type Pace struct {
+// Estimate is what is known of one route's good answers.
+type Estimate struct {
 	mu     sync.Mutex
 	counts [classes]float64
 	sum    float64
 }
 
-// New returns a pace of which nothing is known.
-func New() *Pace { return &Pace{} }
+// New returns a estimate of which nothing is known.
+func New() *Estimate { return &Estimate{} }
 
 // Good takes how long a good answer took.
-func (p *Pace) Good(took time.Duration) {
+func (p *Estimate) Good(took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts[classOf(took)]++
@@ -80,7 +80,7 @@
 }
 
 // fade halves all counts.
-func (p *Pace) fade() {
+func (p *Estimate) fade() {
 	for i := range p.counts {
 		p.counts[i] /= 2
 	}
@@ -89,7 +89,7 @@
 
 // Late returns how long a request of the route runs before it is late. Without a target
 // and with too little known it returns zero: nothing is late.
-func (p *Pace) Late(target time.Duration) time.Duration {
+func (p *Estimate) Late(target time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.sum < enough {
@@ -104,7 +104,7 @@
 
 // Usual returns how long a good answer of the route usually takes, and false while too
 // little is known.
-func (p *Pace) Usual() (time.Duration, bool) {
+func (p *Estimate) Usual() (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.sum < enough {
@@ -114,7 +114,7 @@
 }
 
 // quantile returns the bound below which that share of the answers lies.
-func (p *Pace) quantile(share float64) time.Duration {
+func (p *Estimate) quantile(share float64) time.Duration {
 	below := 0.0
 	for class, count := range p.counts {
 		below += count
--- a/internal/pace/pace_test.go
+++ b/internal/latency/latency_test.go
@@ -1,4 +1,4 @@
-package pace_test
+package latency_test
 
 import (
 	"testing"
@@ -6,12 +6,12 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/tideliftd/tidelift/internal/pace"
+	"github.com/tideliftd/tidelift/internal/latency"
 )
 
-// taught returns a pace that has seen those durations, in milliseconds.
-func taught(millis ...int) *pace.Pace {
-	p := pace.New()
+// taught returns a estimate that has seen those durations, in milliseconds.
+func taught(millis ...int) *latency.Estimate {
+	p := latency.New()
 	for _, m := range millis {
 		p.Good(time.Duration(m) * time.Millisecond)
 	}
@@ -31,26 +31,26 @@
 	const target = 400 * time.Millisecond
 	cases := []struct {
 		name          string
-		pace          *pace.Pace
+		estimate      *latency.Estimate
 		target        time.Duration
 		least, atMost time.Duration
 	}{
 		{"nothing known", taught(), target, 200 * time.Millisecond, 200 * time.Millisecond},
 		{"nothing known and no target", taught(), 0, 0, 0},
 		{"longer than nearly all", taught(append(times(19, 100), 180)...), target, 100 * time.Millisecond, 115 * time.Millisecond},
-		{"a second copy can be back", taught(append(times(80, 150), times(20, 390)...)...), target, 225 * time.Millisecond, 255 * time.Millisecond},
+		{"a hedge can be back", taught(append(times(80, 150), times(20, 390)...)...), target, 225 * time.Millisecond, 255 * time.Millisecond},
 		{"not before it has outlasted most", taught(append(times(40, 200), times(60, 380)...)...), target, 375 * time.Millisecond, 430 * time.Millisecond},
 	}
 	for _, c := range cases {
-		if late := c.pace.Late(c.target); late < c.least || late > c.atMost {
+		if late := c.estimate.Late(c.target); late < c.least || late > c.atMost {
 			t.Errorf("%s: late after %v, want %v to %v", c.name, late, c.least, c.atMost)
 		}
 	}
 }
 
 func TestWhatIsUsualFollowsTheLastAnswers(t *testing.T) {
-	p := taught(times(5*pace.Memory, 50)...)
-	for range 2 * pace.Memory {
+	p := taught(times(5*latency.Memory, 50)...)
+	for range 2 * latency.Memory {
 		p.Good(500 * time.Millisecond)
 	}
 	if usual, known := p.Usual(); !known || usual < 500*time.Millisecond {
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -20,29 +20,29 @@
 
 // The codes for a request that was refused and not run.
 var (
-	NotReady          = Code{2001, "not-ready", http.StatusServiceUnavailable, RanNo, "The daemon has no declaration in force yet."}
-	Stopping          = Code{2002, "stopping", http.StatusServiceUnavailable, RanNo, "The daemon is stopping and takes no new work."}
-	NoneAble          = Code{2003, "none-able", http.StatusServiceUnavailable, RanNo, "Every backend server of the service refused or could not be reached."}
-	QueueFull         = Code{2004, "queue-full", http.StatusServiceUnavailable, RanNo, "The backend server's slots and queue are full."}
-	QueueTooSlow      = Code{2005, "queue-too-slow", http.StatusServiceUnavailable, RanNo, "The wait for a slot would be longer than the time left."}
-	CustomerShare     = Code{2006, "customer-share", http.StatusTooManyRequests, RanNo, "The customer already has its share of a full queue."}
-	Leaving           = Code{2007, "leaving", http.StatusServiceUnavailable, RanNo, "The backend server is leaving and takes no new work."}
-	Ejected           = Code{2008, "ejected", http.StatusServiceUnavailable, RanNo, "The backend server is ejected."}
-	PeerUnreachable   = Code{2009, "peer-unreachable", http.StatusServiceUnavailable, RanNo, "No connection to the backend server's daemon could be made."}
-	ServerUnreachable = Code{2010, "server-unreachable", http.StatusServiceUnavailable, RanNo, "No connection to the backend server could be made."}
-	TicketExpired     = Code{2011, "ticket-expired", http.StatusServiceUnavailable, RanNo, "The request arrived after the ticket to run it had expired."}
-	DeadlineBeforeRun = Code{2012, "deadline-before-run", http.StatusGatewayTimeout, RanNo, "The deadline passed before the request was sent to a backend server."}
-	UnknownServer     = Code{2013, "unknown-server", http.StatusServiceUnavailable, RanNo, "The daemon does not know the backend server; the declarations in force differ for the moment."}
-	CancelledBefore   = Code{2014, "cancelled-before-run", StatusCallerGone, RanNo, "The caller went away before the request was sent to a backend server."}
-	PlaceLost         = Code{2016, "place-lost", http.StatusTooManyRequests, RanNo, "The customer's newest place in a full queue went to a customer with fewer."}
-	NotTaken          = Code{2017, "not-taken", http.StatusServiceUnavailable, RanNo, "The backend server said that it did not run the request."}
-	Misdirected       = Code{2018, "misdirected", http.StatusServiceUnavailable, RanNo, "Another backend server has the address; it did not run the request."}
-	Doubted           = Code{2019, "doubted", http.StatusServiceUnavailable, RanNo, "The backend server failed a moment ago; others are asked first."}
-	Busy              = Code{2020, "busy", http.StatusServiceUnavailable, RanNo, "The backend server has no free slot at this moment; the request asked not to wait for one yet."}
-	Unproven          = Code{2021, "unproven", http.StatusServiceUnavailable, RanNo, "The backend server seems to hang: a request takes longer there than nearly all of its route do, and no later one has been answered well."}
-	MovedOn           = Code{2022, "moved-on", http.StatusServiceUnavailable, RanNo, "The request waited long for a slot there, and a copy at another backend server was answered first."}
-	RetryLimit        = Code{2023, "retry-limit", http.StatusServiceUnavailable, RanNo, "The backend server has had its part of the service's retries for now; first sendings are taken."}
-	TicketUnanswered  = Code{2015, "ticket-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a ticket in time; the request was never sent."}
+	NotReady              = Code{2001, "not-ready", http.StatusServiceUnavailable, RanNo, "The daemon has no declaration in force yet."}
+	Stopping              = Code{2002, "stopping", http.StatusServiceUnavailable, RanNo, "The daemon is stopping and takes no new work."}
+	NoneAble              = Code{2003, "none-able", http.StatusServiceUnavailable, RanNo, "Every backend server of the service refused or could not be reached."}
+	QueueFull             = Code{2004, "queue-full", http.StatusServiceUnavailable, RanNo, "The backend server's slots and queue are full."}
+	QueueTooSlow          = Code{2005, "queue-too-slow", http.StatusServiceUnavailable, RanNo, "The wait for a slot would be longer than the time left."}
+	CustomerShare         = Code{2006, "customer-share", http.StatusTooManyRequests, RanNo, "The customer already has its share of a full queue."}
+	Leaving               = Code{2007, "leaving", http.StatusServiceUnavailable, RanNo, "The backend server is leaving and takes no new work."}
+	Ejected               = Code{2008, "ejected", http.StatusServiceUnavailable, RanNo, "The backend server is ejected."}
+	PeerUnreachable       = Code{2009, "peer-unreachable", http.StatusServiceUnavailable, RanNo, "No connection to the backend server's daemon could be made."}
+	ServerUnreachable     = Code{2010, "server-unreachable", http.StatusServiceUnavailable, RanNo, "No connection to the backend server could be made."}
+	ReservationExpired    = Code{2011, "reservation-expired", http.StatusServiceUnavailable, RanNo, "The request arrived after the reservation to run it had expired."}
+	DeadlineBeforeRun     = Code{2012, "deadline-before-run", http.StatusGatewayTimeout, RanNo, "The deadline passed before the request was sent to a backend server."}
+	UnknownServer         = Code{2013, "unknown-server", http.StatusServiceUnavailable, RanNo, "The daemon does not know the backend server; the declarations in force differ for the moment."}
+	CancelledBefore       = Code{2014, "cancelled-before-run", StatusCallerGone, RanNo, "The caller went away before the request was sent to a backend server."}
+	PlaceLost             = Code{2016, "place-lost", http.StatusTooManyRequests, RanNo, "The customer's newest place in a full queue went to a customer with fewer."}
+	NotTaken              = Code{2017, "not-taken", http.StatusServiceUnavailable, RanNo, "The backend server said that it did not run the request."}
+	Misdirected           = Code{2018, "misdirected", http.StatusServiceUnavailable, RanNo, "Another backend server has the address; it did not run the request."}
+	Suspected             = Code{2019, "suspected", http.StatusServiceUnavailable, RanNo, "The backend server failed a moment ago; others are asked first."}
+	Busy                  = Code{2020, "busy", http.StatusServiceUnavailable, RanNo, "The backend server has no free slot at this moment; the request asked not to wait for one yet."}
+	Unproven              = Code{2021, "unproven", http.StatusServiceUnavailable, RanNo, "The backend server seems to hang: a request takes longer there than nearly all of its route do, and no later one has been answered well."}
+	MovedOn               = Code{2022, "moved-on", http.StatusServiceUnavailable, RanNo, "The request waited long for a slot there, and a hedge at another backend server was answered first."}
+	RetryLimit            = Code{2023, "retry-limit", http.StatusServiceUnavailable, RanNo, "The backend server has had its part of the service's retries for now; first sendings are taken."}
+	ReservationUnanswered = Code{2015, "reservation-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a reservation in time; the request was never sent."}
 )
 
 // The codes for a request whose outcome is unknown.
@@ -51,7 +51,7 @@
 	ConnectionLost       = Code{3002, "connection-lost", http.StatusBadGateway, RanUnknown, "The connection was lost after the request had been sent."}
 	UnframedAnswer       = Code{3003, "unframed-answer", http.StatusBadGateway, RanUnknown, "The answer has neither a length nor chunks, so that a cut one would look whole."}
 	CallerGone           = Code{3004, "caller-gone", StatusCallerGone, RanUnknown, "The caller went away after the request had been sent."}
-	AttemptOverdue       = Code{3006, "attempt-overdue", http.StatusGatewayTimeout, RanUnknown, "The attempt took longer than nearly all of its route do, and a copy at another backend server was answered first."}
+	AttemptOverdue       = Code{3006, "attempt-overdue", http.StatusGatewayTimeout, RanUnknown, "The attempt took longer than nearly all of its route do, and a hedge at another backend server was answered first."}
 	SpoiltAnswer         = Code{3007, "spoilt-answer", http.StatusBadGateway, RanUnknown, "The answer is not the backend server's own: its id, digest or coding is wrong."}
 	ServerFailed         = Code{3008, "server-failed", http.StatusBadGateway, RanUnknown, "The backend server answered with a status that promises that the request was not run, without saying so itself."}
 	ServerError          = Code{3009, "server-error", http.StatusBadGateway, RanUnknown, "The backend server answered that it failed; a repeatable request is tried elsewhere, and the answer is passed on if that is no better."}
@@ -79,7 +79,7 @@
 	return []Code{
 		MalformedRequest, NoRoute, AmbiguousFraming, HeadersTooLarge, BodyTooLarge, BadDeadline, UpgradeRefused, ProtocolVersion,
 		NotReady, Stopping, NoneAble, QueueFull, QueueTooSlow, CustomerShare, Leaving, Ejected, PeerUnreachable, ServerUnreachable,
-		TicketExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, TicketUnanswered, PlaceLost, NotTaken, Misdirected, Doubted, Busy, Unproven, MovedOn, RetryLimit,
+		ReservationExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, ReservationUnanswered, PlaceLost, NotTaken, Misdirected, Suspected, Busy, Unproven, MovedOn, RetryLimit,
 		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, StoppedWhileRunning, SpoiltAnswer, ServerFailed, ServerError,
 		BadDeclaration, RevisionChanged, PlatformDown, NotDeclared, ChangeUnknown, ValueTooLarge, MalformedCall, PeerSilent, ChangeIDReused, TokenRefused, RoleRefused,
 	}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -63,9 +63,9 @@
 	Full int
 	// Once says that the request must not run more than once.
 	Once bool
-	// Nested says that a backend server sent it for a request that it is running, so that it
+	// Subrequest says that a backend server sent it for a request that it is running, so that it
 	// is worth more queues.
-	Nested bool
+	Subrequest bool
 	// Err is how it failed.
 	Err *result.Error
 }
@@ -76,7 +76,7 @@
 	case isFinal(a.Err.Code):
 		return Final
 	case IsFull(a.Err.Code):
-		if a.Full >= MaxQueues && !a.Nested {
+		if a.Full >= MaxQueues && !a.Subrequest {
 			return Final
 		}
 		return Free
--- a/internal/sidecar/eject.go
+++ b/internal/sidecar/eject.go
@@ -17,10 +17,10 @@
 	// askAgain is the least pause between two tries to be ejected; a random
 	// part as long again is added, so that two do not keep in step.
 	askAgain = 300 * time.Millisecond
-	// askAgainDoubted is the pause while the backend server is doubted. Being
+	// askAgainSuspected is the pause while the backend server is suspected. Being
 	// asked last spares its callers already; each try costs a call to every other
 	// backend server of the service.
-	askAgainDoubted = 5 * time.Second
+	askAgainSuspected = 5 * time.Second
 )
 
 // isEjected says whether the backend server is ejected now. Promises that ran out,
@@ -131,8 +131,8 @@
 		return
 	}
 	pause := askAgain
-	if t.doubt.Doubted() {
-		pause = askAgainDoubted
+	if t.suspicion.Suspected() {
+		pause = askAgainSuspected
 	}
 	t.asking.notBefore = now.Add(pause + rand.N(pause))
 	held := fmt.Sprintf("%d promises to keep serving, floor %d", len(t.ledger.Holding(now)), t.declared.Service.Floor)
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -17,7 +17,7 @@
 	return http.HandlerFunc(s.serve)
 }
 
-// serve reads what another daemon asks and the body, and then grants a ticket or runs
+// serve reads what another daemon asks and the body, and then grants a reservation or runs
 // the request.
 func (s *Sidecar) serve(w http.ResponseWriter, r *http.Request) {
 	hop.Undated(w.Header())
@@ -34,12 +34,12 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), call.TimeLeft)
 	defer cancel()
-	if call.WantTicket {
-		s.serveTicket(ctx, w, call)
+	if call.WantReservation {
+		s.serveReservation(ctx, w, call)
 		return
 	}
-	if call.Once && call.Ticket == "" {
-		writeRefusal(w, result.New(result.TicketExpired).WithDetail("a request that must not run twice needs a ticket"))
+	if call.Once && call.Reservation == "" {
+		writeRefusal(w, result.New(result.ReservationExpired).WithDetail("a request that must not run twice needs a reservation"))
 		return
 	}
 	own := *r // net/http must keep its own request as it was
--- a/internal/sidecar/messages.go
+++ b/internal/sidecar/messages.go
@@ -18,7 +18,7 @@
 	// Ask asks for a promise.
 	Ask func(ctx context.Context, other fleet.Placement, r floor.Request) (Promise, error)
 	// Trusted tells ingresses that a backend server of this host is no longer
-	// doubted.
+	// suspected.
 	Trusted func(hosts []string, backendServer string)
 	// Release gives a promise back.
 	Release func(ctx context.Context, other fleet.Placement, r floor.Release) error
--- /dev/null
+++ b/internal/sidecar/reservation.go
@@ -0,0 +1,95 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/tideliftd/tidelift/internal/hop"
+	"github.com/tideliftd/tidelift/internal/result"
+)
+
+// ReservationLife is how long a reservation is good for, by the sidecar's clock.
+const ReservationLife = time.Second
+
+// reservation is a slot kept for a request that must not run more than once, until
+// the request itself arrives. It is good for one request and for a short time,
+// so that a request that was held up on its way, or in the buffer of a process
+// that stood still, is refused when it comes at last.
+type reservation struct {
+	server  *server
+	slot    *slot
+	waited  time.Duration
+	expires time.Time
+	lapse   *time.Timer
+}
+
+// reservations are those that were granted and not used yet.
+type reservations struct {
+	mu   sync.Mutex
+	byID map[string]*reservation
+}
+
+func newReservations() *reservations { return &reservations{byID: make(map[string]*reservation)} }
+
+// Reserve waits for a slot, keeps it for the request for ReservationLife and returns the
+// leave to run it.
+func (s *Sidecar) Reserve(ctx context.Context, call hop.Call) (string, error) {
+	server, slot, waited, err := s.acquire(ctx, call)
+	if err != nil {
+		return "", err
+	}
+	id := uuid.NewString()
+	t := &reservation{server: server, slot: slot, waited: waited, expires: time.Now().Add(ReservationLife)}
+	t.lapse = time.AfterFunc(ReservationLife, func() { s.reservations.drop(id) })
+	s.reservations.mu.Lock()
+	defer s.reservations.mu.Unlock()
+	s.reservations.byID[id] = t
+	return id, nil
+}
+
+// drop gives the slot of an unused reservation back.
+func (x *reservations) drop(id string) {
+	if t, ok := x.take(id); ok {
+		t.slot.release()
+	}
+}
+
+func (x *reservations) take(id string) (*reservation, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	t, ok := x.byID[id]
+	delete(x.byID, id)
+	return t, ok
+}
+
+// redeem returns the reservation if it is good for the call. After that it is not
+// good for any.
+func (x *reservations) redeem(call hop.Call, now time.Time) (*reservation, error) {
+	t, ok := x.take(call.Reservation)
+	if !ok {
+		return nil, result.New(result.ReservationExpired)
+	}
+	t.lapse.Stop()
+	if now.After(t.expires) || t.server.declared.Load().BackendServer.Name != call.BackendServer {
+		t.slot.release()
+		return nil, result.New(result.ReservationExpired)
+	}
+	return t, nil
+}
+
+// serveReservation answers an ingress that asks for a reservation.
+func (s *Sidecar) serveReservation(ctx context.Context, w http.ResponseWriter, call hop.Call) {
+	id, err := s.Reserve(ctx, call)
+	if err != nil {
+		refused := result.From(err)
+		s.refused.Inc(refused.Code)
+		writeRefusal(w, refused)
+		return
+	}
+	w.Header().Set(hop.HeaderReservation, id)
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,17 +5,17 @@
 // was run facts of one process. One task for each backend server owns them and
 // talks by messages. What it does is in files by theme:
 //
-//	task.go     takes the messages
-//	slots.go    gives, queues or refuses a slot
-//	leaving.go  takes no new work while the backend server leaves
-//	doubt.go    passes a backend server over at the first sign of failing
-//	eject.go    takes a sick one out of service, if the floor allows it
-//	promise.go  asks others for promises to keep serving, and gives its own
-//	report.go   describes the backend server to operators
-//	ticket.go   keeps a slot for a request that must not run twice
-//	server.go   is the handle of the task for everybody else
-//	exchange.go sends the request and checks the answer
-//	handler.go  takes requests from other daemons
+//	task.go        takes the messages
+//	slots.go       gives, queues or refuses a slot
+//	leaving.go     takes no new work while the backend server leaves
+//	suspicion.go   passes a backend server over at the first sign of failing
+//	eject.go       takes a sick one out of service, if the floor allows it
+//	promise.go     asks others for promises to keep serving, and gives its own
+//	report.go      describes the backend server to operators
+//	reservation.go keeps a slot for a request that must not run twice
+//	server.go      is the handle of the task for everybody else
+//	exchange.go    sends the request and checks the answer
+//	handler.go     takes requests from other daemons
 //
 // # Usage
 //
@@ -72,12 +72,12 @@
 
 // Sidecar sends work to the backend servers of one host.
 type Sidecar struct {
-	config   Config
-	refused  metric.Reasons
-	connects tally.Counter
-	nextID   atomic.Uint64
-	stopping atomic.Bool
-	tickets  *tickets
+	config       Config
+	refused      metric.Reasons
+	connects     tally.Counter
+	nextID       atomic.Uint64
+	stopping     atomic.Bool
+	reservations *reservations
 
 	mu      sync.Mutex // serialises Reconfigure and the end
 	servers atomic.Pointer[map[string]*server]
@@ -98,10 +98,10 @@
 // tasks.
 func New(config Config) (*Sidecar, func()) {
 	s := &Sidecar{
-		config:   config,
-		refused:  metric.NewReasons(config.Scope, "sidecar_refusals"),
-		connects: config.Scope.Counter("sidecar_connects"),
-		tickets:  newTickets(),
+		config:       config,
+		refused:      metric.NewReasons(config.Scope, "sidecar_refusals"),
+		connects:     config.Scope.Counter("sidecar_connects"),
+		reservations: newReservations(),
 	}
 	s.servers.Store(&map[string]*server{})
 	s.headers.Store(&headers{})
@@ -220,12 +220,12 @@
 	}
 }
 
-// slotFor returns the slot that the call's ticket kept, or waits for one.
+// slotFor returns the slot that the call's reservation kept, or waits for one.
 func (s *Sidecar) slotFor(ctx context.Context, call hop.Call) (*server, *slot, time.Duration, error) {
-	if call.Ticket == "" {
+	if call.Reservation == "" {
 		return s.acquire(ctx, call)
 	}
-	t, err := s.tickets.redeem(call, time.Now())
+	t, err := s.reservations.redeem(call, time.Now())
 	if err != nil {
 		return nil, nil, 0, err
 	}
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -26,7 +26,7 @@
 		m.reply <- grant{err: refused}
 		return
 	}
-	if m.call.Proven && t.doubt.Hanging(now) {
+	if m.call.Proven && t.suspicion.Hanging(now) {
 		m.reply <- grant{err: result.New(result.Unproven)}
 		return
 	}
@@ -74,8 +74,8 @@
 		return false, result.New(result.Leaving)
 	}
 	t.noteSurvived(now)
-	if t.doubt.Doubted() {
-		return false, t.admitDoubted(now, m)
+	if t.suspicion.Suspected() {
+		return false, t.admitSuspected(now, m)
 	}
 	if !t.isEjected(now) {
 		return false, nil
@@ -123,11 +123,11 @@
 func (t *task) noteLate(now time.Time, m lateMessage) {
 	if m.ended {
 		t.queue.Unstuck()
-		t.doubt.LateEnded(now, m.began)
+		t.suspicion.LateEnded(now, m.began)
 		return
 	}
 	t.queue.Stuck()
-	t.doubt.Late(m.began)
+	t.suspicion.Late(m.began)
 }
 
 // settle answers waiting requests: those that got a slot, and those whose deadline
--- a/internal/sidecar/doubt.go
+++ b/internal/sidecar/suspicion.go
@@ -6,25 +6,25 @@
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/detect"
-	"github.com/tideliftd/tidelift/internal/doubt"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/suspicion"
 )
 
-// admitDoubted says whether a doubted backend server takes the request: one that nobody else
+// admitSuspected says whether a suspected backend server takes the request: one that nobody else
 // takes, or a repeatable one that finds out how it does or is copied if it hangs.
-func (t *task) admitDoubted(now time.Time, m offerMessage) *result.Error {
-	if m.call.Insist || !m.call.Once && t.doubt.MostlyLate() {
+func (t *task) admitSuspected(now time.Time, m offerMessage) *result.Error {
+	if m.call.Insist || !m.call.Once && t.suspicion.MostlyLate() {
 		return nil
 	}
-	if !m.call.Once && t.doubt.MayProbe(now) || t.doubt.MayRisk(now) {
+	if !m.call.Once && t.suspicion.MayProbe(now) || t.suspicion.MayRisk(now) {
 		return nil
 	}
 	t.turnedAway[m.call.Host] = true
-	return refusal(result.Doubted, t.doubt.HeldFor(now))
+	return refusal(result.Suspected, t.suspicion.HeldFor(now))
 }
 
-// weigh takes an outcome for the doubt, beside how the others do.
+// weigh takes an outcome for the suspicion, beside how the others do.
 func (t *task) weigh(now time.Time, saw detect.Observation, others detect.Reference) {
 	begins := false
 	switch saw.Outcome {
@@ -33,18 +33,18 @@
 			t.noteGood(now, now.Add(-saw.Took))
 			return
 		}
-		begins = t.doubt.BadLate(now, doubt.Slow)
+		begins = t.suspicion.BadLate(now, suspicion.Slow)
 	case detect.Refused, detect.Lost:
-		begins = t.doubt.Bad(now, doubt.Broken)
+		begins = t.suspicion.Bad(now, suspicion.Broken)
 	case detect.Error:
-		if weight := doubt.FailedAmong(others.Failure); weight > 0 { // else the others fail as much
-			begins = t.doubt.Bad(now, weight)
+		if weight := suspicion.FailedAmong(others.Failure); weight > 0 { // else the others fail as much
+			begins = t.suspicion.Bad(now, weight)
 		}
 	case detect.TimedOut, detect.Overdue:
-		begins = t.doubt.BadLate(now, doubt.Overdue)
+		begins = t.suspicion.BadLate(now, suspicion.Overdue)
 	}
 	if begins {
-		t.log(event.ServerDoubted, "outcome", saw.Outcome, "mostly_late", t.doubt.MostlyLate())
+		t.log(event.ServerSuspected, "outcome", saw.Outcome, "mostly_late", t.suspicion.MostlyLate())
 		t.turnAwayWaiting(now)
 	}
 }
@@ -53,13 +53,13 @@
 // elsewhere.
 func (t *task) turnAwayWaiting(now time.Time) {
 	for _, id := range t.queue.Clear() {
-		t.reply(now, id, grant{err: refusal(result.Doubted, t.doubt.HeldFor(now))})
+		t.reply(now, id, grant{err: refusal(result.Suspected, t.suspicion.HeldFor(now))})
 	}
 }
 
 // noteGood takes a good answer in good time to a request that began then.
 func (t *task) noteGood(now, began time.Time) {
-	if t.doubt.Good(now, began) {
+	if t.suspicion.Good(now, began) {
 		t.trust(now)
 	}
 }
@@ -70,20 +70,20 @@
 	if !repeat {
 		t.retries.Earn(now)
 	}
-	if t.doubt.Doubted() {
-		t.doubt.Probe(now)
-		t.log(event.ServerProbed, "good", t.doubt.GoodInARow())
+	if t.suspicion.Suspected() {
+		t.suspicion.Probe(now)
+		t.log(event.ServerProbed, "good", t.suspicion.GoodInARow())
 	}
 }
 
-// noteSurvived ends the doubt if a probe that still runs shows enough.
+// noteSurvived ends the suspicion if a probe that still runs shows enough.
 func (t *task) noteSurvived(now time.Time) {
-	if t.doubt.Survived(now) {
+	if t.suspicion.Survived(now) {
 		t.trust(now)
 	}
 }
 
-// trust ends the doubt, and an ejection that began meanwhile: the answers that
+// trust ends the suspicion, and an ejection that began meanwhile: the answers that
 // end the one are proof enough for the other.
 func (t *task) trust(now time.Time) {
 	t.log(event.ServerTrusted)
@@ -91,6 +91,6 @@
 	clear(t.turnedAway)
 	if t.subject.State(now) != detect.Serving {
 		t.subject.Restore()
-		t.comeBack("answered well while it was doubted")
+		t.comeBack("answered well while it was suspected")
 	}
 }
--- a/internal/sidecar/doubt_test.go
+++ b/internal/sidecar/suspicion_test.go
@@ -23,9 +23,9 @@
 	return newTask(config, &server{}, &declared{Placement: placement, rules: detect.Swift()})
 }
 
-// TestFailuresThatAllShareBeginNoDoubt gives a backend server failed answers, as it gives
+// TestFailuresThatAllShareBeginNoSuspicion gives a backend server failed answers, as it gives
 // them when a service that it calls is down: then the others give as many.
-func TestFailuresThatAllShareBeginNoDoubt(t *testing.T) {
+func TestFailuresThatAllShareBeginNoSuspicion(t *testing.T) {
 	now := time.Now()
 	tests := []struct {
 		name          string
@@ -43,19 +43,19 @@
 			for range 20 {
 				task.weigh(now, detect.Observation{Outcome: detect.Error}, others)
 			}
-			if task.doubt.Doubted() != test.want {
-				t.Fatalf("doubted %t, want %t", task.doubt.Doubted(), test.want)
+			if task.suspicion.Suspected() != test.want {
+				t.Fatalf("suspected %t, want %t", task.suspicion.Suspected(), test.want)
 			}
 		})
 	}
 }
 
-// TestBrokenConnectionsAlwaysBeginDoubt keeps to what a service that is called cannot
+// TestBrokenConnectionsAlwaysBeginSuspicion keeps to what a service that is called cannot
 // cause.
-func TestBrokenConnectionsAlwaysBeginDoubt(t *testing.T) {
+func TestBrokenConnectionsAlwaysBeginSuspicion(t *testing.T) {
 	task := newTestTask()
 	task.weigh(time.Now(), detect.Observation{Outcome: detect.Lost}, detect.Reference{Failure: 1})
-	if !task.doubt.Doubted() {
+	if !task.suspicion.Suspected() {
 		t.Fatal("a broken connection is not taken for one")
 	}
 }
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -7,11 +7,11 @@
 
 	"github.com/tideliftd/tidelift/internal/admission"
 	"github.com/tideliftd/tidelift/internal/detect"
-	"github.com/tideliftd/tidelift/internal/doubt"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/floor"
 	"github.com/tideliftd/tidelift/internal/retry"
+	"github.com/tideliftd/tidelift/internal/suspicion"
 )
 
 // judgeEvery is how often a task looks at its evidence without a request.
@@ -32,8 +32,8 @@
 	hostLeaving    bool      // the platform's list says that the host is
 	selfDrainUntil time.Time // until when its own word that it is leaving counts
 	trying         bool      // a trial request runs
-	doubt          *doubt.Doubt
-	turnedAway     map[string]bool // hosts whose requests were refused for doubt
+	suspicion      *suspicion.Suspicion
+	turnedAway     map[string]bool // hosts whose requests were refused for suspicion
 }
 
 func newTask(config Config, s *server, d *declared) *task {
@@ -51,7 +51,7 @@
 			FirstNumber: rand.Uint64(),
 		}),
 		asking:     newAsking(),
-		doubt:      doubt.New(),
+		suspicion:  suspicion.New(),
 		turnedAway: make(map[string]bool),
 	}
 	t.retries.Resize(d.retrySize())
--- a/internal/nested/nested.go
+++ b/internal/subrequest/subrequest.go
@@ -1,4 +1,4 @@
-// Package nested learns which routes the backend servers of one host call while they
+// Package subrequest learns which routes the backend servers of one host call while they
 // serve requests of their own.
 //
 // Nothing on a request says that a backend server sends it for another one that it is
@@ -24,12 +24,12 @@
 //
 // # Usage
 //
-//	tracker := nested.New(nested.Config{Changed: log})
+//	tracker := subrequest.New(subrequest.Config{Changed: log})
 //	tracker.Failed(now, route)          // a request that began here got no answer
 //	news := tracker.Answered(now, false) // a backend server of the host answered; false: that it failed
 //	known := tracker.Hear(evidence)     // what another host of the same service saw
 //	if tracker.Is(route) { ... }
-package nested
+package subrequest
 
 import (
 	"math"
--- a/internal/nested/nested_test.go
+++ b/internal/subrequest/subrequest_test.go
@@ -1,4 +1,4 @@
-package nested_test
+package subrequest_test
 
 import (
 	"math/rand/v2"
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/tideliftd/tidelift/internal/nested"
 	"github.com/tideliftd/tidelift/internal/route"
+	"github.com/tideliftd/tidelift/internal/subrequest"
 )
 
 var (
@@ -17,19 +17,19 @@
 )
 
 // newTracker returns the tracker of a host of which nothing is known.
-func newTracker() *nested.Tracker {
-	return nested.New(nested.Config{Changed: func(route.Name, bool) {}})
+func newTracker() *subrequest.Tracker {
+	return subrequest.New(subrequest.Config{Changed: func(route.Name, bool) {}})
 }
 
 // newCalm returns the tracker of a host whose backend servers have not failed for long.
-func newCalm() *nested.Tracker {
+func newCalm() *subrequest.Tracker {
 	tracker := newTracker()
 	tracker.Failed(epoch.Add(-time.Minute), route.Name{Path: "/other/"})
 	return tracker
 }
 
 // seenOnce is what one trial shows that a failed answer follows, where they are seldom.
-func seenOnce() nested.Evidence {
+func seenOnce() subrequest.Evidence {
 	tracker := newCalm()
 	tracker.Failed(epoch, called)
 	return tracker.Answered(epoch.Add(time.Millisecond), false)[0]
@@ -74,7 +74,7 @@
 		t.Fatal("what another host knows is not taken")
 	}
 	for range 5 {
-		other.Hear(nested.Evidence{Route: outside, Weight: -2})
+		other.Hear(subrequest.Evidence{Route: outside, Weight: -2})
 	}
 	if other.Is(outside) {
 		t.Fatal("what is seldom followed is taken for called")
@@ -181,7 +181,7 @@
 // TestEachChangeIsToldOnce learns a route, sees it fail on, and unlearns it.
 func TestEachChangeIsToldOnce(t *testing.T) {
 	var changes []bool
-	tracker := nested.New(nested.Config{Changed: func(name route.Name, is bool) {
+	tracker := subrequest.New(subrequest.Config{Changed: func(name route.Name, is bool) {
 		if name == called {
 			changes = append(changes, is)
 		}
--- a/internal/doubt/main_test.go
+++ b/internal/suspicion/main_test.go
@@ -1,4 +1,4 @@
-package doubt_test
+package suspicion_test
 
 import (
 	"testing"
--- a/internal/doubt/proof.go
+++ b/internal/suspicion/proof.go
@@ -1,4 +1,4 @@
-package doubt
+package suspicion
 
 import "time"
 
@@ -13,7 +13,7 @@
 
 // Late takes it that a running request which began then has outlasted nearly all others of
 // its route.
-func (d *Doubt) Late(began time.Time) {
+func (d *Suspicion) Late(began time.Time) {
 	d.proof.late++
 	if began.After(d.proof.lateBegan) {
 		d.proof.lateBegan = began
@@ -22,7 +22,7 @@
 
 // LateEnded takes it that a late request which began then has ended. It counts for as long
 // again as it ran: after that somebody has to find out, where nothing else does.
-func (d *Doubt) LateEnded(now, began time.Time) {
+func (d *Suspicion) LateEnded(now, began time.Time) {
 	d.proof.late--
 	if until := now.Add(now.Sub(began)); until.After(d.proof.until) {
 		d.proof.until = until
@@ -32,7 +32,7 @@
 // Hanging says whether a request is late, or was a moment ago, and no later one has been
 // answered well. One that hangs shows that long before it ends; whatever is sent after it
 // may hang too.
-func (d *Doubt) Hanging(now time.Time) bool {
+func (d *Suspicion) Hanging(now time.Time) bool {
 	counts := d.proof.late > 0 || now.Before(d.proof.until)
 	return counts && d.proof.lateBegan.After(d.proof.goodBegan)
 }
--- a/internal/doubt/doubt.go
+++ b/internal/suspicion/suspicion.go
@@ -1,8 +1,8 @@
-// Package doubt decides whether a backend server is trusted with requests that
+// Package suspicion decides whether a backend server is trusted with requests that
 // must not run twice.
 //
 // Package detect weighs evidence and takes seconds, since what it decides takes
-// a backend server out of service. Doubt takes nothing out of service: it puts
+// a backend server out of service. Suspicion takes nothing out of service: it puts
 // a backend server last for a while, at the first sign of failing, so that
 // requests go where one has just succeeded. A repeatable request now and then
 // finds out whether it is well again, and one that nobody else takes is sent
@@ -12,18 +12,18 @@
 // nearly all others of its route do, and no later one has been answered well. Requests that
 // must not run twice are best sent elsewhere then, long before the late one ends.
 //
-// Doubt and its end are in doubt.go, hanging in proof.go.
+// What begins and ends it is in suspicion.go, hanging in proof.go.
 //
-// A Doubt is the aggregate of one backend server. It takes outcomes and the time;
+// A Suspicion is the aggregate of one backend server. It takes outcomes and the time;
 // it has no clock, goroutine or socket. The sidecar's task owns it.
 //
 // # Usage
 //
-//	d := doubt.New()
-//	d.Bad(now, doubt.Broken)
-//	if d.Doubted() && d.MayProbe(now) { d.Probe(now) }
+//	d := suspicion.New()
+//	d.Bad(now, suspicion.Broken)
+//	if d.Suspected() && d.MayProbe(now) { d.Probe(now) }
 //	d.Good(now, began)
-package doubt
+package suspicion
 
 import "time"
 
@@ -51,17 +51,17 @@
 	// a few in a hundred take that long, three in a row hardly ever.
 	Slow = 0.4
 
-	// enough is the sum of weights from which a backend server is doubted.
+	// enough is the sum of weights from which a backend server is suspected.
 	enough = 1.0
 	// fade is what a good answer leaves of the sum.
 	fade = 0.4
-	// proofs is how many good answers in a row end the doubt. Source: a backend
+	// proofs is how many good answers in a row end the suspicion. Source: a backend
 	// server that fails six in seven for nine seconds is probed some ten times;
-	// with two in a row one such time in four ended the doubt too early, with
+	// with two in a row one such time in four ended the suspicion too early, with
 	// three one in thirty.
 	proofs = 3
 	// survives is how long a probe has to run to outlive connections that break. Source:
-	// one that a failing backend server breaks is broken within milliseconds; a ticket's
+	// one that a failing backend server breaks is broken within milliseconds; a reservation's
 	// request comes a round trip after its slot was granted.
 	survives = 40 * time.Millisecond
 	// firstPause and longestPause bound the time between probes; each that fails
@@ -81,74 +81,74 @@
 
 // FailedAmong is the weight of an answer that says that the backend server failed where
 // that share of the others' answers says so too. What fails everywhere is a service that
-// they all call, or the requests; doubting them all would leave nobody to serve.
+// they all call, or the requests; suspecting them all would leave nobody to serve.
 func FailedAmong(othersFailing float64) float64 {
 	own := (commonFailing - othersFailing) / (commonFailing - usualFailing)
 	return Failed * max(0, min(1, own))
 }
 
-// Doubt is what is held against one backend server.
-type Doubt struct {
-	sum     float64
-	late    float64 // the part of the sum that is of outcomes that came late or not at all
-	doubted bool
-	good    int // good answers in a row while doubted
-	pause   time.Duration
-	next    time.Time // when the next probe may be sent
-	broke   bool      // the last bad outcome was a broken connection
-	probed  time.Time // when a probe began of which nothing is known yet
+// Suspicion is what is held against one backend server.
+type Suspicion struct {
+	sum       float64
+	late      float64 // the part of the sum that is of outcomes that came late or not at all
+	suspected bool
+	good      int // good answers in a row while suspected
+	pause     time.Duration
+	next      time.Time // when the next probe may be sent
+	broke     bool      // the last bad outcome was a broken connection
+	probed    time.Time // when a probe began of which nothing is known yet
 	// survived counts the probes that were counted before their answers came.
 	survived int
 	proof    proof
 }
 
-// New returns the doubt of a backend server that nothing is held against.
-func New() *Doubt { return &Doubt{} }
+// New returns the suspicion of a backend server that nothing is held against.
+func New() *Suspicion { return &Suspicion{} }
 
 // BadLate takes a bad outcome that came late or not at all, of that weight, and says whether
-// doubt begins with it.
-func (d *Doubt) BadLate(now time.Time, weight float64) bool {
+// suspicion begins with it.
+func (d *Suspicion) BadLate(now time.Time, weight float64) bool {
 	d.late += weight
 	return d.Bad(now, weight)
 }
 
 // MostlyLate says whether most of what is held against the backend server came late or not
-// at all. A repeatable request loses little there, since a copy of it is sent elsewhere
+// at all. A repeatable request loses little there, since a hedge of it is sent elsewhere
 // before it is too late; where requests fail at once each costs a retry.
-func (d *Doubt) MostlyLate() bool { return 2*d.late > d.sum }
+func (d *Suspicion) MostlyLate() bool { return 2*d.late > d.sum }
 
-// Bad takes a bad outcome of that weight and says whether doubt begins with it.
-func (d *Doubt) Bad(now time.Time, weight float64) bool {
+// Bad takes a bad outcome of that weight and says whether suspicion begins with it.
+func (d *Suspicion) Bad(now time.Time, weight float64) bool {
 	d.sum += weight
 	d.broke = weight >= Broken
 	d.probed = time.Time{}
 	d.survived = 0
-	if d.doubted {
+	if d.suspected {
 		d.waitFor(now, min(2*d.pause, longestPause))
 		return false
 	}
 	if d.sum < enough {
 		return false
 	}
-	d.doubted = true
+	d.suspected = true
 	d.waitFor(now, firstPause)
 	return true
 }
 
 // waitFor puts the next probe off, after which proofs are counted anew.
-func (d *Doubt) waitFor(now time.Time, pause time.Duration) {
+func (d *Suspicion) waitFor(now time.Time, pause time.Duration) {
 	d.good = 0
 	d.pause = pause
 	d.next = now.Add(pause)
 }
 
-// Good takes a good answer to a request that began then and says whether doubt ends with
+// Good takes a good answer to a request that began then and says whether suspicion ends with
 // it.
-func (d *Doubt) Good(now, began time.Time) bool {
+func (d *Suspicion) Good(now, began time.Time) bool {
 	d.sum *= fade
 	d.late *= fade
 	d.proof.goodSince(began)
-	if !d.doubted {
+	if !d.suspected {
 		return false
 	}
 	if d.survived > 0 {
@@ -159,41 +159,41 @@
 }
 
 // Survived counts a probe that has not been broken for long enough, if the last bad
-// outcome was a broken connection, and says whether doubt ends with it.
-func (d *Doubt) Survived(now time.Time) bool {
-	if !d.doubted || !d.broke || d.probed.IsZero() || now.Sub(d.probed) < survives {
+// outcome was a broken connection, and says whether suspicion ends with it.
+func (d *Suspicion) Survived(now time.Time) bool {
+	if !d.suspected || !d.broke || d.probed.IsZero() || now.Sub(d.probed) < survives {
 		return false
 	}
 	d.survived++
 	return d.count(now)
 }
 
-// count counts a proof and says whether doubt ends with it.
-func (d *Doubt) count(now time.Time) bool {
+// count counts a proof and says whether suspicion ends with it.
+func (d *Suspicion) count(now time.Time) bool {
 	d.probed = time.Time{}
 	d.good++
 	d.next = now
 	if d.good < proofs {
 		return false
 	}
-	d.doubted = false
+	d.suspected = false
 	d.sum = 0
 	d.late = 0
 	return true
 }
 
-// Doubted says whether the backend server is doubted.
-func (d *Doubt) Doubted() bool { return d.doubted }
+// Suspected says whether the backend server is suspected.
+func (d *Suspicion) Suspected() bool { return d.suspected }
 
-// GoodInARow returns how many proofs in a row there were since doubt began.
-func (d *Doubt) GoodInARow() int { return d.good }
+// GoodInARow returns how many proofs in a row there were since suspicion began.
+func (d *Suspicion) GoodInARow() int { return d.good }
 
 // MayProbe says whether a repeatable request may be sent to find out.
-func (d *Doubt) MayProbe(now time.Time) bool { return !now.Before(d.next) }
+func (d *Suspicion) MayProbe(now time.Time) bool { return !now.Before(d.next) }
 
 // MayRisk says whether no repeatable request has come for so long that any other
 // may find out.
-func (d *Doubt) MayRisk(now time.Time) bool {
+func (d *Suspicion) MayRisk(now time.Time) bool {
 	after := riskAfter
 	if d.good > 0 {
 		after = riskAgain
@@ -202,10 +202,10 @@
 }
 
 // Probe takes it that one is being sent.
-func (d *Doubt) Probe(now time.Time) {
+func (d *Suspicion) Probe(now time.Time) {
 	d.next = now.Add(probeLasts)
 	d.probed = now
 }
 
 // HeldFor returns when to come back with a request.
-func (d *Doubt) HeldFor(now time.Time) time.Duration { return max(firstPause, d.next.Sub(now)) }
+func (d *Suspicion) HeldFor(now time.Time) time.Duration { return max(firstPause, d.next.Sub(now)) }
--- a/internal/doubt/doubt_test.go
+++ b/internal/suspicion/suspicion_test.go
@@ -1,4 +1,4 @@
-package doubt_test
+package suspicion_test
 
 import (
 	"testing"
@@ -6,43 +6,43 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/tideliftd/tidelift/internal/doubt"
+	"github.com/tideliftd/tidelift/internal/suspicion"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func TestWhatBeginsDoubt(t *testing.T) {
-	good := func(d *doubt.Doubt) { d.Good(epoch, epoch) }
-	bad := func(weight float64) func(*doubt.Doubt) {
-		return func(d *doubt.Doubt) { d.Bad(epoch, weight) }
+func TestWhatBeginsSuspicion(t *testing.T) {
+	good := func(d *suspicion.Suspicion) { d.Good(epoch, epoch) }
+	bad := func(weight float64) func(*suspicion.Suspicion) {
+		return func(d *suspicion.Suspicion) { d.Bad(epoch, weight) }
 	}
 	tests := []struct {
 		name  string
-		steps []func(*doubt.Doubt)
+		steps []func(*suspicion.Suspicion)
 		want  bool
 	}{
 		{"nothing", nil, false},
-		{"one broken connection", []func(*doubt.Doubt){bad(doubt.Broken)}, true},
-		{"one failure", []func(*doubt.Doubt){bad(doubt.Failed)}, false},
-		{"two failures in a row", []func(*doubt.Doubt){bad(doubt.Failed), bad(doubt.Failed)}, true},
-		{"two failures with a good answer between", []func(*doubt.Doubt){bad(doubt.Failed), good, bad(doubt.Failed)}, false},
-		{"one overdue and slow", []func(*doubt.Doubt){bad(doubt.Overdue), bad(doubt.Slow)}, false},
-		{"two slow", []func(*doubt.Doubt){bad(doubt.Slow), bad(doubt.Slow)}, false},
-		{"three slow in a row", []func(*doubt.Doubt){bad(doubt.Slow), bad(doubt.Slow), bad(doubt.Slow)}, true},
-		{"two in a row overdue and slow", []func(*doubt.Doubt){bad(doubt.Overdue), bad(doubt.Slow), bad(doubt.Overdue), bad(doubt.Slow)}, true},
-		{"by turns slow and good", []func(*doubt.Doubt){bad(doubt.Overdue), bad(doubt.Slow), good, bad(doubt.Overdue), good}, false},
-		{"two good answers after", []func(*doubt.Doubt){bad(doubt.Broken), good, good}, true},
-		{"three good answers after", []func(*doubt.Doubt){bad(doubt.Broken), good, good, good}, false},
-		{"a failure among them", []func(*doubt.Doubt){bad(doubt.Broken), good, good, bad(doubt.Failed), good}, true},
+		{"one broken connection", []func(*suspicion.Suspicion){bad(suspicion.Broken)}, true},
+		{"one failure", []func(*suspicion.Suspicion){bad(suspicion.Failed)}, false},
+		{"two failures in a row", []func(*suspicion.Suspicion){bad(suspicion.Failed), bad(suspicion.Failed)}, true},
+		{"two failures with a good answer between", []func(*suspicion.Suspicion){bad(suspicion.Failed), good, bad(suspicion.Failed)}, false},
+		{"one overdue and slow", []func(*suspicion.Suspicion){bad(suspicion.Overdue), bad(suspicion.Slow)}, false},
+		{"two slow", []func(*suspicion.Suspicion){bad(suspicion.Slow), bad(suspicion.Slow)}, false},
+		{"three slow in a row", []func(*suspicion.Suspicion){bad(suspicion.Slow), bad(suspicion.Slow), bad(suspicion.Slow)}, true},
+		{"two in a row overdue and slow", []func(*suspicion.Suspicion){bad(suspicion.Overdue), bad(suspicion.Slow), bad(suspicion.Overdue), bad(suspicion.Slow)}, true},
+		{"by turns slow and good", []func(*suspicion.Suspicion){bad(suspicion.Overdue), bad(suspicion.Slow), good, bad(suspicion.Overdue), good}, false},
+		{"two good answers after", []func(*suspicion.Suspicion){bad(suspicion.Broken), good, good}, true},
+		{"three good answers after", []func(*suspicion.Suspicion){bad(suspicion.Broken), good, good, good}, false},
+		{"a failure among them", []func(*suspicion.Suspicion){bad(suspicion.Broken), good, good, bad(suspicion.Failed), good}, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			d := doubt.New()
+			d := suspicion.New()
 			for _, step := range test.steps {
 				step(d)
 			}
-			if d.Doubted() != test.want {
-				t.Fatalf("doubted %t, want %t", d.Doubted(), test.want)
+			if d.Suspected() != test.want {
+				t.Fatalf("suspected %t, want %t", d.Suspected(), test.want)
 			}
 		})
 	}
@@ -52,8 +52,8 @@
 // backend server that fails all of them.
 func TestProbesAreFewAndNeverStop(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := doubt.New()
-		d.Bad(epoch, doubt.Broken)
+		d := suspicion.New()
+		d.Bad(epoch, suspicion.Broken)
 		now, last := epoch, epoch
 		for range rapid.IntRange(10, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "ms")) * time.Millisecond)
@@ -68,7 +68,7 @@
 			}
 			last = now
 			d.Probe(now)
-			d.Bad(now, doubt.Broken)
+			d.Bad(now, suspicion.Broken)
 		}
 	})
 }
@@ -76,8 +76,8 @@
 // TestAProbeThatRunsIsCountedOnce counts a probe when it was not broken at once,
 // and not again when its answer comes.
 func TestAProbeThatRunsIsCountedOnce(t *testing.T) {
-	d := doubt.New()
-	d.Bad(epoch, doubt.Broken)
+	d := suspicion.New()
+	d.Bad(epoch, suspicion.Broken)
 	now := epoch
 	for range 2 {
 		d.Probe(now)
@@ -89,21 +89,21 @@
 	}
 	d.Good(now, now)
 	d.Good(now, now)
-	if !d.Doubted() {
+	if !d.Suspected() {
 		t.Fatal("two probes were counted as four")
 	}
 	d.Probe(now)
 	if !d.Survived(now.Add(50 * time.Millisecond)) {
-		t.Fatal("the third probe does not end the doubt")
+		t.Fatal("the third probe does not end the suspicion")
 	}
 }
 
 // TestOnlyBreakingIsOutlived leaves a failure that comes as an answer to the
 // answers: a probe that runs proves nothing of it.
 func TestOnlyBreakingIsOutlived(t *testing.T) {
-	d := doubt.New()
-	d.Bad(epoch, doubt.Failed)
-	d.Bad(epoch, doubt.Failed)
+	d := suspicion.New()
+	d.Bad(epoch, suspicion.Failed)
+	d.Bad(epoch, suspicion.Failed)
 	for i := range 5 {
 		now := epoch.Add(time.Duration(i) * time.Second)
 		d.Probe(now)
@@ -116,7 +116,7 @@
 // TestHanging holds that a late request shows hanging at once, and that a good answer to a
 // later one alone takes it back.
 func TestHanging(t *testing.T) {
-	d := doubt.New()
+	d := suspicion.New()
 	if d.Hanging(epoch) {
 		t.Fatal("it hangs without a late request")
 	}
@@ -140,8 +140,8 @@
 // TestWithoutRepeatableRequestsOthersFindOut leaves a service with requests alone
 // that must not run twice.
 func TestWithoutRepeatableRequestsOthersFindOut(t *testing.T) {
-	d := doubt.New()
-	d.Bad(epoch, doubt.Broken)
+	d := suspicion.New()
+	d.Bad(epoch, suspicion.Broken)
 	if d.MayRisk(epoch.Add(time.Second)) {
 		t.Fatal("the first second is not for them")
 	}
@@ -154,27 +154,27 @@
 		d.Probe(now)
 		d.Good(now, now)
 	}
-	if d.Doubted() {
+	if d.Suspected() {
 		t.Fatal("three good answers are not enough")
 	}
 }
 
 // TestMostlyLate tells a backend server that hangs from one that fails at once.
 func TestMostlyLate(t *testing.T) {
-	hangs := doubt.New()
-	hangs.BadLate(epoch, doubt.Overdue)
-	hangs.BadLate(epoch, doubt.Overdue)
-	if !hangs.Doubted() || !hangs.MostlyLate() {
+	hangs := suspicion.New()
+	hangs.BadLate(epoch, suspicion.Overdue)
+	hangs.BadLate(epoch, suspicion.Overdue)
+	if !hangs.Suspected() || !hangs.MostlyLate() {
 		t.Fatal("one that hangs twice is taken for one that fails at once")
 	}
-	hangs.Bad(epoch, doubt.Broken)
+	hangs.Bad(epoch, suspicion.Broken)
 	if hangs.MostlyLate() {
 		t.Fatal("one that breaks connections as well is taken for one that only hangs")
 	}
-	fails := doubt.New()
-	fails.Bad(epoch, doubt.Failed)
-	fails.Bad(epoch, doubt.Failed)
-	if !fails.Doubted() || fails.MostlyLate() {
+	fails := suspicion.New()
+	fails.Bad(epoch, suspicion.Failed)
+	fails.Bad(epoch, suspicion.Failed)
+	if !fails.Suspected() || fails.MostlyLate() {
 		t.Fatal("one that fails at once is taken for one that hangs")
 	}
 }
@@ -182,7 +182,7 @@
 // TestHangingDoesNotLast ends a late request without a good answer after it: nobody but one
 // that must not run twice may be there to find out.
 func TestHangingDoesNotLast(t *testing.T) {
-	d := doubt.New()
+	d := suspicion.New()
 	d.Late(epoch)
 	ended := epoch.Add(3 * time.Second)
 	if !d.Hanging(ended) {
--- a/internal/story/story.go
+++ b/internal/trace/trace.go
@@ -1,8 +1,8 @@
-// Package story puts together what the daemons' logs say of one request.
+// Package trace puts together what the daemons' logs say of one request.
 //
 // # Usage
 //
-//	s := story.New("4be1f02c77d9a310")
+//	s := trace.New("4be1f02c77d9a310")
 //	err := s.Read(file) // for the log of each host, in any order
 //	err = s.Write(os.Stdout)
 //
@@ -12,7 +12,7 @@
 //
 // Besides the request's own lines the story holds the last change of state of each
 // backend server that the request met, since that is why it was refused or failed.
-package story
+package trace
 
 import (
 	"bufio"
@@ -99,7 +99,7 @@
 }
 
 func isState(number int) bool {
-	for _, e := range []event.Event{event.ServerDoubted, event.ServerTrusted, event.ServerEjected, event.ServerReturned, event.ServerLeaving} {
+	for _, e := range []event.Event{event.ServerSuspected, event.ServerTrusted, event.ServerEjected, event.ServerReturned, event.ServerLeaving} {
 		if e.Number == number {
 			return true
 		}
@@ -145,7 +145,7 @@
 	}
 	text := fmt.Sprintf("%s of %s: %s. %s", l.BackendServer, l.Service, l.Result, code.Meaning)
 	if l.Insist {
-		text += " It was sent there although it was doubted, since nobody else was left."
+		text += " It was sent there although it was suspected, since nobody else was left."
 	}
 	switch {
 	case l.Again:
--- a/test/integration/http_test.go
+++ b/test/integration/http_test.go
@@ -62,7 +62,7 @@
 			w.Header().Set("X-Private", "not for the caller")
 			w.Header().Set("Tidelift-Result", "2004 queue-full")
 			w.Header().Set("X-Seen", fmt.Sprintf("%s|%s|%s|%s|%s", r.Header.Get("X-Hop"), r.Header.Get("X-Forwarded-For"),
-				r.Header.Get("X-Forwarded-Host"), r.Header.Get("Tidelift-Ticket"), r.UserAgent()))
+				r.Header.Get("X-Forwarded-Host"), r.Header.Get("Tidelift-Reservation"), r.UserAgent()))
 		case "/antraege/sp ace/ü":
 			_, _ = io.WriteString(w, r.RequestURI)
 		default:
@@ -112,7 +112,7 @@
 	})
 	t.Run("headers of one connection and of a hop stay", func(t *testing.T) {
 		response, _ := get(t, f.URL(0, "antraege", "/headers"), "Connection", "X-Hop", "X-Hop", "secret",
-			"Tidelift-Ticket", "forged", "User-Agent", "")
+			"Tidelift-Reservation", "forged", "User-Agent", "")
 		if got := response.Header.Get("X-Private") + response.Header.Get("Tidelift-Result"); got != "" {
 			t.Fatalf("the caller saw %q", got)
 		}
--- a/test/integration/once_test.go
+++ b/test/integration/once_test.go
@@ -98,7 +98,7 @@
 }
 
 // TestFrozenDaemonRunsNothingLate stops a backend server's daemon for longer
-// than the deadline and the life of a ticket. Payments go elsewhere, and when
+// than the deadline and the life of a reservation. Payments go elsewhere, and when
 // the daemon wakes, nothing that waited in its sockets is run.
 func TestFrozenDaemonRunsNothingLate(t *testing.T) {
 	f := start(t, payments())
--- a/test/lab/once.go
+++ b/test/lab/once.go
@@ -13,7 +13,7 @@
 	onceRequests = 20_000
 	onceRate     = 800
 	onceDeadline = time.Second
-	// freezeFor is longer than a deadline and than a ticket lives.
+	// freezeFor is longer than a deadline and than a reservation lives.
 	freezeFor = 1500 * time.Millisecond
 )
 
--- a/test/registered/registered_test.go
+++ b/test/registered/registered_test.go
@@ -232,8 +232,8 @@
 		}
 		return slow.served.Load()-before <= 2*lastOnes/20
 	})
-	if !slow.log.contains(`"msg":"backend server doubted"`) {
-		t.Fatal("it was not doubted")
+	if !slow.log.contains(`"msg":"backend server suspected"`) {
+		t.Fatal("it was not suspected")
 	}
 }
 
