feat(experiment): mechanisms can be switched off, and make ablate measures each

The setting experiments.off names hedges, compression, subrequests, aims, suspicion or hang-checks; none of them keeps a promise, and a name that is not known is refused with those that are. test/ablate plays the commit that is checked out with each switched off and prints the differences with their errors; its pairs are test/compare's, which are in test/bench now.

--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,10 @@
 compare: ## Play days with two checkouts: make compare BENCH=path SITE=file BEFORE=dir AFTER=dir DAYS="name ..." [SEEDS=1,2,3]
 	$(GO) run ./test/compare --bench $(BENCH) --site $(SITE) --before $(BEFORE) --after $(AFTER) $(if $(SEEDS),--seeds $(SEEDS)) $(DAYS)
 
+.PHONY: ablate
+ablate: ## Play days with each mechanism switched off: make ablate BENCH=path SITE=file DAYS="name ..." [SEEDS=1,2,3] [OFF=hedges,aims]
+	$(GO) run ./test/ablate --bench $(BENCH) --site $(SITE) $(if $(SEEDS),--seeds $(SEEDS)) $(if $(OFF),--off $(OFF)) $(DAYS)
+
 .PHONY: days
 days: ## Play our own days on the users' bench: make days BENCH=path SITE=file [DAYS="name ..."]
 	$(GO) run ./test/days --bench $(BENCH) --site $(SITE) $(DAYS)
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -7,6 +7,7 @@
 
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/experiment"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/floor"
 	"github.com/tideliftd/tidelift/internal/result"
@@ -201,6 +202,9 @@
 // isFar says whether the address is outside this data centre, or may be: nothing is known of
 // it yet.
 func (d *daemon) isFar(address string) bool {
+	if d.config.Settings.Experiments.Off.Has(experiment.Compression) {
+		return false
+	}
 	current := d.inForce.Load()
 	if current == nil {
 		return true
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -182,7 +182,7 @@
 	d.peers, cleanUp = control.NewClient(control.ClientConfig{TLS: d.clientTLS(), Far: d.isFar})
 	d.atEnd(cleanUp)
 	d.sidecar, cleanUp = sidecar.New(sidecar.Config{
-		Host: s.Name, Logger: d.config.Logger, Scope: metrics.Scope,
+		Host: s.Name, Off: s.Experiments.Off, Logger: d.config.Logger, Scope: metrics.Scope,
 		Answered: func(good bool) { d.ingress.ServerAnswered(good) }, Peer: d.sidecarPeer(),
 	})
 	d.atEnd(cleanUp)
@@ -190,6 +190,7 @@
 		Host:             s.Name,
 		DataCentre:       s.DataCentre,
 		Service:          s.Service,
+		Off:              s.Experiments.Off,
 		TLS:              d.clientTLS(),
 		HeaderBytes:      s.Limits.HeaderBytes,
 		Logger:           d.config.Logger,
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/body"
+	"github.com/tideliftd/tidelift/internal/experiment"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/latency"
 	"github.com/tideliftd/tidelift/internal/result"
@@ -94,7 +95,10 @@
 		route:    routeName,
 		latency:  in.latencies.of(routeName),
 	}
-	if in.subrequest.Is(admitted.route) {
+	if in.config.Off.Has(experiment.Aims) {
+		admitted.aim = admitted.deadline
+	}
+	if in.subrequest.Is(admitted.route) && !in.config.Off.Has(experiment.Subrequests) {
 		admitted.subrequest = true
 		admitted.aim = admitted.deadline
 		admitted.priority = subrequestPriority
--- a/internal/ingress/attempt_test.go
+++ b/internal/ingress/attempt_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/balance"
+	"github.com/tideliftd/tidelift/internal/experiment"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/result"
 )
@@ -136,3 +137,23 @@
 	pool.Reconfigure(declaration.Services[0], fleet.NewIndex(declaration))
 	return pool
 }
+
+// TestHedgesCanBeSwitchedOff waits for a look that never comes.
+func TestHedgesCanBeSwitchedOff(t *testing.T) {
+	for _, off := range []experiment.Off{nil, {experiment.Hedges}} {
+		r := newTestRound(t, 1)
+		r.in.config.Off = off
+		r.late = time.Millisecond
+		look := r.firstLook()
+		select {
+		case <-look.C:
+			if off != nil {
+				t.Fatal("a hedge is looked for")
+			}
+		case <-time.After(100 * time.Millisecond):
+			if off == nil {
+				t.Fatal("no hedge is looked for")
+			}
+		}
+	}
+}
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/experiment"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/retry"
 	"github.com/tideliftd/tidelift/internal/wait"
@@ -26,7 +27,7 @@
 // attempts tries the request on one backend server after another until one
 // answers or the failure is final.
 func (in *Ingress) attempts(ctx context.Context, r *request) (*http.Response, error) {
-	var trace attemptTrace
+	trace := attemptTrace{unchecked: in.config.Off.Has(experiment.HangChecks)}
 	for {
 		next, ok := in.next(ctx, r, &trace)
 		if !ok {
--- a/internal/ingress/choose.go
+++ b/internal/ingress/choose.go
@@ -110,7 +110,7 @@
 // look chooses one to ask for a free slot.
 func (t *attemptTrace) look(r *request, now time.Time) (choice, bool) {
 	mustNotFail := r.once || t.sent > 0 || !r.service.limit.left(now)
-	proven := mustNotFail && len(t.unproven) < maxUnproven
+	proven := mustNotFail && len(t.unproven) < maxUnproven && !t.unchecked
 	if proven {
 		if target, ok := r.service.pool.Pick(now, slices.Concat(t.tried, t.unproven)); ok {
 			return choice{target: target, noWait: true, proven: true}, true
--- a/internal/ingress/hedge.go
+++ b/internal/ingress/hedge.go
@@ -8,6 +8,7 @@
 
 	"github.com/tideliftd/tidelift/internal/balance"
 	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/experiment"
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
@@ -82,7 +83,7 @@
 // firstLook returns the timer of the looks for a hedge. It never fires if none may be sent.
 func (r *round) firstLook() *time.Timer {
 	look := time.NewTimer(r.late)
-	if r.late == 0 || r.request.once {
+	if r.late == 0 || r.request.once || r.in.config.Off.Has(experiment.Hedges) {
 		look.Stop()
 	}
 	return look
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -47,6 +47,7 @@
 	"github.com/tideliftd/tidelift/internal/balance"
 	"github.com/tideliftd/tidelift/internal/detect"
 	"github.com/tideliftd/tidelift/internal/dial"
+	"github.com/tideliftd/tidelift/internal/experiment"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/metric"
@@ -77,6 +78,8 @@
 	HeaderBytes int
 	// TLS is what the daemon proves itself with to others; nil for none.
 	TLS *tls.Config
+	// Off are mechanisms that are switched off.
+	Off experiment.Off
 	// Logger receives numbered events.
 	Logger *slog.Logger
 	// Scope receives the metrics.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -5,8 +5,10 @@
 	"log/slog"
 	"net/netip"
 	"net/url"
+	"slices"
 	"time"
 
+	"github.com/tideliftd/tidelift/internal/experiment"
 	"github.com/tideliftd/tidelift/internal/yamlfile"
 )
 
@@ -29,6 +31,7 @@
 		c.Add("$.heap-growth", fmt.Sprintf("is %d", s.HeapGrowth), "1 or more")
 	}
 	s.Log.check(c)
+	s.Experiments.check(c)
 	if s.Listen.CheckIns != "" && s.Listen.CheckIns == s.Listen.Ready {
 		c.Add("$.listen.ready", fmt.Sprintf("is %q, as check-ins is", s.Listen.Ready), "an address of its own")
 	}
@@ -70,6 +73,14 @@
 	}
 }
 
+func (e Experiments) check(c *yamlfile.Checker) {
+	for i, m := range e.Off {
+		if !slices.Contains(experiment.All(), m) {
+			c.Add(fmt.Sprintf("$.experiments.off[%d]", i), fmt.Sprintf("is %q", m), fmt.Sprintf("one of %v", experiment.All()))
+		}
+	}
+}
+
 func (s Source) check(c *yamlfile.Checker) {
 	if s.Declared != DeclaredByOperators && s.Declared != DeclaredByPlatform {
 		c.Add("$.source.declared", fmt.Sprintf("is %q", s.Declared), "operators or platform")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tideliftd/tidelift/internal/experiment"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/yamlfile"
 )
@@ -42,18 +43,19 @@
 
 // Settings is the whole of a daemon's settings file.
 type Settings struct {
-	Name       string   `yaml:"name" json:"name" jsonschema:"description=The daemon's name; the declaration's host of the same name."`
-	Service    string   `yaml:"service" json:"service,omitempty" jsonschema:"description=The service of the applications on this host, whose own requests begin here."`
-	DataCentre string   `yaml:"data-centre" json:"data-centre" jsonschema:"description=The data centre the host stands in."`
-	Listen     Listen   `yaml:"listen" json:"listen" jsonschema:"description=Where the daemon listens."`
-	Platform   Platform `yaml:"platform" json:"platform" jsonschema:"description=The platform's key-value service."`
-	Seeds      []string `yaml:"seeds" json:"seeds,omitempty" jsonschema:"description=Control addresses of a few daemons in several data centres. A daemon that starts while the platform does not answer asks them for the declaration."`
-	Keys       Keys     `yaml:"keys" json:"keys,omitempty" jsonschema:"description=What daemons and operators prove themselves with. Without them control calls and operators are taken on loopback only."`
-	Limits     Limits   `yaml:"limits" json:"limits,omitempty" jsonschema:"description=Bounds on callers' requests and on a stop."`
-	Log        Log      `yaml:"log" json:"log,omitempty" jsonschema:"description=What is logged."`
-	Source     Source   `yaml:"source" json:"source,omitempty" jsonschema:"description=Where the declaration and the backend servers come from."`
-	Processors int      `yaml:"processors" json:"processors,omitempty" jsonschema:"description=Processors the daemon uses at once. Default 2."`
-	HeapGrowth int      `yaml:"heap-growth" json:"heap-growth,omitempty" jsonschema:"description=By how many percent the heap may grow before it is collected: less takes less memory and more processor time. Default 400."`
+	Name        string      `yaml:"name" json:"name" jsonschema:"description=The daemon's name; the declaration's host of the same name."`
+	Service     string      `yaml:"service" json:"service,omitempty" jsonschema:"description=The service of the applications on this host, whose own requests begin here."`
+	DataCentre  string      `yaml:"data-centre" json:"data-centre" jsonschema:"description=The data centre the host stands in."`
+	Listen      Listen      `yaml:"listen" json:"listen" jsonschema:"description=Where the daemon listens."`
+	Platform    Platform    `yaml:"platform" json:"platform" jsonschema:"description=The platform's key-value service."`
+	Seeds       []string    `yaml:"seeds" json:"seeds,omitempty" jsonschema:"description=Control addresses of a few daemons in several data centres. A daemon that starts while the platform does not answer asks them for the declaration."`
+	Keys        Keys        `yaml:"keys" json:"keys,omitempty" jsonschema:"description=What daemons and operators prove themselves with. Without them control calls and operators are taken on loopback only."`
+	Limits      Limits      `yaml:"limits" json:"limits,omitempty" jsonschema:"description=Bounds on callers' requests and on a stop."`
+	Log         Log         `yaml:"log" json:"log,omitempty" jsonschema:"description=What is logged."`
+	Source      Source      `yaml:"source" json:"source,omitempty" jsonschema:"description=Where the declaration and the backend servers come from."`
+	Experiments Experiments `yaml:"experiments" json:"experiments,omitempty" jsonschema:"description=For measurements alone: mechanisms that are switched off. None of them keeps a promise."`
+	Processors  int         `yaml:"processors" json:"processors,omitempty" jsonschema:"description=Processors the daemon uses at once. Default 2."`
+	HeapGrowth  int         `yaml:"heap-growth" json:"heap-growth,omitempty" jsonschema:"description=By how many percent the heap may grow before it is collected: less takes less memory and more processor time. Default 400."`
 }
 
 // Listen holds the daemon's addresses, each an IP and port.
@@ -122,6 +124,11 @@
 	Level     string `yaml:"level" json:"level,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error,description=The least level that is logged. Default info."`
 }
 
+// Experiments names the mechanisms that are switched off.
+type Experiments struct {
+	Off experiment.Off `yaml:"off" json:"off,omitempty" jsonschema:"description=Names of mechanisms such as hedges; internal/experiment lists them. Default none."`
+}
+
 // Equal says whether two settings are the same.
 func (s Settings) Equal(other Settings) bool { return reflect.DeepEqual(s, other) }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -43,6 +43,7 @@
 		{"small headers", "limits: {header-bytes: 10}", "limits.header-bytes", "1024 or more"},
 		{"no growth", "heap-growth: -5", "heap-growth", "1 or more"},
 		{"no processors", "processors: -1", "processors", "1 or more"},
+		{"a mechanism that does not exist", "experiments: {off: [hedges, floor]}", "experiments.off[1]", "compression"},
 		{"a level that does not exist", "log: {level: loud}", "log.level", "info"},
 	}
 	for _, test := range tests {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -40,6 +40,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tideliftd/tidelift/internal/detect"
+	"github.com/tideliftd/tidelift/internal/experiment"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/metric"
@@ -59,6 +60,8 @@
 type Config struct {
 	// Host is the daemon's name.
 	Host string
+	// Off are mechanisms that are switched off.
+	Off experiment.Off
 	// Logger receives numbered events.
 	Logger *slog.Logger
 	// Scope receives the metrics.
--- a/internal/sidecar/suspicion.go
+++ b/internal/sidecar/suspicion.go
@@ -7,6 +7,7 @@
 
 	"github.com/tideliftd/tidelift/internal/detect"
 	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/experiment"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/suspicion"
 )
@@ -26,6 +27,9 @@
 
 // weigh takes an outcome for the suspicion, beside how the others do.
 func (t *task) weigh(now time.Time, saw detect.Observation, others detect.Reference) {
+	if t.config.Off.Has(experiment.Suspicion) {
+		return
+	}
 	begins := false
 	switch saw.Outcome {
 	case detect.OK:
--- /dev/null
+++ b/test/ablate/main.go
@@ -0,0 +1,167 @@
+// Command ablate plays days with each mechanism of the project switched off in turn, and says
+// how they differ from the same days with all of them on.
+//
+// # Usage
+//
+//	go run ./test/ablate --bench PATH --site FILE [--seeds 1,2,3] [--jobs 8] [--off hedges,aims] DAY ...
+//
+// It plays the commit that is checked out, in copies of which only deploy/settings.yaml
+// differs, and puts the copies' journal entries into this repository's journal. For each
+// mechanism it prints a line of the table that test/compare prints for all days: with it, and
+// without it. A difference of less than twice its error shows nothing.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/tideliftd/tidelift/internal/experiment"
+	"github.com/tideliftd/tidelift/test/bench"
+)
+
+const (
+	// daysAtATime is how many days are played at a time unless said otherwise.
+	daysAtATime = 8
+	// settingsFile is the template of the daemons' settings.
+	settingsFile = "deploy/settings.yaml"
+	// journal is where the bench leaves an entry for each play.
+	journal = "journal"
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		slog.Error("ablate failed", "error", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "ablate",
+		Usage: "plays days with each mechanism switched off and prints the differences",
+		Flags: append(bench.Flags(daysAtATime),
+			&cli.IntSliceFlag{Name: "seeds", Usage: "the seeds of each day", Value: []int{1, 2, 3}},
+			&cli.StringSliceFlag{Name: "off", Usage: "the mechanisms; all if it is left out"},
+		),
+		Action: run,
+	}
+}
+
+// run plays the days with everything on, and once for each mechanism without it.
+func run(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return errors.New("no day is named")
+	}
+	player, err := bench.NewPlayer(c.String("bench"), c.String("site"))
+	if err != nil {
+		return err
+	}
+	work, err := os.MkdirTemp("", "ablate-*")
+	if err != nil {
+		return errors.Wrap(err, "make room for the copies")
+	}
+	defer func() { _ = os.RemoveAll(work) }()
+	with, err := playIn(ctx, c, player, filepath.Join(work, "with"), "")
+	if err != nil {
+		return err
+	}
+	for _, m := range mechanisms(c) {
+		without, err := playIn(ctx, c, player, filepath.Join(work, string(m)), m)
+		if err != nil {
+			return err
+		}
+		fmt.Println(bench.Line(string(m), bench.Pairs(interleave(with, without))))
+	}
+	return nil
+}
+
+// mechanisms returns those that are switched off in turn.
+func mechanisms(c *cli.Command) []experiment.Mechanism {
+	named := c.StringSlice("off")
+	if len(named) == 0 {
+		return experiment.All()
+	}
+	var all []experiment.Mechanism
+	for _, name := range named {
+		all = append(all, experiment.Mechanism(name))
+	}
+	return all
+}
+
+// playIn plays all days in a copy without the mechanism; an empty one leaves all on.
+func playIn(ctx context.Context, c *cli.Command, player bench.Player, dir string, off experiment.Mechanism) ([]bench.Outcome, error) {
+	if err := copyTo(ctx, dir, off); err != nil {
+		return nil, err
+	}
+	var plays []bench.Play
+	for _, day := range c.Args().Slice() {
+		for _, seed := range c.IntSlice("seeds") {
+			plays = append(plays, bench.Play{Day: day, Seed: seed, Dir: dir, Why: "ablation, off: " + string(off)})
+		}
+	}
+	outcomes := player.PlayAll(ctx, plays, c.Int("jobs"))
+	for _, o := range outcomes {
+		if o.Err != nil || len(o.Report.Broken) > 0 {
+			fmt.Printf("off %q: %s seed %d: %v %v\n", off, o.Play.Day, o.Play.Seed, o.Report.Broken, o.Err)
+		}
+	}
+	return outcomes, keepJournal(dir)
+}
+
+// copyTo checks the present commit out into the folder, with the mechanism switched off.
+func copyTo(ctx context.Context, dir string, off experiment.Mechanism) error {
+	if out, err := exec.CommandContext(ctx, "git", "clone", "--quiet", ".", dir).CombinedOutput(); err != nil {
+		return errors.Wrapf(err, "copy the sources: %s", out)
+	}
+	if off == "" {
+		return nil
+	}
+	file := filepath.Join(dir, settingsFile)
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	data = append(data, []byte("experiments:\n  off: ["+string(off)+"]\n")...)
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return errors.Wrap(err, "switch the mechanism off")
+	}
+	return nil
+}
+
+// keepJournal brings a copy's new journal entries here.
+func keepJournal(dir string) error {
+	copied := os.DirFS(dir)
+	return fs.WalkDir(copied, journal, func(path string, e fs.DirEntry, err error) error {
+		if err != nil {
+			return errors.Wrap(err, "read the copy's journal")
+		}
+		if _, err := os.Stat(path); err == nil || e.IsDir() {
+			return nil
+		}
+		data, err := fs.ReadFile(copied, path)
+		if err != nil {
+			return errors.Wrap(err, "read journal entry")
+		}
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			return errors.Wrap(err, "keep journal entry")
+		}
+		return nil
+	})
+}
+
+// interleave puts the plays of both side by side, as bench.Pairs takes them.
+func interleave(with, without []bench.Outcome) []bench.Outcome {
+	all := make([]bench.Outcome, 0, 2*len(with))
+	for i := range with {
+		all = append(all, with[i], without[i])
+	}
+	return all
+}
--- a/test/bench/bench.go
+++ b/test/bench/bench.go
@@ -15,6 +15,7 @@
 	"context"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +31,19 @@
 	Site string
 }
 
+// NewPlayer returns the player, by absolute paths, since the bench runs in any checkout.
+func NewPlayer(program, site string) (Player, error) {
+	program, err := filepath.Abs(program)
+	if err != nil {
+		return Player{}, errors.Wrap(err, "find the bench")
+	}
+	site, err = filepath.Abs(site)
+	if err != nil {
+		return Player{}, errors.Wrap(err, "find the site file")
+	}
+	return Player{Program: program, Site: site}, nil
+}
+
 // Play is one day to play.
 type Play struct {
 	// Day is the name of a day of the site, or the path of a file that holds one.
--- a/test/compare/pairs.go
+++ b/test/bench/pairs.go
@@ -1,38 +1,36 @@
-package main
+package bench
 
 import (
 	"fmt"
 	"math"
-
-	"github.com/tideliftd/tidelift/test/bench"
 )
 
 // bytesPrice is how the bench calls the price of bytes between data centres.
 const bytesPrice = "GB between zones"
 
-// pairOf is two plays of the same day with the same seed.
-type pairOf struct {
-	before, after bench.Outcome
+// Pair is two plays of the same day with the same seed, by two builds or two settings.
+type Pair struct {
+	Before, After Outcome
 }
 
-// pair puts the plays together that follow each other; one that failed leaves its pair
+// Pairs puts the plays together that follow each other; one that failed leaves its pair
 // out.
-func pair(outcomes []bench.Outcome) []pairOf {
-	var pairs []pairOf
+func Pairs(outcomes []Outcome) []Pair {
+	var pairs []Pair
 	for i := 0; i+1 < len(outcomes); i += 2 {
-		p := pairOf{before: outcomes[i], after: outcomes[i+1]}
-		if p.before.Err == nil && p.after.Err == nil {
+		p := Pair{Before: outcomes[i], After: outcomes[i+1]}
+		if p.Before.Err == nil && p.After.Err == nil {
 			pairs = append(pairs, p)
 		}
 	}
 	return pairs
 }
 
-// ofDay returns the pairs of one day.
-func ofDay(pairs []pairOf, day string) []pairOf {
-	var found []pairOf
+// OfDay returns the pairs of one day.
+func OfDay(pairs []Pair, day string) []Pair {
+	var found []Pair
 	for _, p := range pairs {
-		if p.before.Play.Day == day {
+		if p.Before.Play.Day == day {
 			found = append(found, p)
 		}
 	}
@@ -40,13 +38,13 @@
 }
 
 // figure is one number of a report.
-type figure func(bench.Report) float64
+type figure func(Report) float64
 
-func worth(r bench.Report) float64  { return r.Worth }
-func served(r bench.Report) float64 { return r.Served }
+func worth(r Report) float64  { return r.Worth }
+func served(r Report) float64 { return r.Served }
 
 // bytes returns the price of bytes between data centres.
-func bytes(r bench.Report) float64 {
+func bytes(r Report) float64 {
 	for _, p := range r.Prices {
 		if p.Of == bytesPrice {
 			return p.Worth
@@ -55,18 +53,20 @@
 	return 0
 }
 
-// line is the line of some pairs in the table.
-func line(name string, pairs []pairOf) string {
+// Line is the line of some pairs in the table: the mean of the second less that of the first
+// and the standard error of that mean, of the worth, the share that was served and the price
+// of bytes between data centres.
+func Line(name string, pairs []Pair) string {
 	return fmt.Sprintf("%-14s %3d pairs  worth %s  served %s  bytes %s", name, len(pairs),
 		difference(pairs, worth), difference(pairs, served), difference(pairs, bytes))
 }
 
 // difference tells the means of both, the mean difference and its standard error.
-func difference(pairs []pairOf, of figure) string {
+func difference(pairs []Pair, of figure) string {
 	differences := make([]float64, 0, len(pairs))
 	before, after := 0.0, 0.0
 	for _, p := range pairs {
-		b, a := of(p.before.Report), of(p.after.Report)
+		b, a := of(p.Before.Report), of(p.After.Report)
 		before += b / float64(len(pairs))
 		after += a / float64(len(pairs))
 		differences = append(differences, a-b)
--- a/test/compare/pairs_test.go
+++ b/test/bench/pairs_test.go
@@ -1,12 +1,10 @@
-package main
+package bench
 
 import (
 	"math"
 	"testing"
 
 	"github.com/go-faster/errors"
-
-	"github.com/tideliftd/tidelift/test/bench"
 )
 
 func TestMeanOf(t *testing.T) {
@@ -20,11 +18,11 @@
 }
 
 func TestPairLeavesOutWhatWasNotPlayed(t *testing.T) {
-	day := func(name string, err error) bench.Outcome {
-		return bench.Outcome{Play: bench.Play{Day: name}, Err: err}
+	day := func(name string, err error) Outcome {
+		return Outcome{Play: Play{Day: name}, Err: err}
 	}
-	pairs := pair([]bench.Outcome{day("a", nil), day("a", nil), day("b", nil), day("b", errors.New("lost"))})
-	if len(pairs) != 1 || len(ofDay(pairs, "a")) != 1 || len(ofDay(pairs, "b")) != 0 {
+	pairs := Pairs([]Outcome{day("a", nil), day("a", nil), day("b", nil), day("b", errors.New("lost"))})
+	if len(pairs) != 1 || len(OfDay(pairs, "a")) != 1 || len(OfDay(pairs, "b")) != 0 {
 		t.Fatalf("%d pairs", len(pairs))
 	}
 }
--- a/test/compare/main.go
+++ b/test/compare/main.go
@@ -13,7 +13,7 @@
 // and the price of bytes between data centres. A difference of less than twice its error
 // shows nothing. A rule that was broken is printed with its day and seed.
 //
-// Reading the flags is in main.go, the pairs and their figures in pairs.go.
+// The pairs and their figures are in test/bench.
 package main
 
 import (
@@ -21,7 +21,6 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"path/filepath"
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
@@ -55,7 +54,7 @@
 
 // run plays the pairs and prints how they differ.
 func run(ctx context.Context, c *cli.Command) error {
-	player, err := newPlayer(c)
+	player, err := bench.NewPlayer(c.String("bench"), c.String("site"))
 	if err != nil {
 		return err
 	}
@@ -64,30 +63,17 @@
 		return errors.New("no day is named")
 	}
 	outcomes := player.PlayAll(ctx, plays(c, days), c.Int("jobs"))
-	pairs := pair(outcomes)
+	pairs := bench.Pairs(outcomes)
 	for _, day := range days {
-		fmt.Println(line(day, ofDay(pairs, day)))
+		fmt.Println(bench.Line(day, bench.OfDay(pairs, day)))
 	}
-	fmt.Println(line("all", pairs))
+	fmt.Println(bench.Line("all", pairs))
 	for _, o := range outcomes {
 		printTrouble(o)
 	}
 	return nil
 }
 
-// newPlayer returns the player, by absolute paths, since the bench runs in either checkout.
-func newPlayer(c *cli.Command) (bench.Player, error) {
-	program, err := filepath.Abs(c.String("bench"))
-	if err != nil {
-		return bench.Player{}, errors.Wrap(err, "find the bench")
-	}
-	site, err := filepath.Abs(c.String("site"))
-	if err != nil {
-		return bench.Player{}, errors.Wrap(err, "find the site file")
-	}
-	return bench.Player{Program: program, Site: site}, nil
-}
-
 // plays returns the plays of all pairs, the two of a pair one after the other.
 func plays(c *cli.Command, days []string) []bench.Play {
 	all := make([]bench.Play, 0, 2*len(days)*len(c.IntSlice("seeds")))
