--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -84,7 +84,7 @@
 	refuse := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "calls go the other way"}
 	})
-	conn := jsonrpc2.NewConn(context.Background(), newStream(socket), refuse)
+	conn := jsonrpc2.NewConn(context.Background(), newStream(socket), refuse, unlogged)
 	return c.keep(address, conn, time.Now()), nil
 }
 
--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -89,3 +91,35 @@
 		}
 	}
 }
+
+// TestABrokenConnectionLeavesNoLineOfItsOwn sends a server bytes that are no call: what the
+// library would say of it goes around the daemon's log, which is bounded and keeps nobody
+// waiting.
+func TestABrokenConnectionLeavesNoLineOfItsOwn(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := os.Stderr
+	os.Stderr = writer
+	defer func() { os.Stderr = before }()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(control.Serve(control.ServerConfig{Listener: listener}))
+	socket, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = socket.Write([]byte("\x05nope!"))
+	_ = socket.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := socket.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Fatalf("the connection was not closed: %v", err)
+	}
+	time.Sleep(200 * time.Millisecond) // the library says it after it has closed the connection
+	_ = writer.Close()
+	if said, _ := io.ReadAll(reader); len(said) > 0 {
+		t.Fatalf("a line went around the log: %s", said)
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"time"
 
@@ -46,11 +48,15 @@
 			time.Sleep(acceptPause) // such as no file descriptor left for the moment
 			continue
 		}
-		conn := jsonrpc2.NewConn(ctx, newStream(socket), handler)
+		conn := jsonrpc2.NewConn(ctx, newStream(socket), handler, unlogged)
 		context.AfterFunc(ctx, func() { _ = conn.Close() })
 	}
 }
 
+// unlogged keeps the library from writing of broken connections to the standard error output,
+// unbounded and around the daemon's log. Whoever called hears of them by the call's error.
+var unlogged = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // newStream frames messages by their length.
 func newStream(socket net.Conn) jsonrpc2.ObjectStream {
 	return jsonrpc2.NewBufferedStream(socket, jsonrpc2.VarintObjectCodec{})
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -72,7 +74,7 @@
 func (d *daemon) newListeners(operators http.Handler) *listeners {
 	s := d.config.Settings
 	l := &listeners{
-		operators: &http.Server{Handler: operators, ReadHeaderTimeout: peerHeaderTimeout},
+		operators: &http.Server{Handler: operators, ReadHeaderTimeout: peerHeaderTimeout, ErrorLog: d.errorLog()},
 		failed:    make(chan error, 5),
 	}
 	l.callers = &http.Server{
@@ -80,6 +82,7 @@
 		ReadHeaderTimeout: s.Limits.HeaderTimeout,
 		IdleTimeout:       s.Limits.IdleTimeout,
 		MaxHeaderBytes:    s.Limits.HeaderBytes + headerSlack,
+		ErrorLog:          d.errorLog(),
 		ConnContext:       framing.ConnContext,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			framing.ConnState(c, state)
@@ -91,11 +94,17 @@
 		ReadHeaderTimeout: peerHeaderTimeout,
 		IdleTimeout:       peerIdleTimeout,
 		MaxHeaderBytes:    s.Limits.HeaderBytes + 2*headerSlack,
+		ErrorLog:          d.errorLog(),
 		ConnState:         l.unused.track,
 	}
 	return l
 }
 
+// errorLog takes what net/http has to say into the daemon's log, which is bounded.
+func (d *daemon) errorLog() *log.Logger {
+	return slog.NewLogLogger(d.config.Logger.Handler(), slog.LevelWarn)
+}
+
 // listenForHost opens what only this host's own programs and its platform call.
 func (d *daemon) listenForHost(l *listeners) error {
 	s := d.config.Settings.Listen
@@ -110,7 +119,7 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: peerHeaderTimeout}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: peerHeaderTimeout, ErrorLog: d.errorLog()}
 		l.serve(server, sockets[0])
 		d.atEnd(func() { _ = server.Close() })
 	}
