feat(metric): the time of slots by what it went to

Cause: a third of the slot-seconds of a service is spent without serving anybody in time, and only a build made for it showed that. Change: tidelift_sidecar_slot_ms by service and use (good, late, failed, lost, overdue, cancelled, reserved), which add up to the time that slots were taken. TestSlotTimeIsCountedByUse.

--- a/internal/compress/compress_test.go
+++ b/internal/compress/compress_test.go
@@ -19,28 +19,11 @@
 const patience = 10 * time.Second
 
 // pair returns the two ends of a compressed connection, and counts what travels.
-func pair(t testing.TB) (client, server net.Conn, travelled *countingConn) {
+func pair(t *testing.T) (client, server net.Conn, travelled *countingConn) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	socket, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	socket, server := connect(t)
 	travelled = &countingConn{Conn: socket}
-	client = compress.Client(travelled)
-	server, err = compress.Listen(listener).Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, c := range []net.Conn{client, server} {
-		_ = c.SetDeadline(time.Now().Add(patience))
-		t.Cleanup(func() { _ = c.Close() })
-	}
-	return client, server, travelled
+	return compress.Client(travelled), server, travelled
 }
 
 // countingConn counts the bytes that are written to it.
@@ -109,24 +92,33 @@
 	}
 }
 
-// TestAReadThatEndsAtItsDeadlineLosesNothing cuts a frame in two and lets the deadline of a
-// read pass between the parts, as net/http does when it ends its waiting for a caller's end.
-func TestAReadThatEndsAtItsDeadlineLosesNothing(t *testing.T) {
+// connect returns a plain connection to a listener that answers in kind, and its other end.
+func connect(t *testing.T) (socket, server net.Conn) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	socket, err := net.Dial("tcp", listener.Addr().String())
+	socket, err = net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = socket.Close() }()
-	server, err := compress.Listen(listener).Accept()
+	server, err = compress.Listen(listener).Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = server.Close() }()
+	for _, c := range []net.Conn{socket, server} {
+		_ = c.SetDeadline(time.Now().Add(patience))
+		t.Cleanup(func() { _ = c.Close() })
+	}
+	return socket, server
+}
+
+// TestAReadThatEndsAtItsDeadlineLosesNothing cuts a frame in two and lets the deadline of a
+// read pass between the parts, as net/http does when it ends its waiting for a caller's end.
+func TestAReadThatEndsAtItsDeadlineLosesNothing(t *testing.T) {
+	socket, server := connect(t)
 	wire := recorded(t, []byte(head))
 	for _, b := range wire {
 		_ = server.SetReadDeadline(time.Now().Add(time.Millisecond))
@@ -164,21 +156,7 @@
 
 // TestOthersAreAnsweredInKind connects without compression.
 func TestOthersAreAnsweredInKind(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	socket, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = socket.Close() }()
-	server, err := compress.Listen(listener).Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = server.Close() }()
+	socket, server := connect(t)
 	exchange(t, socket, server, []byte(head))
 	exchange(t, server, socket, []byte("HTTP/1.1 200 OK\r\n\r\n"))
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -67,11 +67,16 @@
 	loadBits atomic.Uint64
 	declared atomic.Pointer[declared]
 	pool     *backend.Pool
+	slotTime slotTime
 	closeAll func()
 }
 
 func newServer(config Config, d *declared, connects tally.Counter) *server {
-	s := &server{mailbox: make(chan any, mailboxSize), ended: make(chan struct{})}
+	s := &server{
+		mailbox:  make(chan any, mailboxSize),
+		ended:    make(chan struct{}),
+		slotTime: newSlotTime(config.Scope, d.Service.Name),
+	}
 	s.declared.Store(d)
 	dialer := dial.New(dial.Config{Connect: connectTimeout, Unacknowledged: unacknowledged})
 	s.pool, s.closeAll = backend.New(backend.Config{
@@ -151,7 +156,7 @@
 	if g.err != nil {
 		return nil, g.err
 	}
-	granted := &slot{server: s, trial: g.trial, repeat: call.Repeat}
+	granted := &slot{server: s, granted: time.Now(), trial: g.trial, repeat: call.Repeat}
 	if ctx.Err() != nil {
 		granted.release()
 		return nil, cancelled(ctx)
@@ -175,7 +180,7 @@
 		return
 	}
 	if g := <-reply; g.err == nil {
-		(&slot{server: s, trial: g.trial, repeat: call.Repeat}).release()
+		(&slot{server: s, granted: time.Now(), trial: g.trial, repeat: call.Repeat}).release()
 	}
 }
 
@@ -195,7 +200,8 @@
 	others  detect.Reference
 	target  time.Duration // of the request's route; zero if it is not known
 	lateAt  time.Duration // how long it runs before it has outlasted nearly all of its route; zero if that is not known
-	started time.Time
+	granted time.Time
+	started time.Time // zero until the request is sent
 	overdue *time.Timer
 	watch   lateWatch
 	late    atomic.Bool
@@ -261,5 +267,6 @@
 	if !s.started.IsZero() {
 		took = time.Since(s.started)
 	}
+	s.server.slotTime.add(s.use(), time.Since(s.granted))
 	s.server.send(releaseMessage{took: took, trial: s.trial, repeat: s.repeat, seen: s.seen, saw: s.saw, others: s.others})
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 //	promise.go     asks others for promises to keep serving, and gives its own
 //	report.go      describes the backend server to operators
 //	reservation.go keeps a slot for a request that must not run twice
+//	usage.go       counts what the time of slots goes to
 //	server.go      is the handle of the task for everybody else
 //	exchange.go    sends the request and checks the answer
 //	handler.go     takes requests from other daemons
