--- a/internal/daemon/unused.go
+++ b/internal/daemon/unused.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 )
 
@@ -31,10 +33,16 @@
 // close closes those that there are now. Whoever sends a first request meanwhile sees that
 // nothing of it was read.
 func (u *unusedConns) close() {
+	for _, c := range u.take() {
+		_ = c.Close() // which may take a moment with TLS, so that nobody waits for it here
+	}
+}
+
+// take returns those that there are now and forgets them.
+func (u *unusedConns) take() []net.Conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for c := range u.conns {
-		_ = c.Close()
-	}
+	taken := slices.Collect(maps.Keys(u.conns))
 	clear(u.conns)
+	return taken
 }
--- a/internal/ingress/hedge.go
+++ b/internal/ingress/hedge.go
@@ -23,8 +23,9 @@
 
 // round is an attempt of a request and, once that is late and if the request may be
 // repeated, hedges of it at other backend servers. The first whole answer wins and the
-// rest is cancelled. A hedge is sent only where a slot is kept for it, so that none waits;
-// the late attempt goes on meanwhile, since its answer may be the first.
+// rest is cancelled. A hedge is sent only where a slot is kept for it; that of a call of a
+// backend server waits for one, since such calls go first. The late attempt goes on meanwhile,
+// since its answer may be the first.
 //
 // One goroutine owns the round; each attempt runs in its own and tells what became of it.
 type round struct {
--- a/internal/subrequest/subrequest.go
+++ b/internal/subrequest/subrequest.go
@@ -15,7 +15,7 @@
 // fails together shows no more than one failure does. A trial that a failed answer follows soon speaks for the route, one
 // that none follows speaks against it, by the logarithm of how much likelier that is if the
 // route is called than by chance. Chance is how often the backend servers fail at any time,
-// which is much where they are sick. The sum is the weight of the route: from Enough on it is
+// which is much where they are sick. The sum is the weight of the route: from enough on it is
 // taken for called, and until the weight is gone again. The sum is bounded, so that what was
 // learned wrongly is unlearned soon.
 //
@@ -61,10 +61,10 @@
 	startTime = 2 * time.Second
 )
 
-// Enough is the weight from which a route is taken for called. Source: with the logarithm of
+// enough is the weight from which a route is taken for called. Source: with the logarithm of
 // a thousand one route in a thousand is taken so by chance; three trials are enough where
 // backend servers seldom fail, four at first.
-var Enough = math.Log(1000)
+var enough = math.Log(1000)
 
 // Config says who is told.
 type Config struct {
@@ -165,10 +165,10 @@
 
 // add adds to the weight, and draws the conclusion.
 func (t *Tracker) add(r *record, weight float64) {
-	r.weight = min(Enough, max(-Enough, r.weight+weight))
+	r.weight = min(enough, max(-enough, r.weight+weight))
 	known := r.known
 	switch {
-	case r.weight >= Enough:
+	case r.weight >= enough:
 		r.known = true
 	case r.weight <= 0:
 		r.known = false
@@ -222,7 +222,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.recordOf(e.Route)
-	t.add(r, min(Enough, max(-Enough, e.Weight)))
+	t.add(r, min(enough, max(-enough, e.Weight)))
 	return r.known
 }
 
@@ -230,7 +230,7 @@
 func (t *Tracker) Learn(name route.Name) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.add(t.recordOf(name), 2*Enough)
+	t.add(t.recordOf(name), 2*enough)
 }
 
 // Is says whether the route is known to be called by the host's backend servers.
