test(control): a broken connection is watched in a process of its own

The test replaced the standard error output of the whole test program, which others of its goroutines read: a data race in the test, found by the race detector. A child process has its output to itself; the test asks the same, and was seen failing again without the change it is for.

--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -1,12 +1,14 @@
 package control_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"os"
+	"os/exec"
 	"testing"
 	"time"
 
@@ -92,17 +94,34 @@
 	}
 }
 
+// childVariable makes the test below play its part in a process of its own, whose standard
+// error output can be read whole.
+const childVariable = "TIDELIFT_TEST_BROKEN_CONNECTION"
+
 // TestABrokenConnectionLeavesNoLineOfItsOwn sends a server bytes that are no call: what the
 // library would say of it goes around the daemon's log, which is bounded and keeps nobody
 // waiting.
 func TestABrokenConnectionLeavesNoLineOfItsOwn(t *testing.T) {
-	reader, writer, err := os.Pipe()
-	if err != nil {
+	if os.Getenv(childVariable) != "" {
+		breakAConnection(t)
+		return
+	}
+	child := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$")
+	child.Env = append(os.Environ(), childVariable+"=1")
+	var said bytes.Buffer
+	child.Stderr = &said
+	if err := child.Run(); err != nil {
 		t.Fatal(err)
 	}
-	before := os.Stderr
-	os.Stderr = writer
-	defer func() { os.Stderr = before }()
+	if said.Len() > 0 {
+		t.Fatalf("a line went around the log: %s", said.String())
+	}
+}
+
+// breakAConnection sends a server bytes that are no call, and waits until it has closed the
+// connection and a moment more, in which the library says what it has to say.
+func breakAConnection(t *testing.T) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -117,9 +136,5 @@
 	if _, err := socket.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Fatalf("the connection was not closed: %v", err)
 	}
-	time.Sleep(200 * time.Millisecond) // the library says it after it has closed the connection
-	_ = writer.Close()
-	if said, _ := io.ReadAll(reader); len(said) > 0 {
-		t.Fatalf("a line went around the log: %s", said)
-	}
+	time.Sleep(200 * time.Millisecond)
 }
