--- a/test/ablate/main.go
+++ b/test/ablate/main.go
@@ -48,7 +48,7 @@
 		Name:  "ablate",
 		Usage: "plays days with each mechanism switched off and prints the differences",
 		Flags: append(bench.Flags(daysAtATime),
-			&cli.IntSliceFlag{Name: "seeds", Usage: "the seeds of each day", Value: []int{1, 2, 3}},
+			bench.SeedsFlag(),
 			&cli.StringSliceFlag{Name: "off", Usage: "the mechanisms; all if it is left out"},
 		),
 		Action: run,
--- a/test/compare/main.go
+++ b/test/compare/main.go
@@ -45,7 +45,7 @@
 		Flags: append(bench.Flags(daysAtATime),
 			&cli.StringFlag{Name: "before", Usage: "the first checkout", Required: true},
 			&cli.StringFlag{Name: "after", Usage: "the second checkout", Required: true},
-			&cli.IntSliceFlag{Name: "seeds", Usage: "the seeds of each day", Value: []int{1, 2, 3}},
+			bench.SeedsFlag(),
 			&cli.StringFlag{Name: "why", Usage: "a line for the journals"},
 		),
 		Action: run,
