refactor(retry,sidecar): one task owns a budget; a slot is made in one place

The budget's lock dates from when an ingress's requests shared it; the sidecar's task owns it now, so that the lock and a second form of Left go. Two places built the same slot. No behaviour changed.

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -1,9 +1,6 @@
 package retry
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 const (
 	// safety is the part of the limit that is used. Source: calls of a run that was
@@ -39,10 +36,9 @@
 }
 
 // Budget bounds the retries that one backend server gets over a sliding window. One that
-// got none for a while has all that its requests of the last window earned. It is safe for
-// concurrent use.
+// got none for a while has all that its requests of the last window earned. The sidecar's task
+// owns it.
 type Budget struct {
-	mu      sync.Mutex
 	size    Size
 	counted window
 }
@@ -52,8 +48,6 @@
 
 // Resize takes a new size. What was counted stays, unless the window changes.
 func (b *Budget) Resize(size Size) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if b.size.Window != size.Window {
 		b.counted = window{length: size.Window}
 	}
@@ -62,25 +56,14 @@
 
 // Earn counts a request.
 func (b *Budget) Earn(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if c := b.counted.current(now); c != nil {
 		c.requests++
 	}
 }
 
-// Left says whether there is a retry to spend.
-func (b *Budget) Left(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.left(now)
-}
-
 // Spend takes one retry, or says that none is left.
 func (b *Budget) Spend(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.left(now) {
+	if !b.Left(now) {
 		return false
 	}
 	b.counted.current(now).retries++
@@ -89,16 +72,14 @@
 
 // GiveBack returns a retry that was taken a moment ago and not made.
 func (b *Budget) GiveBack(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if c := b.counted.current(now); c != nil && c.retries > 0 {
 		c.retries--
 	}
 }
 
-// left compares the retries of the last window with what its requests and the slack
-// allow.
-func (b *Budget) left(now time.Time) bool {
+// Left says whether there is a retry to spend: it compares the retries of the last window
+// with what its requests and the slack allow.
+func (b *Budget) Left(now time.Time) bool {
 	if b.counted.current(now) == nil {
 		return false
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -156,7 +156,7 @@
 	if g.err != nil {
 		return nil, g.err
 	}
-	granted := &slot{server: s, granted: time.Now(), trial: g.trial, repeat: call.Repeat}
+	granted := s.newSlot(call, g)
 	if ctx.Err() != nil {
 		granted.release()
 		return nil, cancelled(ctx)
@@ -164,6 +164,11 @@
 	return granted, nil
 }
 
+// newSlot returns the slot that the call was granted a moment ago.
+func (s *server) newSlot(call hop.Call, g grant) *slot {
+	return &slot{server: s, granted: time.Now(), trial: g.trial, repeat: call.Repeat}
+}
+
 // withdraw takes a request out of the queue, or gives its slot back if it was
 // granted one in the meantime.
 func (s *server) withdraw(request admission.Request, call hop.Call, reply chan grant) {
@@ -180,7 +185,7 @@
 		return
 	}
 	if g := <-reply; g.err == nil {
-		(&slot{server: s, granted: time.Now(), trial: g.trial, repeat: call.Repeat}).release()
+		s.newSlot(call, g).release()
 	}
 }
 
