--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -16,25 +16,29 @@
 	"github.com/tideliftd/tidelift/internal/control"
 )
 
-// TestASilentConnectionIsGivenUp calls a peer behind a connection that goes silent:
-// the call after the one that ended without an answer takes a new connection.
-func TestASilentConnectionIsGivenUp(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
+// serve answers calls on either kind of connection, and returns the address.
+func serve(t *testing.T, handle control.Handle) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(control.Serve(control.ServerConfig{
-		Listener: inner,
-		Handle: func(context.Context, control.Method, json.RawMessage) (any, error) {
-			return struct{}{}, nil
-		},
-	}))
+	t.Cleanup(control.Serve(control.ServerConfig{Listener: compress.Listen(listener), Handle: handle}))
+	return listener.Addr().String()
+}
+
+// TestASilentConnectionIsGivenUp calls a peer behind a connection that goes silent:
+// the call after the one that ended without an answer takes a new connection.
+func TestASilentConnectionIsGivenUp(t *testing.T) {
+	inner := serve(t, func(context.Context, control.Method, json.RawMessage) (any, error) {
+		return struct{}{}, nil
+	})
 	outer, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = outer.Close() }()
-	go relay(outer, inner.Addr().String())
+	go relay(outer, inner)
 	client, cleanUp := control.NewClient(control.ClientConfig{})
 	defer cleanUp()
 	ping := func() error {
@@ -72,22 +76,15 @@
 // TestACallToAnotherDataCentreTravelsCompressed calls a peer that takes both kinds of
 // connection, by either.
 func TestACallToAnotherDataCentreTravelsCompressed(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(control.Serve(control.ServerConfig{
-		Listener: compress.Listen(listener),
-		Handle: func(_ context.Context, _ control.Method, params json.RawMessage) (any, error) {
-			return params, nil
-		},
-	}))
+	address := serve(t, func(_ context.Context, _ control.Method, params json.RawMessage) (any, error) {
+		return params, nil
+	})
 	for _, far := range []bool{false, true} {
 		client, cleanUp := control.NewClient(control.ClientConfig{Far: func(string) bool { return far }})
 		defer cleanUp()
 		for range 3 {
 			var back string
-			if err := client.Call(context.Background(), listener.Addr().String(), control.MethodPing, "there", &back); err != nil || back != "there" {
+			if err := client.Call(context.Background(), address, control.MethodPing, "there", &back); err != nil || back != "there" {
 				t.Fatalf("far %v: %q, %v", far, back, err)
 			}
 		}
@@ -122,12 +119,7 @@
 // connection and a moment more, in which the library says what it has to say.
 func breakAConnection(t *testing.T) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(control.Serve(control.ServerConfig{Listener: listener}))
-	socket, err := net.Dial("tcp", listener.Addr().String())
+	socket, err := net.Dial("tcp", serve(t, nil))
 	if err != nil {
 		t.Fatal(err)
 	}
