fix(compress): a frame that is too long is refused before it is read

The case in TestWhatIsMalformedIsRefused was seen failing first; FuzzRead ran for 10 s without a finding.

--- a/internal/compress/compress.go
+++ b/internal/compress/compress.go
@@ -54,6 +54,9 @@
 	compressedBit = 1 << 15
 )
 
+// errTooLong means that a frame holds more than it may.
+var errTooLong = errors.Errorf("a frame holds more than %d bytes", maxPlain)
+
 // preface begins a connection: a byte that nothing else begins with, and the version.
 var preface = []byte{0, 'T', 'Z', 1}
 
@@ -100,6 +103,9 @@
 	}
 	head := int(binary.BigEndian.Uint16(c.frame))
 	length := head &^ compressedBit
+	if length > maxPlain { // also if it is compressed, since no frame is longer than its bytes
+		return errTooLong
+	}
 	if err := c.fill(lengthSize + length); err != nil {
 		return err
 	}
@@ -209,7 +215,7 @@
 		return nil, errors.Wrap(err, "decompress")
 	}
 	if len(plain) > maxPlain {
-		return nil, errors.Errorf("a frame holds more than %d bytes", maxPlain)
+		return nil, errTooLong
 	}
 	return plain, nil
 }
--- a/internal/compress/compress_test.go
+++ b/internal/compress/compress_test.go
@@ -169,6 +169,7 @@
 		"ends in its length":  {0, 'T', 'Z', 1, 0x80},
 		"ends in a frame":     {0, 'T', 'Z', 1, 0, 9, 'x'},
 		"ends in the preface": {0, 'T'},
+		"a frame too long":    append([]byte{0, 'T', 'Z', 1, 0x40, 1}, make([]byte, 1<<14+1)...),
 	} {
 		t.Run(name, func(t *testing.T) {
 			if err := readAll(bytes); err == nil {
