feat(runs): trace what a backend server calls to the run that calls it

Cause looked for: repeats beyond a service's limit. Nothing counted first sendings, repeats and calls of repeated runs of a service, so that two hypotheses could not be told apart. A daemon remembers for some seconds what its backend servers run, by request id, and counts both; no decision reads it yet.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -65,6 +65,7 @@
 	"github.com/tideliftd/tidelift/internal/operatorapi"
 	"github.com/tideliftd/tidelift/internal/registry"
 	"github.com/tideliftd/tidelift/internal/revision"
+	"github.com/tideliftd/tidelift/internal/runs"
 	"github.com/tideliftd/tidelift/internal/settings"
 	"github.com/tideliftd/tidelift/internal/sidecar"
 	"github.com/tideliftd/tidelift/internal/store"
@@ -186,9 +187,10 @@
 	d.atEnd(cleanUp)
 	d.peers, cleanUp = control.NewClient(control.ClientConfig{TLS: d.clientTLS(), Far: d.isFar})
 	d.atEnd(cleanUp)
+	known := runs.New()
 	d.sidecar, cleanUp = sidecar.New(sidecar.Config{
 		Host: s.Name, Off: s.Experiments.Off, Logger: d.config.Logger, Scope: metrics.Scope,
-		Answered: func(good bool) { d.ingress.ServerAnswered(good) }, Peer: d.sidecarPeer(),
+		Answered: func(good bool) { d.ingress.ServerAnswered(good) }, Peer: d.sidecarPeer(), Runs: known,
 	})
 	d.atEnd(cleanUp)
 	d.limits = newLimits(d)
@@ -201,6 +203,7 @@
 		HeaderBytes:      s.Limits.HeaderBytes,
 		Logger:           d.config.Logger,
 		Scope:            metrics.Scope,
+		Runs:             known,
 		Local:            d.sidecar.Do,
 		LocalReservation: d.sidecar.Reserve,
 		Far:              d.isFar,
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -115,6 +115,7 @@
 		admitted.aim = admitted.deadline
 		admitted.priority = subrequestPriority
 	}
+	in.noteCall(admitted, now)
 	return admitted, nil
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -53,6 +53,7 @@
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/metric"
 	"github.com/tideliftd/tidelift/internal/quota"
+	"github.com/tideliftd/tidelift/internal/runs"
 	"github.com/tideliftd/tidelift/internal/sidecar"
 	"github.com/tideliftd/tidelift/internal/subrequest"
 )
@@ -100,6 +101,8 @@
 	// takes that back for one that reached no backend server; nil if there are no limits.
 	AdmitCustomer func(customer string) quota.Decision
 	GiveBack      func(customer string)
+	// Runs knows what the backend servers of this host run; nil if nothing is known of that.
+	Runs *runs.Table
 	// Local runs a request on a backend server of the daemon's own host.
 	Local func(context.Context, hop.Call, *http.Request) (sidecar.Answer, error)
 	// LocalReservation keeps a slot of a backend server of the daemon's own host.
--- a/internal/ingress/service.go
+++ b/internal/ingress/service.go
@@ -26,6 +26,7 @@
 	limit *retryLimit
 	judge *judge
 	rules detect.Rules
+	calls callCounters
 }
 
 // Reconfigure puts a declaration in force. Requests that have begun go on
@@ -66,6 +67,7 @@
 		pool:  balance.NewPool(balance.Config{DataCentre: in.config.DataCentre, Random: rand.Uint64, Start: in.start}),
 		limit: &retryLimit{},
 		rules: detect.RulesOf(declared.Detection),
+		calls: newCallCounters(in.config.Scope, declared.Name),
 	}
 	if old, ok := in.service(declared.Name); ok {
 		s.pool = old.pool
--- a/internal/ingress/subrequest.go
+++ b/internal/ingress/subrequest.go
@@ -3,12 +3,39 @@
 import (
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/route"
 	"github.com/tideliftd/tidelift/internal/subrequest"
 )
 
+// callCounters count what backend servers of this host call of a service, by the run that does.
+type callCounters struct{ ofFirst, ofRepeat tally.Counter }
+
+func newCallCounters(scope tally.Scope, service string) callCounters {
+	counter := func(of string) tally.Counter {
+		return scope.Tagged(map[string]string{"service": service, "of": of}).Counter("ingress_subrequests")
+	}
+	return callCounters{ofFirst: counter("first"), ofRepeat: counter("repeat")}
+}
+
+// noteCall counts the request if a backend server of this host sent it for one that it runs.
+func (in *Ingress) noteCall(r *request, now time.Time) {
+	if in.config.Runs == nil {
+		return
+	}
+	run, ok := in.config.Runs.Caller(now, in.requestID(r.Request))
+	switch {
+	case !ok:
+	case run.Repeat:
+		r.service.calls.ofRepeat.Inc(1)
+	default:
+		r.service.calls.ofFirst.Inc(1)
+	}
+}
+
 // noteFailed takes it that a request got no answer, which may fail a backend server of this
 // host that sent it. One whose caller has gone away failed before.
 func (in *Ingress) noteFailed(r *request, err error) {
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -28,6 +28,7 @@
 	left := call.TimeLeft - time.Since(began)
 	out.Header.Set(names.DeadlineHeader, strconv.FormatInt(left.Milliseconds(), 10))
 	names.address(out.Header, call)
+	s.noteSent(server, call, names.id(in.Header))
 	response, err := server.pool.Do(ctx, out, func(r *http.Response) bool { return names.belongs(r, in) })
 	if err != nil {
 		sent := !errors.Is(err, backend.ErrNotSent)
@@ -53,6 +54,14 @@
 	}
 }
 
+// id returns the id by which the caller names the request; it may be empty.
+func (h *headers) id(header http.Header) string {
+	if h.IDHeader == "" {
+		return ""
+	}
+	return header.Get(h.IDHeader)
+}
+
 // belongs says whether the answer is to the request, by the id that a backend
 // server repeats.
 func (h *headers) belongs(response *http.Response, in *http.Request) bool {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -68,6 +68,7 @@
 	declared atomic.Pointer[declared]
 	pool     *backend.Pool
 	slotTime slotTime
+	sendings sendings
 	closeAll func()
 }
 
@@ -76,6 +77,7 @@
 		mailbox:  make(chan any, mailboxSize),
 		ended:    make(chan struct{}),
 		slotTime: newSlotTime(config.Scope, d.Service.Name),
+		sendings: newSendings(config.Scope, d.Service.Name),
 	}
 	s.declared.Store(d)
 	dialer := dial.New(dial.Config{Connect: connectTimeout, Unacknowledged: unacknowledged})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 //	lease.go       asks others for leases to keep serving, and gives its own
 //	report.go      describes the backend server to operators
 //	reservation.go keeps a slot for a request that must not run twice
+//	sendings.go    counts what the backend server is sent, and remembers what it runs
 //	usage.go       counts what the time of slots goes to
 //	server.go      is the handle of the task for everybody else
 //	exchange.go    sends the request and checks the answer
@@ -46,6 +47,7 @@
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/metric"
 	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/runs"
 )
 
 const (
@@ -70,6 +72,8 @@
 	// Answered is told of each answer of a backend server of this host, whether it is a
 	// good one or says that it failed; nil if nobody is told.
 	Answered func(good bool)
+	// Runs learns what the backend servers of this host run; nil keeps it to the sidecar.
+	Runs *runs.Table
 	// Peer carries the calls to other backend servers' sidecars.
 	Peer Peer
 }
@@ -101,6 +105,9 @@
 // New returns a sidecar without backend servers, and a function that ends its
 // tasks.
 func New(config Config) (*Sidecar, func()) {
+	if config.Runs == nil {
+		config.Runs = runs.New()
+	}
 	s := &Sidecar{
 		config:       config,
 		refused:      metric.NewReasons(config.Scope, "sidecar_refusals"),
