test(retry): a fleet's repeats beyond the limit, failing

Cause: each daemon keeps to its part, and the sum does not. Calls of runs that were repeats are not counted, and even earn; each start of a backend server or daemon has a part of the slack that nobody gave up.

--- a/test/registered/fleet_test.go
+++ b/test/registered/fleet_test.go
@@ -35,11 +35,11 @@
 
 const settingsText = `name: host-%[1]d
 data-centre: dc%[2]d
-service: lookup
+service: %[6]s
 listen: {callers: "%[3]s:1001", peers: "%[3]s:1002", control: "%[3]s:1003", operators: "%[3]s:1006", check-ins: "%[3]s:1004", ready: "%[3]s:1005"}
 platform: {address: "%[4]s"}
 keys: {trusted-network: true}
-source: {declared: platform}
+source: {declared: platform%[7]s}
 limits: {stop: 3s, unready: %[5]s}
 `
 
@@ -54,6 +54,7 @@
 	t        testing.TB
 	store    *standin.Standin
 	storeURL string
+	source   string // more settings of the daemons' source
 	net      string // the first three numbers of the hosts' addresses
 	hosts    []*host
 }
@@ -62,6 +63,7 @@
 type host struct {
 	fleet    *fleet
 	number   int
+	service  string
 	stop     context.CancelFunc
 	ended    chan struct{}
 	backend  *httptest.Server
@@ -97,17 +99,10 @@
 // newFleet starts daemons and their backend servers and waits until each serves.
 func newFleet(t testing.TB, count int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: standin.New(), net: fmt.Sprintf("127.%d.%d", 100+rand.N(100), 1+rand.N(250))}
-	server := httptest.NewServer(f.store.Handler())
-	t.Cleanup(server.CloseClientConnections)
-	f.storeURL = server.URL
+	f := newStore(t)
 	f.desire(1, "/twice/")
-	for n := range count {
-		h := &host{fleet: f, number: n}
-		h.backend = httptest.NewServer(http.HandlerFunc(h.answer))
-		t.Cleanup(h.backend.Close)
-		f.hosts = append(f.hosts, h)
-		h.start()
+	for range count {
+		f.add("lookup").start()
 	}
 	for _, h := range f.hosts {
 		h.begin("first")
@@ -119,6 +114,25 @@
 	return f
 }
 
+// newStore returns a fleet without hosts, whose store is there.
+func newStore(t testing.TB) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: standin.New(), net: fmt.Sprintf("127.%d.%d", 100+rand.N(100), 1+rand.N(250))}
+	server := httptest.NewServer(f.store.Handler())
+	t.Cleanup(server.CloseClientConnections)
+	f.storeURL = server.URL
+	return f
+}
+
+// add adds a host with a backend server of the service, whose daemon is not started yet.
+func (f *fleet) add(service string) *host {
+	h := &host{fleet: f, number: len(f.hosts), service: service}
+	h.backend = httptest.NewServer(http.HandlerFunc(h.answer))
+	f.t.Cleanup(h.backend.Close)
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
 func (f *fleet) desire(version int, path string) {
 	f.store.Write(platform.DesiredKey, fmt.Appendf(nil, desiredText, version, path))
 }
@@ -141,7 +155,7 @@
 // start starts the host's daemon.
 func (h *host) start() {
 	h.fleet.t.Helper()
-	text := fmt.Sprintf(settingsText, h.number, h.number%dataCentres, h.ip(), h.fleet.storeURL, h.unready)
+	text := fmt.Sprintf(settingsText, h.number, h.number%dataCentres, h.ip(), h.fleet.storeURL, h.unready, h.service, h.fleet.source)
 	s, err := settings.Parse("settings.yaml", []byte(text))
 	if err != nil {
 		h.fleet.t.Fatal(err)
@@ -179,8 +193,8 @@
 func (h *host) checkIn(state string) {
 	h.fleet.t.Helper()
 	h.sequence++
-	body := fmt.Sprintf(`{"service":"lookup","address":"%s","capacity":4,"state":"%s","call-seq":%d}`,
-		h.backend.Listener.Addr(), state, h.sequence)
+	body := fmt.Sprintf(`{"service":"%s","address":"%s","capacity":4,"state":"%s","call-seq":%d}`,
+		h.service, h.backend.Listener.Addr(), state, h.sequence)
 	h.tell(http.MethodPut, body)
 }
 
--- /dev/null
+++ b/test/registered/repeats_test.go
@@ -0,0 +1,235 @@
+package registered
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tideliftd/tidelift/platform"
+)
+
+// On a day with two services that broke most connections, users counted more repeats at the smaller
+// one than its limit allows. Each daemon had kept to its part; the rest were calls by runs of the
+// larger service that were repeats themselves: 54 to 71 of some 200 in ten seconds, with a line
+// for each sending. Backend servers that came and went added parts of their own.
+
+const (
+	repeatsShare  = 0.2
+	repeatsSlack  = 10.0
+	repeatsWindow = 2 * time.Second
+	// callsPart is the share of the runs of search that call names.
+	callsPart = 0.9
+	// brokenPart is the share of the requests whose connection a backend server breaks.
+	brokenPart = 0.5
+)
+
+const twoServicesText = `{"version":1,
+"routes":[
+ {"name":"search","host":"a.example","path-prefix":"/search/","route-type":"idempotent","timeout-s":2,"target-latency-s":0.8,"priority":1,"service":"search","attempts":2},
+ {"name":"names","host":"a.example","path-prefix":"/names/","route-type":"idempotent","timeout-s":2,"target-latency-s":0.8,"priority":0,"service":"names","attempts":2}],
+"services":[{"name":"search"},{"name":"names"}],"limits":{"max-body-bytes":100000}}`
+
+// repeatsSeen counts requests and arrivals as users do.
+type repeatsSeen struct {
+	mu       sync.Mutex
+	requests map[string][]time.Time // by service, but for calls of repeated runs
+	repeats  map[string][]time.Time // arrivals beyond the first, and all of calls of repeated runs
+	arrivals map[string]int         // by request
+	ofRepeat map[string]bool        // requests that a repeated run called
+}
+
+func newRepeatsSeen() *repeatsSeen {
+	return &repeatsSeen{
+		requests: make(map[string][]time.Time), repeats: make(map[string][]time.Time),
+		arrivals: make(map[string]int), ofRepeat: make(map[string]bool),
+	}
+}
+
+// sent takes a request to the service, or a call of a run.
+func (s *repeatsSeen) sent(service, id string, ofRepeat bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ofRepeat {
+		s.ofRepeat[id] = true
+		return
+	}
+	s.requests[service] = append(s.requests[service], time.Now())
+}
+
+// arrived takes an arrival and says whether its run is a repeat.
+func (s *repeatsSeen) arrived(service, id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals[id]++
+	repeat := s.arrivals[id] > 1 || s.ofRepeat[id]
+	if repeat {
+		s.repeats[service] = append(s.repeats[service], time.Now())
+	}
+	return repeat
+}
+
+// check fails the test if a window of the service has more repeats than its limit allows.
+func (s *repeatsSeen) check(t *testing.T, service string) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := 0
+	for _, at := range s.repeats[service] {
+		repeats := inWindow(s.repeats[service], at)
+		most = max(most, repeats)
+		requests := max(inWindow(s.requests[service], at), inWindow(s.requests[service], at.Add(-repeatsWindow/2)), inWindow(s.requests[service], at.Add(-repeatsWindow)))
+		if allowed := repeatsShare*float64(requests) + repeatsSlack; float64(repeats) > allowed {
+			t.Fatalf("%s: %d repeats in %v, for %d requests; allowed are %.0f", service, repeats, repeatsWindow, requests, allowed)
+		}
+	}
+	if most == 0 {
+		t.Fatalf("%s: no repeats, so that nothing is shown", service)
+	}
+	t.Logf("%s: at most %d repeats in %v", service, most, repeatsWindow)
+}
+
+// inWindow counts the times in the window that begins then.
+func inWindow(times []time.Time, begin time.Time) int {
+	n := 0
+	for _, at := range times {
+		if !at.Before(begin) && at.Before(begin.Add(repeatsWindow)) {
+			n++
+		}
+	}
+	return n
+}
+
+// newTwoServices starts a fleet of two services, in which search calls names.
+func newTwoServices(t *testing.T, searching, naming int, seen *repeatsSeen) *fleet {
+	t.Helper()
+	f := newStore(t)
+	f.source = fmt.Sprintf(", retry-share: %g, retry-slack: %g, retry-window: %s", repeatsShare, repeatsSlack, repeatsWindow)
+	f.store.Write(platform.DesiredKey, []byte(twoServicesText))
+	for n := range searching + naming {
+		service := "search"
+		if n >= searching {
+			service = "names"
+		}
+		h := f.add(service)
+		h.does(h.breaking(seen))
+		h.start()
+	}
+	t.Cleanup(func() { // so that no daemon waits for the end of another
+		for _, h := range f.hosts {
+			h.stop()
+		}
+	})
+	for _, h := range f.hosts {
+		h.begin("first")
+		h.awaitReady()
+	}
+	for _, h := range f.hosts {
+		for _, path := range []string{"/search/x", "/names/x"} {
+			f.await(path+" from "+h.daemonName(), func() bool {
+				status, _ := h.get(path)
+				return status == http.StatusOK
+			})
+		}
+	}
+	return f
+}
+
+// breaking is the work of a backend server that breaks connections, half of them before it calls
+// anything, if the request comes from the test.
+func (h *host) breaking(seen *repeatsSeen) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("Request-Id")
+		if !strings.HasPrefix(id, "q") {
+			signed(w, http.StatusOK, "done")
+			return
+		}
+		repeat := seen.arrived(h.service, id)
+		if rand.Float64() < brokenPart/2 {
+			panic(http.ErrAbortHandler)
+		}
+		if h.service == "search" && rand.Float64() < callsPart {
+			call := fmt.Sprintf("%s.%d", id, nextID.Add(1))
+			seen.sent("names", call, repeat)
+			h.ask(r.Context(), "/names/x", call)
+		}
+		time.Sleep(10 * time.Millisecond)
+		if rand.Float64() < brokenPart/2 {
+			panic(http.ErrAbortHandler)
+		}
+		signed(w, http.StatusOK, "done")
+	}
+}
+
+// ask sends a request of that id to the host's daemon and waits for its answer.
+func (h *host) ask(ctx context.Context, path, id string) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+net.JoinHostPort(h.ip(), "1001")+path, nil)
+	if err != nil {
+		return
+	}
+	r.Host = "a.example"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Request-Deadline-Ms", "1500")
+	if response, err := http.DefaultClient.Do(r); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// callers ask for so many requests a second of each path, from all hosts, until ctx ends.
+func (f *fleet) callers(ctx context.Context, seen *repeatsSeen, perSecond map[string]int) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	for service, rate := range perSecond {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				h := f.hosts[rand.IntN(len(f.hosts))]
+				id := fmt.Sprintf("q%d", nextID.Add(1))
+				seen.sent(service, id, false)
+				wg.Go(func() { h.ask(context.Background(), "/"+service+"/x", id) })
+				time.Sleep(time.Second / time.Duration(rate))
+			}
+		})
+	}
+	return &wg
+}
+
+// TestRepeatsOfAFleetStayWithinTheLimit breaks connections of two services, of which one calls the
+// other, and counts repeats as users do; then backend servers start again all the time too, under
+// new names, and daemons with them.
+func TestRepeatsOfAFleetStayWithinTheLimit(t *testing.T) {
+	tests := map[string]func(*fleet, *host){
+		"calls of repeated runs": func(*fleet, *host) {},
+		"backend servers that start again": func(_ *fleet, h *host) {
+			h.begin(fmt.Sprintf("again%d", nextID.Add(1)))
+		},
+		"daemons that restart": func(f *fleet, h *host) {
+			h.end()
+			h.start()
+			h.awaitReady()
+			h.begin(fmt.Sprintf("after%d", nextID.Add(1)))
+		},
+	}
+	for _, name := range slices.Sorted(maps.Keys(tests)) {
+		t.Run(name, func(t *testing.T) {
+			const searching, naming, played = 6, 3, 6 * time.Second
+			seen := newRepeatsSeen()
+			f := newTwoServices(t, searching, naming, seen)
+			ctx, cancel := context.WithTimeout(t.Context(), played)
+			defer cancel()
+			asking := f.callers(ctx, seen, map[string]int{"search": 250, "names": 20})
+			for number := 0; ctx.Err() == nil; number++ {
+				time.Sleep(150 * time.Millisecond)
+				tests[name](f, f.hosts[number%len(f.hosts)])
+			}
+			asking.Wait()
+			seen.check(t, "search")
+			seen.check(t, "names")
+		})
+	}
+}
