fix(daemon): only a fleet's first start has the slack at once

Cause: a host without a record in the store was taken for one whose part of the slack nobody had used.

Change: the setting first-start says that no daemon has run on any host before; only then a host without a record need not wait a window.

Tests: TestOnlyAFirstStartHasItsPartAtOnce has a host that joins a fleet, which fails without the change; TestAPartIsUsedWhileTheStoreHasTheRecord.

--- /dev/null
+++ b/internal/daemon/part_test.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tideliftd/tidelift/internal/retry"
+	"github.com/tideliftd/tidelift/internal/settings"
+	"github.com/tideliftd/tidelift/internal/store"
+)
+
+// TestOnlyAFirstStartHasItsPartAtOnce writes a host's record to a store that has one of an earlier life,
+// or not, or whose answer is lost.
+func TestOnlyAFirstStartHasItsPartAtOnce(t *testing.T) {
+	errLost := errors.New("the answer is lost")
+	tests := []struct {
+		name    string
+		fleets  bool // first start
+		there   bool // the store has a record
+		lost    bool // the first answer is lost, though the record is written
+		wantHas bool // its part of the slack at once
+	}{
+		{name: "a fleet's first start", fleets: true, wantHas: true},
+		{name: "a host that joins a fleet"},
+		{name: "a start within the life of a record", fleets: true, there: true},
+		{name: "a first start of which the answer is lost", fleets: true, lost: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			there, lost := test.there, test.lost
+			commit := func(_ context.Context, change store.Change) (int64, error) {
+				if there && len(change.Expect) > 0 {
+					return 0, store.ErrConflict
+				}
+				there = true
+				if lost {
+					lost = false
+					return 0, errLost
+				}
+				return 1, nil
+			}
+			d := &daemon{config: Config{Store: store.Store{Commit: commit}}}
+			d.config.Settings.FirstStart = test.fleets
+			now := time.Now()
+			d.retries = retry.NewBook(retry.Config{Began: now})
+			d.retries.Resize(map[string]retry.Size{"names": {Slack: 56, Window: 10 * time.Second, Parts: 1}})
+			for d.commitRecord(context.Background(), store.Put{Key: "hosts/a"}) != nil {
+				continue
+			}
+			if has := d.retries.Left(now, "names"); has != test.wantHas {
+				t.Fatalf("it has its part: %t", has)
+			}
+			if !d.retries.Left(now.Add(10*time.Second), "names") {
+				t.Fatal("it has no part after a window")
+			}
+		})
+	}
+}
+
+// TestAPartIsUsedWhileTheStoreHasTheRecord cuts a daemon off from the store.
+func TestAPartIsUsedWhileTheStoreHasTheRecord(t *testing.T) {
+	d := &daemon{}
+	d.config.Settings.Source.Declared = settings.DeclaredByPlatform
+	d.recorded.Store(time.Now().UnixNano())
+	if d.hostsCounted() {
+		t.Fatal("the hosts have not been counted")
+	}
+	d.counted.Store(true)
+	if !d.hostsCounted() {
+		t.Fatal("the hosts have been counted")
+	}
+	d.recorded.Store(time.Now().Add(-sharedFor).UnixNano())
+	if d.hostsCounted() {
+		t.Fatal("the store has not renewed the record, and a next life may not find it")
+	}
+}
--- a/internal/daemon/record.go
+++ b/internal/daemon/record.go
@@ -131,8 +131,8 @@
 }
 
 // commitRecord writes the record. The first of this life finds out whether the store still has that of
-// an earlier one: if not, that one had not been heard of for as long as records last, and had
-// stopped using its part of what the hosts share.
+// an earlier one. In the first start of a fleet, if not, nobody has used what the hosts share: neither
+// that life, which had not been heard of for as long as records last, nor hosts that are gone by now.
 func (d *daemon) commitRecord(ctx context.Context, put store.Put) error {
 	change := store.Change{Puts: []store.Put{put}}
 	if !d.followsRecord.Load() {
@@ -147,7 +147,7 @@
 	if err != nil {
 		return err
 	}
-	if !d.followsRecord.Swap(true) {
+	if !d.followsRecord.Swap(true) && d.config.Settings.FirstStart {
 		d.retries.Clear(leaseFor - sharedFor)
 	}
 	return nil
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,6 +50,7 @@
 	Platform    Platform    `yaml:"platform" json:"platform" jsonschema:"description=The platform's key-value service."`
 	Seeds       []string    `yaml:"seeds" json:"seeds,omitempty" jsonschema:"description=Control addresses of a few daemons in several data centres. A daemon that starts while the platform does not answer asks them for the declaration."`
 	Keys        Keys        `yaml:"keys" json:"keys,omitempty" jsonschema:"description=What daemons and operators prove themselves with. Without them control calls and operators are taken on loopback only."`
+	FirstStart  bool        `yaml:"first-start" json:"first-start,omitempty" jsonschema:"description=This is the first start of the whole fleet: no daemon has run on any host before. Then what hosts share of the retry limit can be used at once."`
 	Limits      Limits      `yaml:"limits" json:"limits,omitempty" jsonschema:"description=Bounds on callers' requests and on a stop."`
 	Log         Log         `yaml:"log" json:"log,omitempty" jsonschema:"description=What is logged."`
 	Source      Source      `yaml:"source" json:"source,omitempty" jsonschema:"description=Where the declaration and the backend servers come from."`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -25,11 +25,11 @@
 }
 
 func TestLimitsAreRead(t *testing.T) {
-	s, err := settings.Parse("settings.yaml", []byte(right+"limits: {stop: 6s, unready: 2200ms}\nheap-growth: 100\n"))
+	s, err := settings.Parse("settings.yaml", []byte(right+"limits: {stop: 6s, unready: 2200ms}\nheap-growth: 100\nfirst-start: true\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Limits.Stop != 6*time.Second || s.Limits.Unready != 2200*time.Millisecond || s.HeapGrowth != 100 {
+	if s.Limits.Stop != 6*time.Second || s.Limits.Unready != 2200*time.Millisecond || s.HeapGrowth != 100 || !s.FirstStart {
 		t.Fatalf("%+v", s)
 	}
 }
