--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -135,7 +135,7 @@
 	members       *members
 	limits        *limits
 	retries       *retry.Book
-	lending       *lending
+	lending       lending
 	news          chan news
 	plan          atomic.Pointer[gossip.Plan]
 	watching      atomic.Bool
--- a/internal/daemon/lend.go
+++ b/internal/daemon/lend.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -22,45 +20,16 @@
 	// lendWithin bounds the question to one. Source: ten round trips between data centres; the
 	// caller waits meanwhile.
 	lendWithin = 30 * time.Millisecond
-	// noneFor is how long a host that had none to spare of a service is passed over. Source: with three
-	// requests a second it earns one in two seconds.
-	noneFor = time.Second
-	// draws bounds how many hosts are looked at for one to ask.
-	draws = 16
 )
 
-// lending is whom this daemon asks for repeats.
-type lending struct {
-	granted, refused tally.Counter // asked with success and in vain
+// lending counts repeats that this daemon borrowed, or asked for in vain.
+type lending struct{ granted, refused tally.Counter }
 
-	mu   sync.Mutex
-	none map[lender]time.Time // those that had none to spare, when
-}
-
-// lender is a host that may lend a repeat of a service.
-type lender struct{ host, service string }
-
-func newLending(scope tally.Scope) *lending {
+func newLending(scope tally.Scope) lending {
 	counter := func(answer string) tally.Counter {
 		return scope.Tagged(map[string]string{"answer": answer}).Counter("ingress_retries_borrowed")
 	}
-	return &lending{granted: counter("granted"), refused: counter("refused"), none: make(map[lender]time.Time)}
-}
-
-// hadNone takes it that the host had none to spare, or did not answer.
-func (l *lending) hadNone(now time.Time, host, service string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	maps.DeleteFunc(l.none, func(_ lender, at time.Time) bool { return now.Sub(at) >= noneFor })
-	l.none[lender{host, service}] = now
-}
-
-// mayHave says whether the host is worth asking.
-func (l *lending) mayHave(now time.Time, host, service string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	at, ok := l.none[lender{host, service}]
-	return !ok || now.Sub(at) >= noneFor
+	return lending{granted: counter("granted"), refused: counter("refused")}
 }
 
 // borrow asks other hosts for a repeat of a request to the service: first one of this data centre,
@@ -70,38 +39,33 @@
 	if current == nil || !d.retries.MayBorrow(time.Now(), service) {
 		return false
 	}
-	asked := 0
+	var asked fleet.Host
 	for n := range lenders {
-		host, ok := d.drawLender(current.Index.Declaration.Hosts, service, n == 0)
+		host, ok := d.lender(current.Index.Declaration.Hosts, n == 0, asked.Name)
 		if !ok {
 			continue
 		}
-		asked++
 		if d.askLend(ctx, host, service) {
 			d.lending.granted.Inc(1)
 			return true
 		}
-		d.lending.hadNone(time.Now(), host.Name, service)
+		asked = host
 	}
 	d.lending.refused.Inc(1)
-	if asked == 0 {
-		d.retries.Refused(time.Now(), service)
-	}
+	d.retries.Refused(time.Now(), service)
 	return false
 }
 
-// drawLender draws a host to ask, near only if it is to be of this data centre.
-func (d *daemon) drawLender(hosts []fleet.Host, service string, near bool) (fleet.Host, bool) {
-	now := time.Now()
+// lender draws a host to ask, near only if it is to be of this data centre, other than that one.
+func (d *daemon) lender(hosts []fleet.Host, near bool, but string) (fleet.Host, bool) {
+	const draws = 8
 	for range min(draws, len(hosts)) {
 		host := hosts[rand.IntN(len(hosts))]
 		far := host.DataCentre != d.config.Settings.DataCentre
-		if host.Name == d.config.Settings.Name || near && far || d.ingress.Away(host.Name) {
+		if host.Name == d.config.Settings.Name || host.Name == but || near && far || d.ingress.Away(host.Name) {
 			continue
 		}
-		if d.lending.mayHave(now, host.Name, service) {
-			return host, true
-		}
+		return host, true
 	}
 	return fleet.Host{}, false
 }
