fix(platform): what others write names no backend server

Cause: a check-in of an unknown state counted as leaving, which is final, so that any writer could take a backend server out; one of an unknown service took the address of the one that served there; a check-in without a service or sequence was taken.

A service has to be declared, once a declaration is known; that a known backend server leaves is taken whatever its service.

Not done of that matter: entries in the store beyond what cannot be read, fuzzing, a counter for each reason.

--- a/internal/daemon/checkins.go
+++ b/internal/daemon/checkins.go
@@ -1,7 +1,12 @@
 package daemon
 
 import (
+	"slices"
+
+	"github.com/go-faster/errors"
+
 	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/member"
 	"github.com/tideliftd/tidelift/internal/registry"
 )
@@ -9,10 +14,14 @@
 // checkIns returns who takes the check-ins of this host's backend servers.
 func (d *daemon) checkIns() CheckIns {
 	return CheckIns{
-		CheckIn: func(c registry.CheckIn) {
+		CheckIn: func(c registry.CheckIn) error {
+			if !d.serviceKnown(c) {
+				return errors.Errorf("check-in of %s names service %q, which is not declared", c.Name, c.Service)
+			}
 			if d.members.checkIn(c) {
 				d.registered("check-in", c.Name, c.Sequence)
 			}
+			return nil
 		},
 		Leave: func(name string) {
 			if d.members.leave(name) {
@@ -23,6 +32,17 @@
 	}
 }
 
+// serviceKnown says whether the check-in's service is declared. One that is not names no backend
+// server: it may come from anybody, and must not take the address of another's. Before a declaration
+// is known any is taken, and that a known backend server leaves is taken whatever its service.
+func (d *daemon) serviceKnown(c registry.CheckIn) bool {
+	current := d.inForce.Load()
+	if current == nil || c.Leaving && d.members.serves(c.Name) {
+		return true
+	}
+	return slices.ContainsFunc(current.Index.Declaration.Services, func(s fleet.Service) bool { return s.Name == c.Service })
+}
+
 // registered puts a change of the own backend servers in force here, and then
 // tells others of it.
 func (d *daemon) registered(why, name string, sequence int64) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -110,7 +110,7 @@
 // CheckIns takes what backend servers of this host say of themselves. Each
 // returns once that is in force here.
 type CheckIns struct {
-	CheckIn func(registry.CheckIn)
+	CheckIn func(registry.CheckIn) error
 	Leave   func(name string)
 	OnError func(error)
 }
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -117,6 +118,13 @@
 	return m.registry.CheckIn(c) && m.publish()
 }
 
+// serves says whether the backend server of that name serves on this host.
+func (m *members) serves(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.registry.Serving(), func(c registry.CheckIn) bool { return c.Name == name })
+}
+
 // leave takes it that a backend server ends.
 func (m *members) leave(name string) bool {
 	m.mu.Lock()
