fix(retry): a service that is declared again has nothing twice

Cause: read in the code before it landed. A service that left the declaration lost its budget; declared again within a window it had its repeats a second time, and those on their way then ended on the new budget, which left one too many each. A change of the window's length forgot what had been made.

Change: the budget of a service that is not declared is kept, without repeats, until it is empty; a budget whose window changes begins anew, and waits a window for its part of the slack. Runs are remembered for 15 s in place of 5, since callers wait ten.

--- a/internal/daemon/part_test.go
+++ b/internal/daemon/part_test.go
@@ -46,7 +46,7 @@
 			d.config.Settings.FirstStart = test.fleets
 			now := time.Now()
 			d.retries = retry.NewBook(retry.Config{Began: now})
-			d.retries.Resize(map[string]retry.Size{"names": {Slack: 56, Window: 10 * time.Second, Parts: 1}})
+			d.retries.Resize(now, map[string]retry.Size{"names": {Slack: 56, Window: 10 * time.Second, Parts: 1}})
 			for d.commitRecord(context.Background(), store.Put{Key: "hosts/a"}) != nil {
 				continue
 			}
--- a/internal/ingress/service.go
+++ b/internal/ingress/service.go
@@ -41,7 +41,7 @@
 		services: make(map[string]*service, len(index.Declaration.Services)),
 	}
 	next.customers = in.customersOf(index.Declaration)
-	in.config.Retries.Resize(in.retrySizes(index.Declaration))
+	in.config.Retries.Resize(time.Now(), in.retrySizes(index.Declaration))
 	for _, declared := range index.Declaration.Services {
 		next.services[declared.Name] = in.reconfigureService(declared, index)
 	}
--- a/internal/retry/book_test.go
+++ b/internal/retry/book_test.go
@@ -13,7 +13,7 @@
 func newTestBook() *retry.Book {
 	b := retry.NewBook(retry.Config{Began: epoch})
 	size := retry.Size{Share: 0.2, Window: 10 * time.Second, Parts: 1}
-	b.Resize(map[string]retry.Size{"search": size, "names": size, "prices": size})
+	b.Resize(epoch, map[string]retry.Size{"search": size, "names": size, "prices": size})
 	for range 200 {
 		b.Request(epoch, "search")
 		b.Request(epoch, "names")
@@ -131,14 +131,62 @@
 	}
 }
 
-// TestABookForgetsServices takes a service out of the declaration and back.
-func TestABookForgetsServices(t *testing.T) {
-	b := newTestBook()
-	b.Resize(map[string]retry.Size{"search": {Share: 0.2, Window: 10 * time.Second, Parts: 1}})
-	if b.Left(epoch, "names") {
-		t.Fatal("a service that is not declared has repeats")
+// TestAServiceThatIsDeclaredAgainHasNothingTwice takes a service out of the declaration and back, within a
+// window and after two.
+func TestAServiceThatIsDeclaredAgainHasNothingTwice(t *testing.T) {
+	size := retry.Size{Share: 0.2, Slack: 8, Window: 10 * time.Second, Parts: 1}
+	both, one := map[string]retry.Size{"search": size, "names": size}, map[string]retry.Size{"search": size}
+	b := retry.NewBook(retry.Config{Began: epoch})
+	b.Resize(epoch, both)
+	now := epoch.Add(10 * time.Second)
+	const slack = 6 // three quarters
+	take := func(want int) {
+		t.Helper()
+		for taken := 0; ; taken++ {
+			if b.Take(now, "names") {
+				continue
+			}
+			if taken != want {
+				t.Fatalf("%d repeats, want %d", taken, want)
+			}
+			break
+		}
 	}
-	if !b.Left(epoch, "search") {
-		t.Fatal("the other has none")
+	take(slack)
+	b.Resize(now, one)
+	take(0)
+	b.Resize(now, both)
+	take(0)
+	for range slack {
+		b.End(now, "names", true)
+	}
+	b.Resize(now, one)
+	now = now.Add(5 * time.Second)
+	b.Resize(now, both)
+	take(0)
+	b.Resize(now, one)
+	now = now.Add(16 * time.Second)
+	b.Resize(now, one)
+	b.Resize(now, both)
+	take(slack)
+}
+
+// TestAnotherWindowBeginsAnew changes the window's length: nobody has a part of the slack before a
+// window is over.
+func TestAnotherWindowBeginsAnew(t *testing.T) {
+	b := retry.NewBook(retry.Config{Began: epoch})
+	size := retry.Size{Slack: 8, Window: 10 * time.Second, Parts: 1}
+	b.Resize(epoch, map[string]retry.Size{"names": size})
+	now := epoch.Add(time.Minute)
+	if !b.Left(now, "names") {
+		t.Fatal("no repeats")
+	}
+	size.Window = 5 * time.Second
+	b.Resize(now, map[string]retry.Size{"names": size})
+	if b.Left(now.Add(4*time.Second), "names") {
+		t.Fatal("repeats within a window of the change")
+	}
+	if !b.Left(now.Add(5*time.Second), "names") {
+		t.Fatal("no repeats a window after the change")
 	}
 }
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -54,15 +54,26 @@
 // so that it need not wait as long for it.
 func (b *Budget) Clear(before time.Duration) { b.clear = before }
 
-// Resize takes a new size. What was counted stays, unless the window changes.
-func (b *Budget) Resize(size Size) {
+// Resize takes a new size. What was counted stays; if the window changes, the budget begins anew.
+func (b *Budget) Resize(now time.Time, size Size) {
 	if b.size.Window != size.Window {
 		b.counted = window{length: size.Window}
 	}
+	if b.size.Window != size.Window && b.size.Window != 0 {
+		b.began, b.clear = now, 0
+	}
 	b.size = size
 	b.parts = max(b.parts, size.Parts)
 }
 
+// Suspend allows nothing until Resize; what was counted stays.
+func (b *Budget) Suspend() { b.size = Size{Window: b.size.Window} }
+
+// Empty says whether nothing was counted for two windows, and nothing is on its way.
+func (b *Budget) Empty(now time.Time) bool {
+	return b.onWay == 0 && (b.counted.current(now) == nil || b.counted.empty())
+}
+
 // Earn counts a request that is sent for the first time.
 func (b *Budget) Earn(now time.Time) {
 	if c := b.counted.current(now); c != nil {
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -30,7 +30,7 @@
 		Parts:  rapid.IntRange(1, 40).Draw(t, "parts"),
 	}}
 	p.budget = retry.NewBudget(epoch)
-	p.budget.Resize(p.size)
+	p.budget.Resize(p.now, p.size)
 	return p
 }
 
@@ -72,7 +72,7 @@
 			"more parts": func(t *rapid.T) {
 				more := p.size
 				more.Parts += rapid.IntRange(0, 9).Draw(t, "more")
-				p.budget.Resize(more)
+				p.budget.Resize(p.now, more)
 			},
 			"a repeat": func(*rapid.T) {
 				if p.budget.Take(p.now) {
@@ -109,7 +109,7 @@
 // newKovacsBudget returns a budget of a host among 21 that has been there for a window.
 func newKovacsBudget() (*retry.Budget, time.Time) {
 	b := retry.NewBudget(epoch)
-	b.Resize(retry.Size{Share: 0.2, Slack: 56, Window: 10 * time.Second, Parts: 21})
+	b.Resize(epoch, retry.Size{Share: 0.2, Slack: 56, Window: 10 * time.Second, Parts: 21})
 	return b, epoch.Add(10 * time.Second)
 }
 
@@ -159,7 +159,7 @@
 	now := epoch
 	for range 20 {
 		b := retry.NewBudget(now)
-		b.Resize(retry.Size{Share: 0.2, Slack: 56, Window: 10 * time.Second, Parts: 1})
+		b.Resize(epoch, retry.Size{Share: 0.2, Slack: 56, Window: 10 * time.Second, Parts: 1})
 		now = now.Add(9 * time.Second)
 		if b.Left(now) > 0 {
 			t.Fatal("a start has a part of the slack")
@@ -172,7 +172,7 @@
 	for before, wait := range map[time.Duration]time.Duration{0: 10 * time.Second, 4 * time.Second: 6 * time.Second, time.Minute: 0} {
 		b := retry.NewBudget(epoch)
 		b.Clear(before)
-		b.Resize(retry.Size{Share: 0.2, Slack: 56, Window: 10 * time.Second, Parts: 21})
+		b.Resize(epoch, retry.Size{Share: 0.2, Slack: 56, Window: 10 * time.Second, Parts: 21})
 		if wait > 0 && b.Left(epoch.Add(wait-time.Second)) > 0 {
 			t.Errorf("cleared for %v: it has a part within %v", before, wait)
 		}
@@ -200,7 +200,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			b := retry.NewBudget(epoch)
 			for _, parts := range test.parts {
-				b.Resize(retry.Size{Share: 0.2, Slack: 56, Window: 10 * time.Second, Parts: parts})
+				b.Resize(epoch, retry.Size{Share: 0.2, Slack: 56, Window: 10 * time.Second, Parts: parts})
 			}
 			if taken := takeAll(b, epoch.Add(time.Minute)); taken != test.want {
 				t.Fatalf("%d repeats without a request, want %d", taken, test.want)
@@ -211,7 +211,7 @@
 
 func TestWithoutASizeNothingIsAllowed(t *testing.T) {
 	b := retry.NewBudget(epoch)
-	b.Resize(retry.Size{Share: 1, Slack: 1, Window: time.Nanosecond, Parts: 1})
+	b.Resize(epoch, retry.Size{Share: 1, Slack: 1, Window: time.Nanosecond, Parts: 1})
 	b.Earn(epoch)
 	b.End(epoch, false)
 	if b.Left(epoch) > 0 || b.Take(epoch.Add(time.Hour)) {
--- a/internal/retry/daemon_test.go
+++ b/internal/retry/daemon_test.go
@@ -42,7 +42,7 @@
 	if *d.counted > 0 {
 		size.Parts = max(*d.counted, d.known())
 	}
-	d.book.Resize(map[string]retry.Size{string(search): size, string(names): size})
+	d.book.Resize(d.fleet.now, map[string]retry.Size{string(search): size, string(names): size})
 }
 
 // known returns how many hosts the daemon hears of.
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -15,7 +15,7 @@
 // # Usage
 //
 //	book := retry.NewBook(retry.Config{Began: now})
-//	book.Resize(map[string]retry.Size{"lookup": {Share: 0.2, Slack: 56, Window: 10 * time.Second, Parts: 21}})
+//	book.Resize(now, map[string]retry.Size{"lookup": {Share: 0.2, Slack: 56, Window: 10 * time.Second, Parts: 21}})
 //	book.Request(now, "lookup") // for each request that begins here
 //	switch retry.Decide(retry.Attempt{Sent: 1, Most: 2, Once: true, Err: refusal}) {
 //	case retry.Again:
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -61,6 +61,9 @@
 // ago returns the cell that many before the newest.
 func (w *window) ago(cells int) cell { return w.cells[w.index(w.newest-int64(cells))] }
 
+// empty says whether nothing was counted.
+func (w *window) empty() bool { return w.cells == [2 * cellCount]cell{} }
+
 // counts is what was counted since a moment, and in the window before it.
 type counts struct{ before, since, repeats int }
 
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -29,9 +29,9 @@
 )
 
 const (
-	// remembered is the least time for which a run is remembered. Source: longer than nearly
-	// all runs take, with the calls that they make.
-	remembered = 5 * time.Second
+	// remembered is the least time for which a run is remembered. Source: deadlines of callers are
+	// ten seconds at most; at ten runs a second that is some hundred runs.
+	remembered = 15 * time.Second
 	// separators may stand between the id of a run and what its call's id adds to it. Source:
 	// those of hierarchical request ids.
 	separators = "._-/:"
--- a/internal/runs/runs_test.go
+++ b/internal/runs/runs_test.go
@@ -66,7 +66,7 @@
 		_, ok := table.Caller(now, fmt.Sprintf("%d.1", n))
 		return ok
 	}
-	const within = int(5 * time.Second / pause)
+	const within = int(15 * time.Second / pause)
 	for n := count - within; n < count; n++ {
 		if !known(n) {
 			t.Fatalf("run %d of %d is forgotten", n, count)
--- a/internal/sidecar/retries_test.go
+++ b/internal/sidecar/retries_test.go
@@ -17,7 +17,7 @@
 	t := newTestTask()
 	book := retry.NewBook(retry.Config{Began: now})
 	size := retry.Size{Share: 0.2, Window: 10 * time.Second, Parts: 1}
-	book.Resize(map[string]retry.Size{t.declared.Service.Name: size, "names": size})
+	book.Resize(now, map[string]retry.Size{t.declared.Service.Name: size, "names": size})
 	run := runs.Run{ID: "a", Service: t.declared.Service.Name}
 	book.Begin(now, run, nil)
 	book.Call(now, run, "names")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -13,7 +13,7 @@
 //	lease.go       asks others for leases to keep serving, and gives its own
 //	report.go      describes the backend server to operators
 //	reservation.go keeps a slot for a request that must not run twice
-//	sendings.go    counts what the backend server is sent, and remembers what it runs
+//	runs.go        counts and remembers what is sent, and keeps room for what repeats call
 //	usage.go       counts what the time of slots goes to
 //	server.go      is the handle of the task for everybody else
 //	exchange.go    sends the request and checks the answer
--- a/test/registered/repeats_test.go
+++ b/test/registered/repeats_test.go
@@ -207,12 +207,12 @@
 // other, and counts repeats as users do; then backend servers start again all the time too, under
 // new names, and daemons with them.
 func TestRepeatsOfAFleetStayWithinTheLimit(t *testing.T) {
-	tests := map[string]func(*fleet, *host){
-		"calls of repeated runs": func(*fleet, *host) {},
-		"backend servers that start again": func(_ *fleet, h *host) {
+	tests := map[string]func(*host){
+		"calls of repeated runs": func(*host) {},
+		"backend servers that start again": func(h *host) {
 			h.begin(fmt.Sprintf("again%d", nextID.Add(1)))
 		},
-		"daemons that restart": func(f *fleet, h *host) {
+		"daemons that restart": func(h *host) {
 			h.end()
 			h.start()
 			h.awaitReady()
@@ -229,7 +229,7 @@
 			asking := f.callers(ctx, seen, map[string]int{"search": 250, "names": 20})
 			for number := 0; ctx.Err() == nil; number++ {
 				time.Sleep(150 * time.Millisecond)
-				tests[name](f, f.hosts[number%len(f.hosts)])
+				tests[name](f.hosts[number%len(f.hosts)])
 			}
 			asking.Wait()
 			seen.check(t, "search")
