fix(ingress): a call of a repeat that nobody may run

Cause: read in the code before it landed. A backend server refuses a repeat for want of room for what it would call; a call of a repeat is one from its first sending on, so that this refusal can be the first of all, of which nothing was kept: the ingress would have read a failure that was not there, and the caller's connection would have ended. It takes a called service that calls a third, which no site has.

Change: it is the failure that is told if there was none before: 503, not run.

Test: TestACallOfARepeatThatNobodyMayRun, a panic before.

--- a/internal/ingress/limit_test.go
+++ b/internal/ingress/limit_test.go
@@ -130,3 +130,18 @@
 		t.Fatalf("%d repeats after 239 requests and two calls of a repeat", repeats)
 	}
 }
+
+// TestACallOfARepeatThatNobodyMayRun lets every backend server refuse a call of a repeat for want of
+// room for what it would call itself: it was not run, and its caller hears that.
+func TestACallOfARepeatThatNobodyMayRun(t *testing.T) {
+	code := result.RetryLimit
+	l := newLimited(t, &code)
+	l.runs.Begin(time.Now(), runs.Run{ID: "r", Service: "search", Repeat: true})
+	r := httptest.NewRequest(http.MethodGet, "http://a.example/x", nil)
+	r.Header.Set("Request-Id", "r.1")
+	w := httptest.NewRecorder()
+	l.in.ServeHTTP(w, r)
+	if w.Code != http.StatusServiceUnavailable || l.sent.Load() != 0 {
+		t.Fatalf("status %d, %d sendings", w.Code, l.sent.Load())
+	}
+}
--- a/internal/ingress/trace.go
+++ b/internal/ingress/trace.go
@@ -49,8 +49,11 @@
 // add takes the failure of an attempt.
 func (t *attemptTrace) add(c choice, failure *result.Error, far bool) {
 	if failure.Code.Number == result.RetryLimit.Number {
-		t.limited++ // the failure before it is what the caller is told
+		t.limited++
 		t.tried = append(t.tried, c.target)
+		if t.last == nil { // else the failure before it is what the caller is told
+			t.last = failure
+		}
 		return
 	}
 	switch failure.Code.Number {
