--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -122,7 +121,7 @@
 func (m *members) serves(name string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return slices.ContainsFunc(m.registry.Serving(), func(c registry.CheckIn) bool { return c.Name == name })
+	return m.registry.Serves(name)
 }
 
 // leave takes it that a backend server ends.
--- a/internal/ingress/limit.go
+++ b/internal/ingress/limit.go
@@ -26,9 +26,10 @@
 	borrow  func(ctx context.Context, service string) bool // nil if no other host is asked
 }
 
-// left says whether a repeat is likely to be had now.
+// left says whether a repeat is likely to be had now. Every request asks it, and whether others may
+// be asked is the cheaper question of the two by far.
 func (l *retryLimit) left(now time.Time) bool {
-	return l.book.Left(now, l.service) || l.book.MayBorrow(now, l.service)
+	return l.book.MayBorrow(now, l.service) || l.book.Left(now, l.service)
 }
 
 // takeOwn takes a repeat of this host, or says that none is left.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -92,7 +92,7 @@
 	if known && c.Sequence <= last.Sequence {
 		return false
 	}
-	if last.Address != c.Address && r.serves(c.Name) {
+	if last.Address != c.Address && r.Serves(c.Name) {
 		delete(r.holders, last.Address)
 	}
 	r.servers[c.Name] = c
@@ -133,13 +133,13 @@
 	}
 	oldest := r.replaced[0]
 	r.replaced = r.replaced[1:]
-	if !r.serves(oldest) && !slices.Contains(r.replaced, oldest) {
+	if !r.Serves(oldest) && !slices.Contains(r.replaced, oldest) {
 		delete(r.servers, oldest)
 	}
 }
 
-// serves says whether the lifetime serves at an address.
-func (r *Registry) serves(name string) bool {
+// Serves says whether the lifetime serves at an address.
+func (r *Registry) Serves(name string) bool {
 	server, ok := r.servers[name]
 	return ok && r.holders[server.Address].name == name
 }
@@ -166,7 +166,7 @@
 func (r *Registry) leave(name string) {
 	r.left = append(r.left, name)
 	r.left = r.left[max(0, len(r.left)-keptLeft):]
-	if r.serves(name) {
+	if r.Serves(name) {
 		delete(r.holders, r.servers[name].Address)
 	}
 	delete(r.servers, name)
