fix(serve): a planned stop resets no connection that waits to be accepted

Cause: the kernel resets the connections that wait to be accepted when their listening socket is closed. Ruled out: requests that were read and dropped.

Change: package accept. A listener that ends is bound to an interface that does not exist, so that no connection is made any more, accepts those that wait, and is closed after that. Operators and the host's own programs end the same way, after finishing what they have begun; they were cut before.

--- /dev/null
+++ b/internal/accept/accept_test.go
@@ -0,0 +1,123 @@
+package accept_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/accept"
+)
+
+// TestRefuseResetsNoConnection guards against connections that are reset because they wait to be accepted when
+// the listener ends: whoever has connected is accepted and answered.
+func TestRefuseResetsNoConnection(t *testing.T) {
+	const (
+		stops   = 20
+		callers = 20
+	)
+	for range stops {
+		var served, refused, cut atomic.Int64
+		listener := listen(t)
+		var clients sync.WaitGroup
+		started := time.Now()
+		for range callers {
+			clients.Go(func() {
+				for time.Since(started) < 100*time.Millisecond {
+					switch connected, answered := ask(listener.Addr().String()); {
+					case !connected:
+						refused.Add(1)
+					case answered:
+						served.Add(1)
+					default:
+						cut.Add(1)
+					}
+				}
+			})
+		}
+		go answerAll(listener)
+		time.Sleep(20 * time.Millisecond)
+		listener.Refuse()
+		clients.Wait()
+		if cut.Load() > 0 || served.Load() == 0 || refused.Load() == 0 {
+			t.Fatalf("%d connections were served, %d refused and %d cut", served.Load(), refused.Load(), cut.Load())
+		}
+	}
+}
+
+// TestRefuseKeepsWhoWaits guards against the close of a listener before a slow program has accepted those that
+// wait.
+func TestRefuseKeepsWhoWaits(t *testing.T) {
+	const waiting = 10
+	listener := listen(t)
+	for range waiting {
+		client, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = client.Close() }()
+	}
+	listener.Refuse()
+	for n := range waiting {
+		socket, err := listener.Accept()
+		if err != nil {
+			t.Fatalf("%d of %d were accepted: %v", n, waiting, err)
+		}
+		defer func() { _ = socket.Close() }()
+		time.Sleep(20 * time.Millisecond)
+	}
+	if _, err := listener.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Fatalf("after the last one: %v", err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	listener.Wait(ctx)
+	if ctx.Err() != nil {
+		t.Fatal("the listener is not closed")
+	}
+}
+
+func listen(t *testing.T) *accept.Listener {
+	t.Helper()
+	listener, err := accept.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+// answerAll answers each connection with the byte that it sent.
+func answerAll(listener net.Listener) {
+	for {
+		socket, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = socket.Close() }()
+			var question [1]byte
+			if _, err := socket.Read(question[:]); err == nil {
+				_, _ = socket.Write(question[:])
+			}
+		}()
+	}
+}
+
+// ask reports whether a connection was made, and whether it brought an answer.
+func ask(address string) (connected, answered bool) {
+	client, err := net.Dial("tcp", address)
+	if err != nil {
+		return false, false
+	}
+	defer func() { _ = client.Close() }()
+	if _, err := client.Write([]byte{1}); err != nil {
+		return true, false
+	}
+	var answer [1]byte
+	_, err = client.Read(answer[:])
+	return true, err == nil
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -1,11 +1,11 @@
 // Package serve opens the listeners of a daemon and ends each after the requests that it has taken.
-// A connection that waits to be accepted when its listener closes is reset by the kernel.
+// A connection that was made before a listener ends is served (package accept).
 //
 // There are four: callers and other daemons' hops, which a planned stop ends gently, operators, and control calls. A
 // host's own programs may be given others (Local).
 //
 // A planned stop goes in this order: CloseAfterAnswers has answers ask the other side to close its connection;
-// Refuse takes no new ones; CloseUnused closes those on which no request has come; Stop waits for the
+// Refuse makes no new ones; CloseUnused closes those on which no request has come; Stop waits for the
 // requests that have begun, or cuts them when its context ends.
 //
 // The package owns the sockets and servers. It relies on the handlers it is given, and on
@@ -34,6 +34,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tideliftd/tidelift/internal/accept"
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/framing"
 	"github.com/tideliftd/tidelift/internal/settings"
@@ -78,15 +79,17 @@
 	operators *http.Server
 	failed    chan error
 
-	sockets  []net.Listener // of callers and peers
-	stopping atomic.Bool
-	refusing atomic.Bool
-	unused   unusedConns // of callers and peers
-	cleanUps []func()
+	public           []*accept.Listener // of callers and peers
+	operatorListener *accept.Listener
+	local            []localServer
+	stopping         atomic.Bool
+	refusing         atomic.Bool
+	unused           unusedConns
+	cleanUps         []func()
 }
 
 // New opens every listener, or none, and serves. The function that it returns closes what Stop leaves:
-// control calls and Local.
+// control calls, and Local if Stop was not called.
 func New(config Config) (*Servers, func(), error) {
 	s := &Servers{config: config, failed: make(chan error, serverCount)}
 	s.makeServers()
@@ -109,25 +112,40 @@
 // CloseAfterAnswers has each answer from now on ask callers and peers to close their connection.
 func (s *Servers) CloseAfterAnswers() { s.stopping.Store(true) }
 
-// Refuse takes no new connections; those there are go on. It comes a while
-// before http.Server.Shutdown, since that drops without an answer a request
+// Refuse makes no new connections of callers and peers; those there are go on, also those that wait to be
+// accepted. It comes a while before http.Server.Shutdown, since that drops without an answer a request
 // whose head it reads after it has begun.
 func (s *Servers) Refuse() {
 	s.refusing.Store(true)
-	closeAll(s.sockets)
+	for _, listener := range s.public {
+		listener.Refuse()
+	}
 }
 
-// CloseUnused closes the connections of callers and peers on which no request has come.
+// CloseUnused closes the connections on which no request has come.
 func (s *Servers) CloseUnused() { s.unused.close() }
 
-// Stop ends callers first, then peers, then operators, each after finishing what it has begun, or when
-// ctx ends.
+// Stop ends callers first, then peers, then operators and this host's own programs, each after finishing
+// what it has begun, or when ctx ends.
 func (s *Servers) Stop(ctx context.Context) error {
-	return errors.Join(
+	err := errors.Join(
 		shutDown(ctx, s.callers, "callers"),
 		shutDown(ctx, s.peers, "peers"),
-		shutDown(ctx, s.operators, "operators"),
 	)
+	s.operatorListener.Refuse()
+	for _, local := range s.local {
+		local.listener.Refuse()
+	}
+	s.operatorListener.Wait(ctx)
+	for _, local := range s.local {
+		local.listener.Wait(ctx)
+	}
+	s.CloseUnused()
+	err = errors.Join(err, shutDown(ctx, s.operators, "operators"))
+	for _, local := range s.local {
+		err = errors.Join(err, shutDown(ctx, local.server, local.listener.Addr().String()))
+	}
+	return err
 }
 
 // shutDown ends a server once it has finished what it has begun, or cuts that when
@@ -151,7 +169,8 @@
 		closeAll(sockets)
 		return err
 	}
-	s.sockets = sockets[:2]
+	s.public = sockets[:2]
+	s.operatorListener = sockets[2]
 	s.serve(s.callers, framing.Listen(sockets[0]))
 	s.serve(s.peers, s.config.DaemonsOnly(sockets[1]))
 	s.serve(s.operators, sockets[2])
@@ -160,10 +179,16 @@
 	return nil
 }
 
+// localServer serves this host's own programs at one address.
+type localServer struct {
+	listener *accept.Listener
+	server   *http.Server
+}
+
 // makeServers makes the servers, which do not serve yet.
 func (s *Servers) makeServers() {
 	limits := s.config.Limits
-	s.operators = &http.Server{Handler: s.config.Operators, ReadHeaderTimeout: peerHeaderTimeout, ErrorLog: s.errorLog()}
+	s.operators = s.makeSmallServer(s.config.Operators)
 	s.callers = &http.Server{
 		Handler:           s.closeWhenStopping(s.config.Callers),
 		ReadHeaderTimeout: limits.HeaderTimeout,
@@ -186,6 +211,16 @@
 	}
 }
 
+// makeSmallServer makes a server for few requests, of operators or of this host's own programs.
+func (s *Servers) makeSmallServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: peerHeaderTimeout,
+		ErrorLog:          s.errorLog(),
+		ConnState:         s.unused.track,
+	}
+}
+
 // closeWhenStopping asks the other side to close its connection after CloseAfterAnswers.
 func (s *Servers) closeWhenStopping(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -211,8 +246,9 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: peerHeaderTimeout, ErrorLog: s.errorLog()}
+		server := s.makeSmallServer(handler)
 		s.serve(server, sockets[0])
+		s.local = append(s.local, localServer{listener: sockets[0], server: server})
 		s.cleanUps = append(s.cleanUps, func() { _ = server.Close() })
 	}
 	return nil
@@ -229,20 +265,20 @@
 }
 
 // openAll opens a listener at each address, or none.
-func openAll(addresses ...string) ([]net.Listener, error) {
-	var sockets []net.Listener
+func openAll(addresses ...string) ([]*accept.Listener, error) {
+	var sockets []*accept.Listener
 	for _, address := range addresses {
-		socket, err := net.Listen("tcp", address)
+		socket, err := accept.Listen(address)
 		if err != nil {
 			closeAll(sockets)
-			return nil, errors.Wrapf(err, "listen on %s", address)
+			return nil, err
 		}
 		sockets = append(sockets, socket)
 	}
 	return sockets, nil
 }
 
-func closeAll(sockets []net.Listener) {
+func closeAll(sockets []*accept.Listener) {
 	for _, socket := range sockets {
 		_ = socket.Close()
 	}
