fix(serve): a connection that is closed without a request says so

Callers that keep connections lost 2 of some 7,700 requests through planned stops beside load: the stop closes a connection on which a request is on its way.

Cause: closes of idle and unused connections drop what is unread, as a reset. net/http's Shutdown even closes connections whose request it then runs.

For callers, hops, operators and the host's own programs, in planned stops and at idle timeouts.

Ruled out: waiting for every caller's next request, half-closing.

--- a/internal/failures/table.go
+++ b/internal/failures/table.go
@@ -48,6 +48,7 @@
 	// The request did not come to run there.
 	result.ReservationExpired.Number: {ComeBack: true},
 	result.MovedOn.Number:            {ComeBack: true},
+	result.ConnectionUnused.Number:   {},
 	result.NotTaken.Number:           {Reached: true, ComeBack: true},
 	result.Misdirected.Number:        {Reached: true, ComeBack: true},
 
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -46,6 +46,7 @@
 	RetryLimit            = Code{2023, "retry-limit", http.StatusServiceUnavailable, RanNo, "The backend server calls a service whose retry limit leaves no room for that; first sendings are taken."}
 	CustomerLimit         = Code{2024, "customer-limit", http.StatusTooManyRequests, RanNo, "The customer asks more of the whole fleet than its limit allows."}
 	Quarantined           = Code{2025, "quarantined", http.StatusServiceUnavailable, RanNo, "The same request ended each backend server that ran it; none is sent it until it is known to be harmless, so that it is of no use to send it again."}
+	ConnectionUnused      = Code{2026, "connection-unused", http.StatusRequestTimeout, RanNo, "The daemon closed the connection on which it had not read a whole request; a request that was sent meanwhile is not read."}
 	ReservationUnanswered = Code{2015, "reservation-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a reservation in time; the request was never sent."}
 )
 
@@ -83,7 +84,7 @@
 	return []Code{
 		MalformedRequest, NoRoute, AmbiguousFraming, HeadersTooLarge, BodyTooLarge, BadDeadline, UpgradeRefused, ProtocolVersion, KeyMissing, KeyUnknown,
 		NotReady, Stopping, NoneAble, QueueFull, QueueTooSlow, CustomerShare, Draining, Ejected, PeerUnreachable, ServerUnreachable,
-		ReservationExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, ReservationUnanswered, PlaceLost, NotTaken, Misdirected, Suspected, Busy, Unproven, MovedOn, RetryLimit, CustomerLimit, Quarantined,
+		ReservationExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, ReservationUnanswered, PlaceLost, NotTaken, Misdirected, Suspected, Busy, Unproven, MovedOn, RetryLimit, CustomerLimit, Quarantined, ConnectionUnused,
 		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, StoppedWhileRunning, SpoiltAnswer, ServerFailed, ServerError,
 		BadDeclaration, RevisionChanged, PlatformDown, NotDeclared, ChangeUnknown, ValueTooLarge, MalformedCall, PeerSilent, ChangeIDReused, TokenRefused, RoleRefused,
 	}
--- a/internal/result/write.go
+++ b/internal/result/write.go
@@ -1,8 +1,11 @@
 package result
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
+	"io"
+	"maps"
 	"math"
 	"net/http"
 	"strconv"
@@ -25,15 +28,45 @@
 	write(w, e, retryAfterDecimals(e.RetryAfter))
 }
 
+// WriteConn writes the answer that Write gives onto a connection, with the request to close it.
+func WriteConn(c io.Writer, e *Error) error {
+	body := encode(e)
+	response := http.Response{
+		StatusCode:    e.Code.Status,
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        header(e, retryAfterSeconds(e.RetryAfter)),
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
+		Close:         true,
+	}
+	return response.Write(c)
+}
+
 // write answers with the error, and with that text of Retry-After where the error says
 // when to come back.
 func write(w http.ResponseWriter, e *Error, retryAfter string) {
+	body := encode(e)
 	h := w.Header()
+	maps.Copy(h, header(e, retryAfter))
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(e.Code.Status)
+	_, _ = w.Write(body)
+}
+
+// header returns the headers of an answer with the error.
+func header(e *Error, retryAfter string) http.Header {
+	h := make(http.Header)
 	h.Set("Content-Type", "application/json")
 	h.Set(Header, strconv.Itoa(e.Code.Number)+" "+e.Code.Name)
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", retryAfter)
 	}
+	return h
+}
+
+// encode returns the body of an answer with the error.
+func encode(e *Error) []byte {
 	body, err := json.Marshal(struct {
 		Code         int    `json:"code"`
 		Name         string `json:"name"`
@@ -50,11 +83,9 @@
 		RetryAfterMs: e.RetryAfter.Milliseconds(),
 	})
 	if err != nil {
-		body = []byte("{}")
+		return []byte("{}")
 	}
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(e.Code.Status)
-	_, _ = w.Write(body)
+	return body
 }
 
 // retryAfterDecimals returns the time in seconds, to the millisecond.
--- /dev/null
+++ b/internal/serve/conn_test.go
@@ -0,0 +1,180 @@
+package serve
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/control"
+	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/settings"
+)
+
+// TestCrossingRequestIsRefused guards against requests on kept connections that are lost without an answer,
+// since the daemon closes the connection while they are on their way: whoever sends gets the answer of a run, or
+// the promise that none was.
+func TestCrossingRequestIsRefused(t *testing.T) {
+	const (
+		stops   = 10
+		callers = 20
+	)
+	for range stops {
+		var ran, answered, refused atomic.Int64
+		servers, address := startServers(t, func(w http.ResponseWriter, _ *http.Request) {
+			ran.Add(1)
+			_, _ = io.WriteString(w, "x")
+		})
+		var clients sync.WaitGroup
+		for range callers {
+			client, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			clients.Go(func() {
+				ran, err := useUntilClosed(client)
+				answered.Add(ran)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				refused.Add(1)
+			})
+		}
+		time.Sleep(30 * time.Millisecond)
+		servers.Refuse()
+		stopNow(t, servers)
+		clients.Wait()
+		if ran.Load() != answered.Load() {
+			t.Fatalf("%d requests ran and %d callers were told so", ran.Load(), answered.Load())
+		}
+		t.Logf("%d answers, %d callers refused or asked to close", answered.Load(), refused.Load())
+	}
+}
+
+// TestUnusedConnectionIsRefused guards against a first request that is reset, since the daemon closes the
+// connection on which it has come but has not been read.
+func TestUnusedConnectionIsRefused(t *testing.T) {
+	servers, address := startServers(t, func(http.ResponseWriter, *http.Request) { t.Error("the request ran") })
+	client, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	awaitUnused(t, servers)
+	servers.CloseUnused()
+	if err := sendOne(client); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if code := response.Header.Get(result.Header); response.StatusCode != http.StatusRequestTimeout || code != "2026 connection-unused" {
+		t.Fatalf("status %d, code %q", response.StatusCode, code)
+	}
+}
+
+// TestClosedByTheOtherSideHearsNothing guards against an answer on a connection that the caller has ended.
+func TestClosedByTheOtherSideHearsNothing(t *testing.T) {
+	_, address := startServers(t, func(http.ResponseWriter, *http.Request) {})
+	client, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	if err := client.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if heard, err := io.ReadAll(client); err != nil || len(heard) > 0 {
+		t.Fatalf("heard %q, %v", heard, err)
+	}
+}
+
+// startServers serves the handler for callers; it returns their address.
+func startServers(t *testing.T, handler http.HandlerFunc) (*Servers, string) {
+	t.Helper()
+	none := http.NotFoundHandler()
+	listen := settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0", Control: "127.0.0.1:0"}
+	servers, cleanUp, err := New(Config{
+		Listen:      listen,
+		Callers:     handler,
+		Peers:       none,
+		Operators:   none,
+		Control:     func(context.Context, control.Method, json.RawMessage) (any, error) { return nil, nil },
+		DaemonsOnly: func(l net.Listener) net.Listener { return l },
+		Logger:      slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanUp)
+	return servers, servers.public[0].Addr().String()
+}
+
+func stopNow(t *testing.T, servers *Servers) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	servers.CloseUnused()
+	if err := servers.Stop(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// awaitUnused waits until the servers have accepted a connection.
+func awaitUnused(t *testing.T, servers *Servers) {
+	t.Helper()
+	for range 1000 {
+		servers.unused.mu.Lock()
+		count := len(servers.unused.conns)
+		servers.unused.mu.Unlock()
+		if count > 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("no connection was accepted")
+}
+
+// useUntilClosed sends one request after another on the connection until it is refused or asked to close that,
+// and closes it. It returns how many ran; an error means that a request got no answer.
+func useUntilClosed(client net.Conn) (ran int64, err error) {
+	defer func() { _ = client.Close() }()
+	reader := bufio.NewReader(client)
+	for {
+		if err := sendOne(client); err != nil && !errors.Is(err, io.EOF) {
+			return ran, err
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return ran, fmt.Errorf("after %d answers: %w", ran, err)
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		if err != nil {
+			return ran, err
+		}
+		if response.StatusCode == http.StatusRequestTimeout {
+			return ran, nil
+		}
+		ran++
+		if response.Close {
+			return ran, nil
+		}
+	}
+}
+
+func sendOne(client net.Conn) error {
+	_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: one\r\n\r\n")
+	return err
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -1,5 +1,7 @@
 // Package serve opens the listeners of a daemon and ends each after the requests that it has taken.
-// A connection that was made before a listener ends is served (package accept).
+// A connection that was made before a listener ends is served (package accept). A connection that the daemon
+// closes while no request has begun there brings a 408 first, so that a request that crosses the close is
+// refused and not lost (conn.go).
 //
 // There are four: callers and other daemons' hops, which a planned stop ends gently, operators, and control calls. A
 // host's own programs may be given others (Local).
@@ -29,6 +31,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -85,7 +88,9 @@
 	stopping         atomic.Bool
 	refusing         atomic.Bool
 	unused           unusedConns
-	cleanUps         []func()
+	// lingering are the connections that were closed without a request and are still read.
+	lingering sync.WaitGroup
+	cleanUps  []func()
 }
 
 // New opens every listener, or none, and serves. The function that it returns closes what Stop leaves:
@@ -126,8 +131,11 @@
 func (s *Servers) CloseUnused() { s.unused.close() }
 
 // Stop ends callers first, then peers, then operators and this host's own programs, each after finishing
-// what it has begun, or when ctx ends.
+// what it has begun, or when ctx ends. It comes after Refuse.
 func (s *Servers) Stop(ctx context.Context) error {
+	for _, listener := range s.public {
+		listener.Wait(ctx)
+	}
 	err := errors.Join(
 		shutDown(ctx, s.callers, "callers"),
 		shutDown(ctx, s.peers, "peers"),
@@ -145,6 +153,7 @@
 	for _, local := range s.local {
 		err = errors.Join(err, shutDown(ctx, local.server, local.listener.Addr().String()))
 	}
+	s.lingering.Wait() // each ends within lingerFor
 	return err
 }
 
@@ -189,36 +198,50 @@
 func (s *Servers) makeServers() {
 	limits := s.config.Limits
 	s.operators = s.makeSmallServer(s.config.Operators)
-	s.callers = &http.Server{
+	s.callers = s.makeServer(&http.Server{
 		Handler:           s.closeWhenStopping(s.config.Callers),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes + headerSlack,
-		ErrorLog:          s.errorLog(),
-		ConnContext:       framing.ConnContext,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return framing.ConnContext(withConn(ctx, c), unwrap(c))
+		},
 		ConnState: func(c net.Conn, state http.ConnState) {
-			framing.ConnState(c, state)
-			s.unused.track(c, state)
+			framing.ConnState(unwrap(c), state)
+			s.track(c, state)
 		},
-	}
-	s.peers = &http.Server{
+	})
+	s.peers = s.makeServer(&http.Server{
 		Handler:           s.closeWhenStopping(s.config.Peers),
 		ReadHeaderTimeout: peerHeaderTimeout,
 		IdleTimeout:       peerIdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes + 2*headerSlack,
-		ErrorLog:          s.errorLog(),
-		ConnState:         s.unused.track,
-	}
+		ConnContext:       withConn,
+		ConnState:         s.track,
+	})
 }
 
 // makeSmallServer makes a server for few requests, of operators or of this host's own programs.
 func (s *Servers) makeSmallServer(handler http.Handler) *http.Server {
-	return &http.Server{
+	return s.makeServer(&http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: peerHeaderTimeout,
-		ErrorLog:          s.errorLog(),
-		ConnState:         s.unused.track,
-	}
+		ConnContext:       withConn,
+		ConnState:         s.track,
+	})
+}
+
+// makeServer completes a server with what all have in common.
+func (s *Servers) makeServer(server *http.Server) *http.Server {
+	server.Handler = runOpen(server.Handler)
+	server.ErrorLog = s.errorLog()
+	return server
+}
+
+// track follows the state of a connection.
+func (s *Servers) track(c net.Conn, state http.ConnState) {
+	trackIdle(c, state)
+	s.unused.track(c, state)
 }
 
 // closeWhenStopping asks the other side to close its connection after CloseAfterAnswers.
@@ -257,7 +280,7 @@
 // serve serves the socket; a failure that is not the stop is sent to Failed.
 func (s *Servers) serve(server *http.Server, socket net.Listener) {
 	go func() {
-		err := server.Serve(socket)
+		err := server.Serve(connListener{Listener: socket, lingering: &s.lingering})
 		if !errors.Is(err, http.ErrServerClosed) && !s.refusing.Load() {
 			s.failed <- errors.Wrapf(err, "serve %s", socket.Addr())
 		}
--- a/internal/serve/unused.go
+++ b/internal/serve/unused.go
@@ -30,11 +30,10 @@
 	u.conns[c] = true
 }
 
-// close closes those that there are now. Whoever sends a first request meanwhile sees that
-// nothing of it was read.
+// close closes those that there are now. Whoever sends a first request meanwhile is told that it was not run.
 func (u *unusedConns) close() {
 	for _, c := range u.removeAll() {
-		_ = c.Close() // which may take a moment with TLS, so that nobody waits for it here
+		_ = c.Close() // fails only where the other side has gone
 	}
 }
 
