fix(detect): failed probations lengthen an ejection however long ago the last return was

Callers met a sick backend server every 5 s: its ejection time stopped growing.

Cause: each ejection took back a doubling for each minute since the last return, also one that a failed probation extends, so that the same minutes counted again and again.

Change: time in service counts once, at the ejection that ends it; a backend server that is restored serves from then on.

--- a/internal/detect/ejection.go
+++ b/internal/detect/ejection.go
@@ -29,7 +29,8 @@
 	until    time.Time // when its probation begins
 	level    float64   // how often the ejection time doubles, less what EjectionMemory took back
 	passes   int       // good answers of its probation
-	returned time.Time // when it last came back
+	returned time.Time // when it last came back with a growing share
+	serving  time.Time // from when on it has served since it was ejected
 	cause    Cause
 	decided  Explanation // the evidence on which it was ejected
 }
@@ -37,10 +38,8 @@
 // Eject takes the subject out of service for its ejection time.
 func (s *Subject) Eject(now time.Time) {
 	x := &s.ejection
-	if !x.returned.IsZero() {
-		x.level = math.Max(0, x.level-float64(now.Sub(x.returned))/float64(s.rules.EjectionMemory))
-	}
 	if !x.ejected {
+		x.forgetLevel(now, s.rules.EjectionMemory)
 		x.decided = s.evidenceNow()
 	}
 	length := time.Duration(float64(s.rules.EjectionTime) * math.Exp2(x.level))
@@ -55,6 +54,15 @@
 	s.forget()
 }
 
+// forgetLevel takes back one doubling of the ejection time for each time of that length in service. A failed
+// probation takes nothing back: the subject has not served since its ejection.
+func (x *ejection) forgetLevel(now time.Time, memory time.Duration) {
+	if x.serving.IsZero() {
+		return
+	}
+	x.level = math.Max(0, x.level-float64(now.Sub(x.serving))/float64(memory))
+}
+
 // State returns where the subject stands.
 func (s *Subject) State(now time.Time) State {
 	switch {
@@ -95,14 +103,16 @@
 func (s *Subject) Return(now time.Time) {
 	s.ejection.ejected = false
 	s.ejection.returned = now
+	s.ejection.serving = now
 	s.ejection.cause = CauseNone
 	s.forget()
 }
 
 // Restore puts the subject back in service with its whole share, on proof from
 // elsewhere that it is well.
-func (s *Subject) Restore() {
+func (s *Subject) Restore(now time.Time) {
 	s.ejection.ejected = false
+	s.ejection.serving = now
 	s.ejection.cause = CauseNone
 	s.forget()
 }
--- a/internal/detect/rules.go
+++ b/internal/detect/rules.go
@@ -57,8 +57,8 @@
 	// has just recovered, or is hardly worse, in service. Measured together, not alone.
 	Margin float64
 	// EjectionTime is how long a subject stays ejected the first time: 5 s, 3 s. Each further
-	// ejection doubles it, up to EjectionTimeMax, 5 minutes; each EjectionMemory, 1 minute, since
-	// the last return takes one doubling back. Not measured: a backend server that is restarted is
+	// ejection doubles it, up to EjectionTimeMax, 5 minutes; each EjectionMemory, 1 minute, in
+	// service since then takes one doubling back. Not measured: a backend server that is restarted is
 	// back in seconds; one that keeps failing should not cost a probation every few seconds.
 	EjectionTime, EjectionTimeMax, EjectionMemory time.Duration
 	// ProbationPasses is how many good answers in a row end a probation: 5, 3. Not measured:
--- a/internal/sidecar/suspicion.go
+++ b/internal/sidecar/suspicion.go
@@ -77,7 +77,7 @@
 	t.config.Peer.Trusted(slices.Collect(maps.Keys(t.refusedHosts)), t.declared.BackendServer.Name)
 	clear(t.refusedHosts)
 	if t.subject.State(now) != detect.Serving {
-		t.subject.Restore()
+		t.subject.Restore(now)
 		t.backInService("answered well while it was suspected")
 	}
 }
