--- a/internal/result/write.go
+++ b/internal/result/write.go
@@ -28,7 +28,8 @@
 	write(w, e, retryAfterDecimals(e.RetryAfter))
 }
 
-// WriteConn writes the answer that Write gives onto a connection, with the request to close it.
+// WriteConn writes the answer that Write gives onto a connection, with the request to close it. It is one write,
+// so that whoever reads a part of it at once can tell what it is.
 func WriteConn(c io.Writer, e *Error) error {
 	body := encode(e)
 	response := http.Response{
@@ -40,7 +41,12 @@
 		ContentLength: int64(len(body)),
 		Close:         true,
 	}
-	return response.Write(c)
+	var text bytes.Buffer
+	if err := response.Write(&text); err != nil {
+		return err
+	}
+	_, err := text.WriteTo(c)
+	return err
 }
 
 // write answers with the error, and with that text of Retry-After where the error says
