fix(record,storehealth): a step of the wall clock makes nothing fresh

After a step back by an hour a daemon held the store to be up, and used its part of the retry slack, an hour too long; answers after the step were not taken.

Cause: both moments were kept in Unix nanoseconds, without Go's monotonic reading. Change: they are kept as time.Time.

Measured: TestAStepBackMakesNothingFresh fails before (an answer of a minute ago is -58m59s old) and passes after.

--- a/internal/record/part_test.go
+++ b/internal/record/part_test.go
@@ -11,6 +11,7 @@
 	"github.com/tideliftd/tidelift/internal/retry"
 	"github.com/tideliftd/tidelift/internal/store"
 	"github.com/tideliftd/tidelift/internal/storehealth"
+	"github.com/tideliftd/tidelift/test/wallclock"
 )
 
 // TestOnlyAFirstStartHasItsPartAtOnce writes a host's record to a store that has one of an earlier incarnation,
@@ -103,7 +104,8 @@
 // TestAPartIsUsedWhileTheStoreHasTheRecord cuts a daemon off from the store.
 func TestAPartIsUsedWhileTheStoreHasTheRecord(t *testing.T) {
 	r := New(Config{})
-	r.confirmedAt.Store(time.Now().UnixNano())
+	now := time.Now()
+	r.confirmedAt.Store(&now)
 	if r.HostsCounted() {
 		t.Fatal("the hosts have not been counted")
 	}
@@ -111,8 +113,21 @@
 	if !r.HostsCounted() {
 		t.Fatal("the hosts have been counted")
 	}
-	r.confirmedAt.Store(time.Now().Add(-sharedFor).UnixNano())
+	before := time.Now().Add(-sharedFor)
+	r.confirmedAt.Store(&before)
 	if r.HostsCounted() {
 		t.Fatal("the store has not renewed the record, and a next life may not find it")
 	}
 }
+
+// TestAPartEndsThoughTheClockStepsBack guards against a part of the retry slack that is used on while another
+// incarnation of the host may have it: the wall clock stepped back after the store had last renewed the record.
+func TestAPartEndsThoughTheClockStepsBack(t *testing.T) {
+	r := New(Config{})
+	r.counted.Store(true)
+	confirmed := wallclock.ReadBeforeStepBack(time.Now().Add(-sharedFor), time.Hour)
+	r.confirmedAt.Store(&confirmed)
+	if r.HostsCounted() {
+		t.Fatalf("the part is used %s after the store renewed the record", sharedFor)
+	}
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -74,10 +74,12 @@
 
 // Record is this host's record in the store.
 type Record struct {
-	config      Config
-	foundOwn    atomic.Bool  // the store has had a record of this host before the one that is written
-	confirmedAt atomic.Int64 // when the store last took or renewed the record, in Unix nanoseconds
-	counted     atomic.Bool  // the store has listed the hosts once this daemon had been there for a while
+	config   Config
+	foundOwn atomic.Bool // the store has had a record of this host before the one that is written
+	counted  atomic.Bool // the store has listed the hosts once this daemon had been there for a while
+	// confirmedAt is when the store last took or renewed the record; nil if it never did. Its monotonic reading
+	// counts, since the wall clock may step.
+	confirmedAt atomic.Pointer[time.Time]
 }
 
 // New returns the record, which is not written yet.
@@ -118,7 +120,7 @@
 			return
 		}
 		if !lapsed {
-			r.confirmedAt.Store(asked.UnixNano())
+			r.confirmedAt.Store(&asked)
 		}
 		r.config.Health.Answered()
 	}
@@ -140,7 +142,7 @@
 	if err := r.commit(ctx, put); err != nil {
 		return store.NoLease, err
 	}
-	r.confirmedAt.Store(asked.UnixNano())
+	r.confirmedAt.Store(&asked)
 	return lease, nil
 }
 
--- a/internal/record/share.go
+++ b/internal/record/share.go
@@ -49,7 +49,8 @@
 // HostsCounted reports whether this daemon may use its part of what the hosts share: it knows how many
 // they are, and the store has had its record for most of the time.
 func (r *Record) HostsCounted() bool {
-	return r.counted.Load() && time.Now().UnixNano()-r.confirmedAt.Load() < int64(sharedFor)
+	confirmed := r.confirmedAt.Load()
+	return r.counted.Load() && confirmed != nil && time.Since(*confirmed) < sharedFor
 }
 
 // ClaimFirstStart finds out whether this is the first start of a declared host in the first start of its
--- a/internal/storehealth/storehealth.go
+++ b/internal/storehealth/storehealth.go
@@ -48,12 +48,15 @@
 	config   Config
 	own      atomic.Pointer[State] // what this daemon's last call showed
 	watching atomic.Bool           // this daemon has a watch that waits at the store
-	lastSeen atomic.Int64          // when the store was last known to answer, in Unix nanoseconds
+	// lastSeen is when the store was last known to answer. Its monotonic reading counts, since the wall clock may
+	// step.
+	lastSeen atomic.Pointer[time.Time]
 }
 
 // New returns the health of a store that has not been called yet.
 func New(config Config) *Health {
 	h := &Health{config: config}
+	h.lastSeen.Store(&time.Time{})
 	h.set(Unknown)
 	return h
 }
@@ -86,7 +89,7 @@
 func (h *Health) Seen(at time.Time) {
 	for {
 		known := h.lastSeen.Load()
-		if at.UnixNano() <= known || h.lastSeen.CompareAndSwap(known, at.UnixNano()) {
+		if !at.After(*known) || h.lastSeen.CompareAndSwap(known, &at) {
 			return
 		}
 	}
@@ -98,7 +101,7 @@
 	if h.watching.Load() && h.Answers() {
 		return time.Now()
 	}
-	return time.Unix(0, h.lastSeen.Load())
+	return *h.lastSeen.Load()
 }
 
 // BeginWatch records that this daemon watches the store from now on.
--- a/internal/storehealth/storehealth_test.go
+++ b/internal/storehealth/storehealth_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tideliftd/tidelift/internal/storehealth"
+	"github.com/tideliftd/tidelift/test/wallclock"
 )
 
 var errAway = errors.New("away")
@@ -86,3 +87,21 @@
 		t.Fatalf("last seen %s, want %s", got, now)
 	}
 }
+
+// TestAStepBackMakesNothingFresh guards against a store that counts as up for as long as the wall clock has
+// stepped back: what another daemon said of it long ago stays as old as it is.
+func TestAStepBackMakesNothingFresh(t *testing.T) {
+	health := newHealth()
+	health.Seen(wallclock.ReadBeforeStepBack(time.Now().Add(-time.Minute), time.Hour))
+	if age := time.Since(health.LastSeen()); age < time.Minute {
+		t.Errorf("the answer of a minute ago is %s old", age)
+	}
+	if got := health.State(); got != storehealth.Unknown {
+		t.Errorf("state is %s, want %s", got, storehealth.Unknown)
+	}
+	now := time.Now()
+	health.Seen(now)
+	if got := health.LastSeen(); !got.Equal(now) {
+		t.Errorf("an answer after the step is not taken: last seen %s, want %s", got, now)
+	}
+}
