fix(keys): a key file that is replaced by an older one is read

Cause: a file counted as changed only if it was newer than the newest one read, so that one that was replaced after a step back of the wall clock was never read. Any change of a file's time or size counts now.

--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -21,6 +21,7 @@
 
 import (
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,19 +37,25 @@
 	files []string
 	load  func() error // reads the files and puts them in force, or changes nothing
 
-	mu       sync.Mutex
-	checked  time.Time // when the files were last checked for a change
-	modified time.Time // of the newest file that is in force
+	mu      sync.Mutex
+	checked time.Time // when the files were last checked for a change
+	read    []stamp   // of the files that are in force
+}
+
+// stamp tells a file from what it was before. Its time may go back with the wall clock.
+type stamp struct {
+	modified time.Time
+	size     int64
 }
 
 // newWatched reads the files for the first time.
 func newWatched(files []string, load func() error) (*watched, error) {
 	w := &watched{files: files, load: load, checked: time.Now()}
-	newest, err := w.newest()
+	stamps, err := w.stamps()
 	if err != nil {
 		return nil, err
 	}
-	w.modified = newest
+	w.read = stamps
 	return w, load()
 }
 
@@ -60,26 +67,24 @@
 		return
 	}
 	w.checked = time.Now()
-	newest, err := w.newest()
-	if err != nil || !newest.After(w.modified) {
+	stamps, err := w.stamps()
+	if err != nil || slices.Equal(stamps, w.read) {
 		return
 	}
 	if w.load() == nil {
-		w.modified = newest
+		w.read = stamps
 	}
 }
 
-// newest returns when a file was last changed.
-func (w *watched) newest() (time.Time, error) {
-	var newest time.Time
+// stamps returns the stamp of each file.
+func (w *watched) stamps() ([]stamp, error) {
+	stamps := make([]stamp, 0, len(w.files))
 	for _, file := range w.files {
 		info, err := os.Stat(file)
 		if err != nil {
-			return time.Time{}, errors.Wrap(err, "look at key file")
-		}
-		if info.ModTime().After(newest) {
-			newest = info.ModTime()
+			return nil, errors.Wrap(err, "look at key file")
 		}
+		stamps = append(stamps, stamp{modified: info.ModTime(), size: info.Size()})
 	}
-	return newest, nil
+	return stamps, nil
 }
