fix: errors of key files, the host list and quarantines leave a log line

An operator who replaced a certificate that cannot be read saw nothing; nor did one whose list of leaving hosts is wrong, whose quarantined request was not tried since the store did not answer, or whose daemon dropped records.

Cause: four places returned at the error, since what was there before stays in force.

Not changed: dropped records stay in the store, since a quarantine must not end because one daemon holds too many; a start removes those whose time is over.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -117,6 +117,9 @@
 		Peers:    d.peers,
 		Index:    func() (*fleet.Index, bool) { return d.declarations.Index() },
 		Draining: func(draining bool) { d.sidecar.HostDraining(draining) },
+		Logger:   d.config.Logger,
+		OnError:  d.health.Failed,
+		OnAnswer: d.health.Answered,
 	})
 }
 
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -16,17 +16,18 @@
 	files := d.config.Settings.Keys
 	var err error
 	if files.MutualTLS() {
-		d.certificates, err = keys.NewCertificates(keys.CertificateFiles{
+		d.certificates, err = keys.NewCertificates(keys.CertificatesConfig{
 			Certificate: files.Certificate,
 			Key:         files.Key,
 			Authority:   files.Authority,
+			Logger:      d.config.Logger,
 		})
 		if err != nil {
 			return err
 		}
 	}
 	if files.Tokens != "" {
-		d.tokens, err = keys.NewTokens(files.Tokens)
+		d.tokens, err = keys.NewTokens(keys.TokensConfig{File: files.Tokens, Logger: d.config.Logger})
 	}
 	return err
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -36,6 +36,7 @@
 	StopCut         = Event{104, slog.LevelWarn, "stop cut requests", "The stop's limit or a second signal ended the daemon with requests in flight."}
 	SettingsTaken   = Event{106, slog.LevelInfo, "settings taken", "The settings file changed; what can change without a start is in force, and the line names what cannot."}
 	SettingsRefused = Event{107, slog.LevelError, "settings refused", "The settings file changed and is wrong; the settings before stay in force."}
+	KeysRefused     = Event{108, slog.LevelError, "key files refused", "A certificate or token file changed and cannot be read; what was read before stays in force."}
 	ServeFailed     = Event{105, slog.LevelError, "listener failed", "A listener ended with an error; the daemon stops."}
 )
 
@@ -73,6 +74,7 @@
 	HostBack            = Event{407, slog.LevelInfo, "host back", "The other host's daemon answers again, or its time of being passed over is up."}
 	HostGone            = Event{408, slog.LevelWarn, "host gone", "A host was silent for long and its record in the store has lapsed; others are told that it is gone."}
 	UpdatesDropped      = Event{409, slog.LevelWarn, "news dropped", "So much news of hosts came at once that some was not told on; other daemons ask for it."}
+	HostListRefused     = Event{410, slog.LevelWarn, "list of leaving hosts refused", "The platform's list of hosts that are leaving cannot be read; what it said before stays in force."}
 	PeerSilent          = Event{405, slog.LevelDebug, "peer silent", "Another daemon did not answer a control call; it learns the news from the next."}
 )
 
@@ -85,17 +87,19 @@
 	RequestQuarantined = Event{506, slog.LevelWarn, "request quarantined", "A request ended each backend server that ran it, and none is sent it any more; the line has its fingerprint, where it goes and whom it ended. tidelift quarantine lists such requests and lifts them."}
 	QuarantineEnded    = Event{507, slog.LevelInfo, "quarantine ended", "A request that was quarantined is taken again: a backend server answered it after all, or an operator lifted it."}
 	QuarantineTrial    = Event{508, slog.LevelInfo, "quarantined request tried", "A request in quarantine is sent to a backend server once more, by this daemon alone; if that one ends too, only an operator lifts the quarantine."}
+	QuarantineUntried  = Event{509, slog.LevelWarn, "quarantined request not tried", "The store did not answer when this daemon asked to be the one that sends a request in quarantine once more; the request is refused."}
+	QuarantineDropped  = Event{510, slog.LevelWarn, "quarantine records dropped", "This daemon holds more records of requests than it keeps and dropped the oldest; the line says how many, and how many of them were quarantines. The store keeps its own until a start finds them out of date."}
 	RequestRefused     = Event{503, slog.LevelDebug, "work refused", "This daemon refused work for a backend server of its host, for the reason given."}
 )
 
 // All returns every event in the order of their numbers.
 func All() []Event {
 	return []Event{
-		DaemonStarted, DaemonStopping, DaemonStopped, StopCut, ServeFailed, SettingsTaken, SettingsRefused,
+		DaemonStarted, DaemonStopping, DaemonStopped, StopCut, ServeFailed, SettingsTaken, SettingsRefused, KeysRefused,
 		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers,
 		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerDraining, ServerBack, ServerSuspected, ServerTrusted, ServerProbed, ServerEnded,
-		RequestFailed, AttemptFailed, RequestRefused, RequestHedged, RouteSubrequest, RequestQuarantined, QuarantineEnded, QuarantineTrial,
-		ServersRegistered, RegistrationRefused, HostLearned, RecordRefused, PeerSilent, HostAway, HostBack, HostGone, UpdatesDropped,
+		RequestFailed, AttemptFailed, RequestRefused, RequestHedged, RouteSubrequest, RequestQuarantined, QuarantineEnded, QuarantineTrial, QuarantineUntried, QuarantineDropped,
+		ServersRegistered, RegistrationRefused, HostLearned, RecordRefused, PeerSilent, HostAway, HostBack, HostGone, UpdatesDropped, HostListRefused,
 	}
 }
 
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -18,12 +18,12 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"slices"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/tideliftd/tidelift/internal/control"
+	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/store"
 	"github.com/tideliftd/tidelift/internal/wait"
@@ -46,10 +46,18 @@
 	Index func() (*fleet.Index, bool)
 	// Draining sets whether the list has this host.
 	Draining func(draining bool)
+	// Logger receives events of a list that cannot be read.
+	Logger *slog.Logger
+	// OnError is told of each call that the store did not answer, OnAnswer of each that it did.
+	OnError  func(error)
+	OnAnswer func()
 }
 
 // Follower follows the list.
-type Follower struct{ config Config }
+type Follower struct {
+	config  Config
+	refused string // why the list could not be read when that was last tried; empty if it could
+}
 
 // New returns a follower that has not read the list.
 func New(config Config) *Follower { return &Follower{config: config} }
@@ -59,8 +67,8 @@
 	var told []string
 	for ctx.Err() == nil {
 		wait.For(ctx, readEvery)
-		names, err := f.read(ctx)
-		if err != nil {
+		names, ok := f.read(ctx)
+		if !ok {
 			continue
 		}
 		for _, name := range told {
@@ -75,17 +83,33 @@
 	}
 }
 
-// read returns the names of the draining hosts.
-func (f *Follower) read(ctx context.Context) ([]string, error) {
+// read returns the names of the draining hosts, and false if they cannot be read.
+func (f *Follower) read(ctx context.Context) ([]string, bool) {
 	value, err := f.config.Store.Get(ctx, f.config.Prefix+"/leaving-hosts")
-	if err != nil || value.Data == nil {
-		return nil, err
+	if err != nil {
+		f.config.OnError(err)
+		return nil, false
+	}
+	f.config.OnAnswer()
+	if value.Data == nil {
+		return nil, true
 	}
 	var names []string
 	if err := json.Unmarshal(value.Data, &names); err != nil {
-		return nil, errors.Wrap(err, "read list of leaving hosts")
+		f.logRefused(err.Error())
+		return nil, false
+	}
+	f.refused = ""
+	return names, true
+}
+
+// logRefused logs why the list cannot be read, once for each reason in a row.
+func (f *Follower) logRefused(reason string) {
+	if reason == f.refused {
+		return
 	}
-	return names, nil
+	f.refused = reason
+	event.Log(f.config.Logger, event.HostListRefused, "error", reason)
 }
 
 // tell tells the daemon of the host whether that is draining.
--- a/internal/hostlist/hostlist_test.go
+++ b/internal/hostlist/hostlist_test.go
@@ -1,8 +1,11 @@
 package hostlist_test
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,12 +35,17 @@
 			reads++
 			return store.Item{Data: []byte(lists[reads-1])}, nil
 		}
+		var log bytes.Buffer
+		var failed, answered int
 		follower := hostlist.New(hostlist.Config{
 			Store:    store.Store{Get: get},
 			Prefix:   "tidelift",
 			Host:     "csepel-1",
 			Index:    func() (*fleet.Index, bool) { return index, true },
 			Draining: func(draining bool) { told = append(told, draining) },
+			Logger:   slog.New(slog.NewTextHandler(&log, nil)),
+			OnError:  func(error) { failed++ },
+			OnAnswer: func() { answered++ },
 		})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
@@ -45,5 +53,11 @@
 		if want := []bool{true, true, false}; !slices.Equal(told, want) {
 			t.Fatalf("told %v, want %v", told, want)
 		}
+		if lines := strings.Count(log.String(), "event=410"); lines != 1 {
+			t.Errorf("%d lines on the list that cannot be read, want 1: %s", lines, log.String())
+		}
+		if answered != len(lists) || failed == 0 {
+			t.Errorf("%d answers of the store and %d failures were told, want %d and some", answered, failed, len(lists))
+		}
 	})
 }
--- a/internal/keys/certificates.go
+++ b/internal/keys/certificates.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"log/slog"
 	"os"
 	"sync/atomic"
 
@@ -12,17 +13,19 @@
 // ServerName is the DNS name that each daemon's certificate carries.
 const ServerName = "tidelift"
 
-// CertificateFiles are PEM files.
-type CertificateFiles struct {
+// CertificatesConfig names PEM files.
+type CertificatesConfig struct {
 	// Certificate and Key are the daemon's own.
 	Certificate, Key string
 	// Authority signs every daemon's certificate.
 	Authority string
+	// Logger receives events of files that cannot be read.
+	Logger *slog.Logger
 }
 
 // Certificates are the daemon's certificate and the authority that it trusts.
 type Certificates struct {
-	files  CertificateFiles
+	config CertificatesConfig
 	watch  *watched
 	loaded atomic.Pointer[loaded]
 }
@@ -33,9 +36,9 @@
 }
 
 // NewCertificates reads the files.
-func NewCertificates(files CertificateFiles) (*Certificates, error) {
-	c := &Certificates{files: files}
-	watch, err := newWatched([]string{files.Certificate, files.Key, files.Authority}, c.load)
+func NewCertificates(config CertificatesConfig) (*Certificates, error) {
+	c := &Certificates{config: config}
+	watch, err := newWatched([]string{config.Certificate, config.Key, config.Authority}, c.load, config.Logger)
 	if err != nil {
 		return nil, err
 	}
@@ -44,17 +47,17 @@
 }
 
 func (c *Certificates) load() error {
-	own, err := tls.LoadX509KeyPair(c.files.Certificate, c.files.Key)
+	own, err := tls.LoadX509KeyPair(c.config.Certificate, c.config.Key)
 	if err != nil {
 		return errors.Wrap(err, "read certificate and key")
 	}
-	authority, err := os.ReadFile(c.files.Authority)
+	authority, err := os.ReadFile(c.config.Authority)
 	if err != nil {
 		return errors.Wrap(err, "read authority")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(authority) {
-		return errors.Errorf("%s holds no certificate", c.files.Authority)
+		return errors.Errorf("%s holds no certificate", c.config.Authority)
 	}
 	c.loaded.Store(&loaded{own: own, authority: pool})
 	return nil
--- a/internal/keys/tokens.go
+++ b/internal/keys/tokens.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"log/slog"
 	"os"
 	"regexp"
 	"sync/atomic"
@@ -33,17 +34,24 @@
 
 var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
+// TokensConfig names the tokens' file, which holds hashes and not the tokens themselves.
+type TokensConfig struct {
+	File string
+	// Logger receives events of a file that cannot be read.
+	Logger *slog.Logger
+}
+
 // Tokens are the operators' tokens.
 type Tokens struct {
-	file   string
+	config TokensConfig
 	watch  *watched
 	byHash atomic.Pointer[map[string]Token]
 }
 
-// NewTokens reads the file. It holds hashes, not the tokens themselves.
-func NewTokens(file string) (*Tokens, error) {
-	t := &Tokens{file: file}
-	watch, err := newWatched([]string{file}, t.load)
+// NewTokens reads the file.
+func NewTokens(config TokensConfig) (*Tokens, error) {
+	t := &Tokens{config: config}
+	watch, err := newWatched([]string{config.File}, t.load, config.Logger)
 	if err != nil {
 		return nil, err
 	}
@@ -52,15 +60,15 @@
 }
 
 func (t *Tokens) load() error {
-	data, err := os.ReadFile(t.file)
+	data, err := os.ReadFile(t.config.File)
 	if err != nil {
 		return errors.Wrap(err, "read tokens")
 	}
 	var list []Token
-	if err := yamlfile.Decode(t.file, data, &list); err != nil {
+	if err := yamlfile.Decode(t.config.File, data, &list); err != nil {
 		return err
 	}
-	check := yamlfile.NewChecker(t.file, data)
+	check := yamlfile.NewChecker(t.config.File, data)
 	byHash := make(map[string]Token, len(list))
 	for i, token := range list {
 		path := fmt.Sprintf("$[%d]", i)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -112,7 +112,7 @@
 	table := quarantine.New()
 	end(table, "a", quarantine.Limit)
 	end(table, "bb", 1)
-	if len(table.Forget(start.Add(quarantine.SuspectedFor/2))) > 0 {
+	if lapsed, dropped := table.Forget(start.Add(quarantine.SuspectedFor / 2)); len(lapsed)+len(dropped) > 0 {
 		t.Fatal("something was forgotten early")
 	}
 	table.Forget(start.Add(2 * quarantine.SuspectedFor))
@@ -136,8 +136,8 @@
 	if cutOff.Merge(others.Records()); cutOff.View().Status("a") != quarantine.Clear {
 		t.Fatal("the daemon that was cut off keeps it")
 	}
-	if forgotten := others.Forget(last.Add(2 * quarantine.ClearedFor)); len(forgotten) != 1 {
-		t.Fatalf("forgotten are %v", forgotten)
+	if lapsed, _ := others.Forget(last.Add(2 * quarantine.ClearedFor)); len(lapsed) != 1 {
+		t.Fatalf("forgotten are %v", lapsed)
 	}
 }
 
@@ -166,7 +166,9 @@
 	for n := range 10_000 {
 		table.RecordEnd(start.Add(time.Duration(n)*time.Millisecond), sighting(fmt.Sprintf("flood-%d", n)), quarantine.End{Server: "server"})
 	}
-	table.Forget(start)
+	if lapsed, dropped := table.Forget(start); len(lapsed) > 0 || len(dropped) < 5000 {
+		t.Fatalf("%d records have lapsed, %d were dropped for being too many", len(lapsed), len(dropped))
+	}
 	if count := len(table.Records()); count > 5000 {
 		t.Fatalf("%d records are kept", count)
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -96,20 +96,20 @@
 	return r, ok
 }
 
-// Forget drops the records that are no longer needed, which it returns, and those beyond the most that are
-// kept.
-func (t *Table) Forget(now time.Time) []Record {
-	var forgotten []Record
+// Forget drops the records that are no longer needed, which it returns as lapsed, and those beyond the most that
+// are kept, which it returns as dropped.
+func (t *Table) Forget(now time.Time) (lapsed, dropped []Record) {
 	for _, r := range t.records {
 		if r.lapsed(now) {
-			forgotten = append(forgotten, r)
+			lapsed = append(lapsed, r)
 			delete(t.records, r.ID)
 		}
 	}
-	for _, r := range t.tooMany() {
+	dropped = t.tooMany()
+	for _, r := range dropped {
 		delete(t.records, r.ID)
 	}
-	return forgotten
+	return lapsed, dropped
 }
 
 // lapsed reports whether the record is no longer needed.
--- a/internal/quarantinesync/quarantinesync_test.go
+++ b/internal/quarantinesync/quarantinesync_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tideliftd/tidelift/internal/fingerprint"
@@ -221,6 +222,9 @@
 	if g.syncers[0].StartTrial(context.Background(), id) || g.syncers[1].StartTrial(context.Background(), id) {
 		t.Fatal("a daemon tries it that cannot know whether another does")
 	}
+	if lines := g.logged("event=509"); lines != len(g.syncers) {
+		t.Fatalf("%d lines on trials that were not made, want one of each daemon", lines)
+	}
 }
 
 // TestAQuarantineEndsEverywhere ends it by an answer and by an operator's word, also for daemons that
@@ -353,3 +357,24 @@
 		k.Status(other)
 	}
 }
+
+// TestAClaimThatTheStoreDoesNotAnswerIsLogged guards against a trial that is never made without a word of it: the
+// store answers the reading of the record and not its writing.
+func TestAClaimThatTheStoreDoesNotAnswerIsLogged(t *testing.T) {
+	g := newGroup(t, 1)
+	g.endEach("guilty", quarantine.Limit)
+	g.awaitAll(quarantine.Quarantined)
+	time.Sleep(quarantine.TrialAfter + 100*time.Millisecond)
+	commit := g.kv.Commit
+	g.kv.Commit = func(context.Context, store.Change) (int64, error) { return 0, errors.New("away") }
+	late := g.add()
+	g.kv.Commit = commit
+	g.awaitAll(quarantine.Quarantined)
+	_, id := late.Status(request("guilty"))
+	if late.StartTrial(context.Background(), id) {
+		t.Fatal("a daemon tries it whose claim the store did not answer")
+	}
+	if lines := g.logged("event=509"); lines != 1 {
+		t.Fatalf("%d lines on the trial that was not made, want 1", lines)
+	}
+}
--- a/internal/quarantinesync/task.go
+++ b/internal/quarantinesync/task.go
@@ -153,12 +153,27 @@
 
 // forget drops what is no longer needed, here and in the store.
 func (t *task) forget(ctx context.Context, now time.Time) {
-	forgotten := t.table.Forget(now)
-	if len(forgotten) == 0 {
+	lapsed, dropped := t.table.Forget(now)
+	if len(lapsed)+len(dropped) == 0 {
 		return
 	}
 	t.publish()
-	go t.syncer.remove(ctx, forgotten)
+	t.logDropped(dropped)
+	go t.syncer.remove(ctx, lapsed)
+}
+
+// logDropped logs how many records were dropped for being too many.
+func (t *task) logDropped(dropped []quarantine.Record) {
+	if len(dropped) == 0 {
+		return
+	}
+	quarantined := 0
+	for _, record := range dropped {
+		if record.Quarantined() {
+			quarantined++
+		}
+	}
+	event.Log(t.syncer.config.Logger, event.QuarantineDropped, "count", len(dropped), "quarantined", quarantined)
 }
 
 // sendUpdates sends what was learned here to the daemons of the services, and what is quarantined to a few of all.
--- a/internal/quarantinesync/trial.go
+++ b/internal/quarantinesync/trial.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/quarantine"
 	"github.com/tideliftd/tidelift/internal/store"
@@ -42,7 +44,7 @@
 func (s *Syncer) claim(ctx context.Context, record quarantine.Record) bool {
 	item, err := s.config.Store.Get(ctx, s.keyOf(record))
 	if err != nil {
-		s.config.OnError(err)
+		s.logUntried(record, err)
 		return false
 	}
 	stored, ok := s.decodeFound(item)
@@ -56,14 +58,27 @@
 	}
 	put, err := s.putOf(ctx, merged)
 	if err != nil {
+		s.logUntried(record, err)
 		return false
 	}
 	change := store.Change{Puts: []store.Put{put}, Expect: []store.Expect{{Key: put.Key, Revision: item.Revision}}}
-	if err := s.commit(ctx, change); err != nil {
-		return false // another was first, or the store did not answer
+	err = s.commit(ctx, change)
+	if errors.Is(err, store.ErrConflict) {
+		return false // another was first
+	}
+	if err != nil {
+		s.logUntried(record, err)
+		return false
 	}
 	s.send(ctx, mergeMessage{records: []quarantine.Record{merged}})
 	s.metrics.trials.Inc(1)
 	event.Log(s.config.Logger, event.QuarantineTrial, "fingerprint", record.ID, "service", record.Service, "path", record.Path)
 	return true
 }
+
+// logUntried records that the store did not answer a claim. If the claim was written all the same, nobody tries the
+// request: this daemon does not know that it may.
+func (s *Syncer) logUntried(record quarantine.Record, err error) {
+	s.config.OnError(err)
+	event.Log(s.config.Logger, event.QuarantineUntried, "fingerprint", record.ID, "service", record.Service, "path", record.Path, "error", err)
+}
--- a/test/integration/keys_test.go
+++ b/test/integration/keys_test.go
@@ -185,9 +185,9 @@
 // certificates.
 func TestCertificatesAreReadAgain(t *testing.T) {
 	dir := t.TempDir()
-	write := func(a authority) keys.CertificateFiles {
+	write := func(a authority) keys.CertificatesConfig {
 		certificate, private := a.sign(t)
-		return keys.CertificateFiles{
+		return keys.CertificatesConfig{
 			Certificate: writeFile(t, dir, "d.pem", certificate),
 			Key:         writeFile(t, dir, "d.key", private),
 			Authority:   writeFile(t, dir, "ca.pem", a.pem),
