fix(detect): failures that all share are known in a large fleet, too

Cause: failures that all share weigh nothing only if the ingress can compare, which takes eight answers of each backend server; with 78 ingresses none ever can.

Change: a sidecar tells the share of failures with its answers, and an ingress sends along the middle of what it was told where it cannot compare by itself.

Ruled out: lateness (91 of 104 began with a failed answer), the mean over all (a few sick ones would hide themselves), a floor for suspicion (an ingress cannot count suspicions).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -46,6 +46,9 @@
 	// the next report, a backend server that had returned got 4 requests in 12 s, since one with a
 	// high load gets no work and so reports no other.
 	loadCounts = time.Second
+	// failingCounts is how long a reported share of failures counts. Not measured: in a large fleet a daemon
+	// sends each backend server a request every few seconds, and a called service fails for some seconds.
+	failingCounts = 10 * time.Second
 )
 
 // Config says where the choosing daemon stands.
@@ -122,6 +125,25 @@
 	t.reported.Store(p.clock(now))
 }
 
+// ReportFailing records the share of its requests that failed at the target, as its sidecar said.
+func (p *Pool) ReportFailing(t *Target, share float64, now time.Time) {
+	t.failingBits.Store(math.Float64bits(share))
+	t.failingAt.Store(p.clock(now))
+}
+
+// Failing returns the share of requests that failed at each target of which that was reported of late, by name.
+func (p *Pool) Failing(now time.Time) map[string]float64 {
+	since := p.clock(now)
+	shares := make(map[string]float64)
+	for _, t := range p.view.Load().all {
+		at := t.failingAt.Load()
+		if at != 0 && since-at < int64(failingCounts) {
+			shares[t.Name] = math.Float64frombits(t.failingBits.Load())
+		}
+	}
+	return shares
+}
+
 // PickProbation takes a target on probation for an idempotent request, and reports whether there
 // is one.
 func (p *Pool) PickProbation(now time.Time) (*Target, bool) {
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -17,6 +17,8 @@
 	inFlight     atomic.Int64
 	loadBits     atomic.Uint64
 	reported     atomic.Int64 // nanoseconds since the pool's start
+	failingBits  atomic.Uint64
+	failingAt    atomic.Int64 // nanoseconds since the pool's start; zero if it was never reported
 	pausedUntil  atomic.Int64 // nanoseconds since the pool's start
 	suspectUntil atomic.Int64 // nanoseconds since the pool's start
 	share        atomic.Uint32
--- a/internal/detect/baseline.go
+++ b/internal/detect/baseline.go
@@ -31,7 +31,7 @@
 	Failure, Slow float64
 	// FailureSum and SlowSum are the middle of their cumulative sums.
 	FailureSum, SlowSum float64
-	// Typical is the middle of the times they take; zero if it is not known.
+	// Typical is the middle of the times they take; zero if it is not known, and nothing but Failure is then.
 	Typical time.Duration
 }
 
@@ -57,7 +57,7 @@
 // slow sum in thousandths, and the typical time in microseconds. It returns ""
 // if nothing is known.
 func (r Baseline) Encode() string {
-	if !r.known() {
+	if !r.known() && r.Failure == 0 {
 		return ""
 	}
 	var text []byte
--- a/internal/detect/detect.go
+++ b/internal/detect/detect.go
@@ -161,6 +161,9 @@
 	}
 }
 
+// FailureRate returns the share of the recent requests that failed.
+func (s *Subject) FailureRate() float64 { return s.failure.normal() }
+
 func (s *Subject) observeLatency(now time.Time, took time.Duration) {
 	s.latency.add(took)
 	if s.baseline.Typical == 0 {
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -40,6 +40,8 @@
 	HeaderReservation = "Tidelift-Reservation"
 	// HeaderServed carries the load of the backend server and the wait for a slot.
 	HeaderServed = "Tidelift-Served"
+	// HeaderFailing carries the share of the backend server's recent requests that failed; without it none did.
+	HeaderFailing = "Tidelift-Failing"
 	// HeaderDetail and HeaderRetryAfter go with a refusal, beside its code.
 	HeaderDetail     = "Tidelift-Detail"
 	HeaderRetryAfter = "Tidelift-Retry-After-Ms"
@@ -59,6 +61,25 @@
 	return load, time.Duration(micros) * time.Microsecond
 }
 
+// leastFailing is the least share that is told, as it is written with two decimals.
+const leastFailing = 0.005
+
+// EncodeFailing writes on an answer the share of the backend server's recent requests that failed, from 0 to 1.
+func EncodeFailing(h http.Header, share float64) {
+	if share >= leastFailing {
+		h[HeaderFailing] = []string{strconv.FormatFloat(share, 'f', 2, 64)}
+	}
+}
+
+// DecodeFailing reads what EncodeFailing wrote; what is missing or is no share is zero.
+func DecodeFailing(h http.Header) float64 {
+	share, err := strconv.ParseFloat(h.Get(HeaderFailing), 64)
+	if err != nil || !(share >= 0 && share <= 1) {
+		return 0
+	}
+	return share
+}
+
 // Undated keeps net/http from writing the date of this daemon on an answer to another
 // daemon, which does not look at it.
 func Undated(h http.Header) { h["Date"] = nil }
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -82,3 +82,19 @@
 		t.Fatalf("%v, %v", load, waited)
 	}
 }
+
+// TestFailingIsAShare reads back what was written, and takes nothing else for a share.
+func TestFailingIsAShare(t *testing.T) {
+	for share, want := range map[float64]float64{0: 0, 0.004: 0, 0.256: 0.26, 1: 1} {
+		h := make(http.Header)
+		hop.EncodeFailing(h, share)
+		if got := hop.DecodeFailing(h); got != want {
+			t.Errorf("%v is read as %v, want %v", share, got, want)
+		}
+	}
+	for _, text := range []string{"x", "NaN", "-1", "1.5", "Inf"} {
+		if got := hop.DecodeFailing(http.Header{hop.HeaderFailing: {text}}); got != 0 {
+			t.Errorf("%q is read as %v", text, got)
+		}
+	}
+}
--- a/internal/ingress/avoid.go
+++ b/internal/ingress/avoid.go
@@ -22,8 +22,9 @@
 	if j.declared.AdoptionIn(j.config.DataCentre) == fleet.AdoptionSteer {
 		j.avoidSick(now, targets)
 	}
+	told := detect.NewTold(j.pool.Failing(now))
 	for _, target := range targets {
-		j.publish(now, target)
+		j.publish(now, target, told)
 	}
 }
 
@@ -57,12 +58,12 @@
 
 // publish tells requests how much of the work the target gets, and what goes
 // along to its sidecar.
-func (j *judge) publish(now time.Time, target *balance.Target) {
+func (j *judge) publish(now time.Time, target *balance.Target, told detect.Told) {
 	subject, ok := j.group.Subject(target.Name)
 	if !ok {
 		return
 	}
-	others := j.group.Baseline(target.Name)
+	others := told.Complete(target.Name, j.group.Baseline(target.Name))
 	target.SetBaseline(others.Encode(), others.Typical)
 	if j.declared.AdoptionIn(j.config.DataCentre) != fleet.AdoptionSteer {
 		target.SetShare(balance.FullShare)
--- a/internal/ingress/learn.go
+++ b/internal/ingress/learn.go
@@ -26,6 +26,7 @@
 // learnFromAnswer records what the head of an answer shows.
 func (a *attempt) learnFromAnswer(answer sidecar.Answer, took time.Duration) {
 	a.request.service.pool.Report(a.Target, answer.Load, time.Now())
+	a.request.service.pool.ReportFailing(a.Target, answer.Failing, time.Now())
 	if a.RefuseIfBusy {
 		a.request.service.pool.Looked(true)
 	}
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -77,7 +77,7 @@
 		return sidecar.Answer{}, hop.Classify(ctx, true, result.PeerUnreachable, err)
 	}
 	load, waited := hop.DecodeServed(response.Header)
-	return sidecar.Answer{Response: response, Load: load, Waited: waited}, nil
+	return sidecar.Answer{Response: response, Load: load, Failing: hop.DecodeFailing(response.Header), Waited: waited}, nil
 }
 
 // hop sends one request to another daemon. A refusal is an error.
--- a/internal/sidecar/do.go
+++ b/internal/sidecar/do.go
@@ -16,6 +16,8 @@
 	Response *http.Response
 	// Load is the load of the backend server; 1 means that every slot is taken.
 	Load float64
+	// Failing is the share of the backend server's recent requests that failed.
+	Failing float64
 	// Waited is how long the request waited for a slot.
 	Waited time.Duration
 }
@@ -61,7 +63,7 @@
 		slot.release()
 		end()
 	})
-	return Answer{Response: response, Load: server.load(), Waited: slot.waited}, nil
+	return Answer{Response: response, Load: server.load(), Failing: server.failing(), Waited: slot.waited}, nil
 }
 
 // reportAnswered calls Config.Answered.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -17,16 +17,17 @@
 
 // server is the handle of one backend server's task.
 type server struct {
-	mailbox  chan any
-	ended    chan struct{}
-	loadBits atomic.Uint64
-	draining atomic.Bool
-	endedAt  atomic.Int64 // when it was seen to end, in Unix milliseconds; zero since it last answered
-	declared atomic.Pointer[declared]
-	pool     *backend.Pool
-	slotTime slotTime
-	sendings sendings
-	closeAll func()
+	mailbox     chan any
+	ended       chan struct{}
+	loadBits    atomic.Uint64
+	failingBits atomic.Uint64 // the share of recent requests that failed
+	draining    atomic.Bool
+	endedAt     atomic.Int64 // when it was seen to end, in Unix milliseconds; zero since it last answered
+	declared    atomic.Pointer[declared]
+	pool        *backend.Pool
+	slotTime    slotTime
+	sendings    sendings
+	closeAll    func()
 }
 
 func newServer(config Config, d *declared, connects tally.Counter) *server {
@@ -51,6 +52,8 @@
 
 func (s *server) load() float64 { return math.Float64frombits(s.loadBits.Load()) }
 
+func (s *server) failing() float64 { return math.Float64frombits(s.failingBits.Load()) }
+
 // isDraining reports whether the backend server takes no new work because it is draining or has been
 // replaced, so that its end is no surprise.
 func (s *server) isDraining() bool {
--- a/internal/sidecar/suspicion.go
+++ b/internal/sidecar/suspicion.go
@@ -35,7 +35,8 @@
 		begins = t.suspicion.RecordSlowness(now, suspicion.Overdue)
 	}
 	if begins {
-		t.log(event.ServerSuspected, "outcome", saw.Outcome, "mostly_late", t.suspicion.MostlySlow())
+		t.log(event.ServerSuspected, "outcome", saw.Outcome, "mostly_late", t.suspicion.MostlySlow(),
+			"others_failing", others.Failure, "others_known", others.Typical > 0)
 		t.refuseWaiting(now)
 	}
 }
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -74,6 +74,7 @@
 // publish lets others read the load, and whether the backend server is draining, without a message.
 func (t *task) publish(now time.Time) {
 	t.server.loadBits.Store(math.Float64bits(t.queue.Load()))
+	t.server.failingBits.Store(math.Float64bits(t.subject.FailureRate()))
 	t.server.draining.Store(t.isDraining(now))
 }
 
