fix(cli): the exit code of a change says what is known of it

Cause: only code 4005 counted as unknown; the wait ended at its first error, and stood behind the early return of the JSON output.

The golden help page has the new code.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tideliftd/tidelift/internal/operatorapi"
+	"github.com/tideliftd/tidelift/internal/wait"
 )
 
 const (
@@ -61,18 +62,26 @@
 	change := newChange(c, text, base)
 	accepted, err := client.ApplyDeclaration(ctx, change)
 	if err != nil {
-		return errors.Wrapf(err, "apply (change id %s, base %d)", change.ChangeID, base)
+		return errors.Wrapf(changeFailed(err), "apply (change id %s, base %d)", change.ChangeID, base)
 	}
+	if err := showAccepted(c, accepted); err != nil {
+		return err
+	}
+	if !c.Bool(flagWait) {
+		return nil
+	}
+	return waitInForce(ctx, c, client, accepted.Revision)
+}
+
+// showAccepted prints the revision that the change became.
+func showAccepted(c *cli.Command, accepted *operatorapi.Declaration) error {
 	if c.Bool(flagJSON) {
 		return showJSON(c.Root().Writer, accepted)
 	}
 	if _, err := fmt.Fprintf(c.Root().Writer, "accepted as revision %d\n", accepted.Revision); err != nil {
 		return errors.Wrap(err, "print result")
 	}
-	if !c.Bool(flagWait) {
-		return nil
-	}
-	return waitInForce(ctx, c, client, accepted.Revision)
+	return nil
 }
 
 const (
@@ -85,22 +94,22 @@
 )
 
 // waitInForce waits until every daemon has the revision in force, and prints how many have in
-// each data centre, also if the wait ends without.
+// each data centre, also if the wait ends without. A daemon that does not answer is asked again.
 func waitInForce(ctx context.Context, c *cli.Command, client *operatorapi.Client, revision int64) error {
 	ctx, cancel := context.WithTimeout(ctx, waitLimit)
 	defer cancel()
+	var last []operatorapi.Progress // of the last answer
 	for {
 		progress, err := client.GetProgress(ctx, operatorapi.GetProgressParams{Revision: revision})
-		if err != nil {
-			return err
-		}
-		if everywhere(progress) {
+		if err == nil && everywhere(progress) {
 			return showProgress(c, progress)
 		}
-		select {
-		case <-ctx.Done():
-			return errors.Join(showProgress(c, progress), errors.Errorf("revision %d is not in force everywhere after %s", revision, waitLimit))
-		case <-time.After(waitPause):
+		if err == nil {
+			last = progress
+		}
+		if !wait.For(ctx, waitPause) {
+			missing := errors.Wrapf(errNotEverywhere, "revision %d, after up to %s", revision, waitLimit)
+			return errors.Join(showProgress(c, last), missing, err)
 		}
 	}
 }
@@ -114,7 +123,12 @@
 	return true
 }
 
+// showProgress prints how many daemons have a revision in force. With JSON the accepted revision is the one
+// document, and the exit code says whether it is in force everywhere.
 func showProgress(c *cli.Command, progress []operatorapi.Progress) error {
+	if c.Bool(flagJSON) {
+		return nil
+	}
 	rows := make([][]string, 0, len(progress))
 	for _, p := range progress {
 		rows = append(rows, []string{p.DataCentre, strconv.Itoa(p.Daemons), strconv.Itoa(p.InForce), strconv.Itoa(p.Silent)})
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -21,7 +21,6 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tideliftd/tidelift/internal/operatorapi"
-	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/version"
 	"github.com/tideliftd/tidelift/internal/yamlfile"
 )
@@ -32,11 +31,16 @@
 	ExitRefused = 1
 	ExitUsage   = 2
 	ExitUnknown = 3
+	// ExitNotEverywhere: the change was accepted and was not seen in force at every daemon.
+	ExitNotEverywhere = 4
 )
 
 // errUsage marks a wrong command line.
 var errUsage = errors.New("wrong command line")
 
+// errNotEverywhere marks a change that was accepted and was not seen in force at every daemon.
+var errNotEverywhere = errors.New("accepted, not seen in force everywhere")
+
 // RunOperator runs the program tidelift and returns its exit code.
 func RunOperator(ctx context.Context, args []string, out, errOut io.Writer) int {
 	root := &cli.Command{
@@ -50,7 +54,8 @@
 			"  tidelift show backend-servers lookup    shows the backend servers of lookup\n" +
 			"  tidelift why csepel/lookup-1            shows the evidence behind a state\n\n" +
 			"Exit codes: 0 done; 1 refused or failed; 2 the command line or a file is\n" +
-			"wrong; 3 the outcome of a change is unknown.",
+			"wrong; 3 the outcome of a change is unknown; 4 the change was accepted, and\n" +
+			"apply --wait did not see it in force everywhere.",
 		Version:               version.Version,
 		EnableShellCompletion: true,
 		Writer:                out,
@@ -97,11 +102,13 @@
 
 func exitCode(err error) int {
 	var wrongFile *yamlfile.Error
-	var refused *operatorapi.RefusedStatusCode
+	var unknown *unknownError
 	switch {
 	case errors.Is(err, errUsage), errors.As(err, &wrongFile):
 		return ExitUsage
-	case errors.As(err, &refused) && refused.Response.Code == result.ChangeUnknown.Number:
+	case errors.Is(err, errNotEverywhere):
+		return ExitNotEverywhere
+	case errors.As(err, &unknown):
 		return ExitUnknown
 	default:
 		return ExitRefused
--- a/internal/cli/drain.go
+++ b/internal/cli/drain.go
@@ -40,7 +40,7 @@
 	}
 	server, err := client.Drain(ctx, &operatorapi.Drain{BackendServer: name, Leaving: draining})
 	if err != nil {
-		return err
+		return changeFailed(err)
 	}
 	if c.Bool(flagJSON) {
 		return showJSON(c.Root().Writer, server)
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -73,7 +73,7 @@
 	}
 	held, err := client.LiftQuarantine(ctx, &operatorapi.Lift{Fingerprint: fingerprint})
 	if err != nil {
-		return err
+		return changeFailed(err)
 	}
 	if c.Bool(flagJSON) {
 		return showJSON(c.Root().Writer, held)
