fix(cli): SIGHUP ends no daemon that is stopping as planned

Cause: the handler of SIGHUP was removed when a planned stop began, with the task that reads the settings, and the signal then ends the process. The same held for the first moments of a start.

Change: the handler is there from the program's first step until after its last answer.

Ruled out: the planned stop itself, and a second SIGTERM.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -60,6 +60,8 @@
 	if c.Args().Len() > 0 {
 		return errors.Wrapf(errUsage, "%q is not a command", c.Args().First())
 	}
+	hangUps, cleanUp := hangUpSignals() // first of all: the signal may come at any moment, also in a planned stop
+	defer cleanUp()
 	file := c.String(flagSettings)
 	s, data, err := readSettings(file)
 	if err != nil {
@@ -69,7 +71,7 @@
 		_, err := fmt.Fprintf(c.Root().Writer, "%s is right: daemon %s in data centre %s\n", file, s.Name, s.DataCentre)
 		return err
 	}
-	return startDaemon(ctx, c.Root().Writer, s, &settingsFile{name: file, seen: data})
+	return startDaemon(ctx, c.Root().Writer, s, &settingsFile{name: file, seen: data}, hangUps)
 }
 
 // readSettings reads the settings file and returns what is in it, too.
@@ -83,7 +85,7 @@
 }
 
 // startDaemon runs a daemon with these settings until it is told to stop.
-func startDaemon(ctx context.Context, out io.Writer, s settings.Settings, followed *settingsFile) error {
+func startDaemon(ctx context.Context, out io.Writer, s settings.Settings, followed *settingsFile, hangUps <-chan os.Signal) error {
 	limitResources(s)
 	ctx, force, cleanUp := stopSignals(ctx)
 	defer cleanUp()
@@ -97,7 +99,7 @@
 	config.Logger = logger
 	config.Level = level
 	config.Force = force
-	config.Reloads = followed.follow(ctx)
+	config.Reloads = followed.follow(ctx, hangUps)
 	return daemon.Run(ctx, config)
 }
 
--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -24,14 +24,19 @@
 	seen   []byte // its content when it was last read
 }
 
-// follow sends the settings each time the file changes, on SIGHUP or without,
-// until ctx ends. A file that is wrong changes nothing.
-func (f *settingsFile) follow(ctx context.Context) <-chan settings.Settings {
+// hangUpSignals returns a channel for SIGHUP. Without it, and after the clean-up function was called, the signal ends
+// the process.
+func hangUpSignals() (<-chan os.Signal, func()) {
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP)
+	return hangUps, func() { signal.Stop(hangUps) }
+}
+
+// follow sends the settings each time the file changes, after a signal or without,
+// until ctx ends. A file that is wrong changes nothing.
+func (f *settingsFile) follow(ctx context.Context, hangUps <-chan os.Signal) <-chan settings.Settings {
 	changed := make(chan settings.Settings)
 	go func() {
-		defer signal.Stop(hangUps)
 		ticker := time.NewTicker(readEvery)
 		defer ticker.Stop()
 		for {
--- a/internal/cli/reload_test.go
+++ b/internal/cli/reload_test.go
@@ -55,8 +55,10 @@
 	write("7s")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	hangUps, cleanUp := hangUpSignals()
+	defer cleanUp()
 	select {
-	case s := <-file.follow(ctx):
+	case s := <-file.follow(ctx, hangUps):
 		if s.Limits.Stop != 7*time.Second {
 			t.Fatalf("stop limit %s", s.Limits.Stop)
 		}
--- a/test/harness/events.go
+++ b/test/harness/events.go
@@ -17,6 +17,7 @@
 	BackendServer string    `json:"backend_server"`
 	Service       string    `json:"service"`
 	Observer      string    `json:"witness"`
+	Revision      int64     `json:"revision"`
 }
 
 // Events returns what every daemon has logged.
--- /dev/null
+++ b/test/soak/kept_test.go
@@ -0,0 +1,108 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/wait"
+	"github.com/tideliftd/tidelift/test/backendserver"
+)
+
+// keptCaller sends one request after another on a connection that it keeps until it is asked to close it, and rests
+// in between. It is no http.Client, since that sends some requests again by itself and drops what comes while it
+// rests.
+type keptCaller struct {
+	address  string // of a daemon's callers
+	path     string
+	prefix   string // starts each key
+	random   *rand.Rand
+	restMost time.Duration
+
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// run sends requests until ctx ends and returns what became of each.
+func (c *keptCaller) run(ctx context.Context) []sample {
+	defer c.close()
+	var samples []sample
+	for n := 0; ctx.Err() == nil; n++ {
+		method := idempotent
+		if n%2 == 1 {
+			method = http.MethodPost
+		}
+		one := c.send(fmt.Sprintf("%s-%d", c.prefix, n), method)
+		samples = append(samples, one)
+		rest := time.Duration(c.random.Int64N(int64(c.restMost)))
+		if one.outcome == outcomeRefused {
+			rest = 20 * time.Millisecond
+		}
+		wait.For(ctx, rest)
+	}
+	return samples
+}
+
+func (c *keptCaller) close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// send sends one request, on a new connection if there is none.
+func (c *keptCaller) send(key, method string) sample {
+	one := sample{key: key, method: method}
+	if c.conn == nil {
+		conn, err := net.Dial("tcp", c.address)
+		if err != nil {
+			one.outcome, one.err = outcomeRefused, err.Error()
+			return one
+		}
+		c.conn, c.reader = conn, bufio.NewReader(conn)
+	}
+	response, text, err := c.exchange(key, method)
+	if err != nil {
+		c.close()
+		one.outcome, one.err = outcomeBroken, err.Error()
+		return one
+	}
+	if response.Close {
+		c.close()
+	}
+	one.outcome = judge(key, response, text)
+	return one
+}
+
+// exchange writes a request and reads what comes back. What was written to a connection that the other side has
+// closed may still be answered: the answer came before.
+func (c *keptCaller) exchange(key, method string) (*http.Response, string, error) {
+	body := ""
+	if method == http.MethodPost {
+		body = key
+	}
+	request, err := http.NewRequest(method, "http://"+c.address+c.path, strings.NewReader(body))
+	if err != nil {
+		panic(err) // the address is the test's own
+	}
+	request.Header.Set(backendserver.HeaderKey, key)
+	request.Header.Set(backendserver.HeaderWork, "10")
+	writeErr := request.Write(c.conn)
+	if err := c.conn.SetReadDeadline(time.Now().Add(answerLimit)); err != nil {
+		return nil, "", err
+	}
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		return nil, "", errors.Join(writeErr, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
--- /dev/null
+++ b/test/soak/planned_test.go
@@ -0,0 +1,263 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tideliftd/tidelift/internal/event"
+	"github.com/tideliftd/tidelift/internal/wait"
+	"github.com/tideliftd/tidelift/test/harness"
+)
+
+var hostsEach = flag.Int("hosts", 2, "hosts of each data centre in the soak of planned work")
+
+// TestPlannedWorkCutsNothing stops and starts daemons, has their settings read again and changes the declaration,
+// in series that a seed draws and that overlap, while callers keep connections or open one for each request.
+// Nothing that a caller sent is cut, and what was accepted is in force everywhere and stays.
+func TestPlannedWorkCutsNothing(t *testing.T) {
+	for text := range strings.SplitSeq(*seeds, ",") {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run("seed "+text, func(t *testing.T) { plannedWork(t, seed) })
+	}
+}
+
+func plannedWork(t *testing.T, seed uint64) {
+	const (
+		length  = 12 * time.Second
+		workers = 2
+	)
+	dataCentres := []string{"muenchen-nord", "rosenheim", "weilheim"}
+	hosts := len(dataCentres) * *hostsEach
+	f := start(t, harness.Spec{
+		DataCentres: dataCentres,
+		HostsEach:   *hostsEach,
+		Services:    []harness.Service{{Name: "akten", Floor: 2, Servers: hosts, Slots: 20, Queue: 40}},
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), length)
+	defer cancel()
+	work := &planned{fleet: f, revision: 1}
+	var workersEnded sync.WaitGroup
+	for number := range workers {
+		w := plannedWorker{planned: work, t: t, number: number, workers: workers, random: rand.New(rand.NewPCG(seed, uint64(number)))}
+		workersEnded.Go(func() { w.run(ctx) })
+	}
+	samples := callWhile(ctx, f, seed)
+	workersEnded.Wait()
+	work.changes.Wait()
+	t.Logf("%d stops, %d signals, %d changes accepted", work.stops, work.signals, work.revision-1)
+	if work.stops == 0 || work.revision == 1 {
+		t.Error("no stop or no change, so that nothing is shown")
+	}
+	runs := runsOf(t, f, nil)
+	checkAnswers(t, samples, runs)
+	for _, s := range samples {
+		if s.outcome == outcomeBroken || s.outcome == outcomeIndeterminate {
+			t.Errorf("%s was cut, having run %d times: %s %s", s.key, runs[s.key], s.outcome, s.err)
+		}
+	}
+	checkRevisions(t, f, work.revision)
+}
+
+// TestHangUpInAPlannedStopEndsNothing guards against a daemon that SIGHUP ends while it stops as planned: whoever
+// replaces settings and stops daemons in series sends both.
+func TestHangUpInAPlannedStopEndsNothing(t *testing.T) {
+	f := start(t, harness.Spec{
+		DataCentres: []string{"rosenheim"},
+		HostsEach:   1,
+		Services:    []harness.Service{{Name: "akten", Floor: 1, Servers: 2, Slots: 20, Queue: 40}},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	slow := stream{urls: []string{f.URL(0, "akten", "/x")}, method: http.MethodPost, interval: 50 * time.Millisecond, workMillis: 700, prefix: "slow"}
+	done := make(chan []sample, 1)
+	go func() { done <- slow.run(ctx) }()
+	time.Sleep(500 * time.Millisecond)
+	d := f.Daemons[0]
+	if err := d.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for !d.Wait(50 * time.Millisecond) {
+		if err := d.Signal(syscall.SIGHUP); err != nil {
+			t.Log(err) // it has just ended
+		}
+	}
+	cancel()
+	for _, s := range <-done {
+		if s.outcome != outcomeOK && s.outcome != outcomeNotRun && s.outcome != outcomeRefused {
+			t.Errorf("%s was cut: %s %s", s.key, s.outcome, s.err)
+		}
+	}
+	events, err := f.Events()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.ContainsFunc(events, func(e harness.Logged) bool { return e.Event == event.DaemonStopped.Number }) {
+		t.Error("the daemon did not end by itself")
+	}
+}
+
+// callWhile returns what became of the requests of all callers until ctx ends.
+func callWhile(ctx context.Context, f *harness.Fleet, seed uint64) []sample {
+	const keptEach = 4
+	var (
+		all   []sample
+		mu    sync.Mutex
+		calls sync.WaitGroup
+	)
+	collect := func(run func(context.Context) []sample) {
+		calls.Go(func() {
+			samples := run(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, samples...)
+		})
+	}
+	for i, d := range f.Daemons {
+		alone := stream{urls: []string{f.URL(i, "akten", "/x")}, interval: 20 * time.Millisecond, workMillis: 10, spread: 0.5, alone: true}
+		reads, payments := alone, alone
+		reads.method, reads.prefix = idempotent, fmt.Sprintf("r%d", i)
+		payments.method, payments.prefix = http.MethodPost, fmt.Sprintf("p%d", i)
+		collect(reads.run)
+		collect(payments.run)
+		for n := range keptEach {
+			caller := &keptCaller{
+				address: d.Callers(), path: "/akten/x", prefix: fmt.Sprintf("k%d.%d", i, n),
+				random:   rand.New(rand.NewPCG(seed, uint64(1000+keptEach*i+n))),
+				restMost: 10 * time.Millisecond << (2 * n), // up to 640 ms
+			}
+			collect(caller.run)
+		}
+	}
+	calls.Wait()
+	return all
+}
+
+// planned is what was done to a fleet.
+type planned struct {
+	fleet   *harness.Fleet
+	changes sync.WaitGroup // that are made beside stops
+
+	mu       sync.Mutex
+	revision int64 // the highest that was accepted
+	stops    int
+	signals  int
+}
+
+// plannedWorker does one thing after another to daemons of its own.
+type plannedWorker struct {
+	*planned
+	t       *testing.T
+	number  int
+	workers int
+	random  *rand.Rand
+}
+
+func (w plannedWorker) run(ctx context.Context) {
+	for n := 0; wait.For(ctx, time.Duration(w.random.IntN(300))*time.Millisecond); n++ {
+		d := w.fleet.Daemons[w.number+w.workers*w.random.IntN(len(w.fleet.Daemons)/w.workers)]
+		switch w.random.IntN(4) {
+		case 0:
+			w.stop(d)
+		case 1:
+			for range 1 + w.random.IntN(3) {
+				w.signal(d)
+			}
+		case 2:
+			w.change(n, w.random.IntN(len(w.fleet.Daemons)))
+		case 3:
+			daemon := w.random.IntN(len(w.fleet.Daemons))
+			w.changes.Go(func() { w.change(n, daemon) })
+			w.signal(d)
+			w.stop(d)
+		}
+	}
+}
+
+// stop stops the daemon as planned and starts it again.
+func (w plannedWorker) stop(d *harness.Daemon) {
+	if err := d.Signal(syscall.SIGTERM); err != nil {
+		w.t.Error(err)
+		return
+	}
+	if !d.Wait(stopWithin) {
+		w.t.Errorf("daemon %s did not stop in %s", d.Name, stopWithin)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	if err := d.Restart(ctx); err != nil {
+		w.t.Error(err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stops++
+}
+
+// signal has the daemon read its settings again.
+func (w plannedWorker) signal(d *harness.Daemon) {
+	if err := d.Signal(syscall.SIGHUP); err != nil {
+		w.t.Error(err)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.signals++
+}
+
+// change applies a change through the daemon of that number. One that is refused, since that daemon stops or another
+// change came first, is not made again.
+func (w plannedWorker) change(n, daemon int) {
+	w.mu.Lock()
+	base := w.revision
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	text := fmt.Sprintf("# change %d of worker %d\n%s", n, w.number, w.fleet.Declaration())
+	accepted, err := w.fleet.Apply(ctx, daemon, text, base, fmt.Sprintf("%d-%d", w.number, n))
+	if err != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision = max(w.revision, accepted.Revision)
+}
+
+// checkRevisions waits until the revision is in force everywhere, and fails if a daemon ever took an older one for
+// a newer.
+func checkRevisions(t *testing.T, f *harness.Fleet, revision int64) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	if err := f.WaitRevision(ctx, revision); err != nil {
+		t.Error(err)
+	}
+	events, err := f.Events()
+	if err != nil {
+		t.Fatal(err)
+	}
+	inForce := make(map[string]int64) // by daemon
+	for _, e := range events {
+		switch e.Event {
+		case event.DaemonStarted.Number:
+			delete(inForce, e.Daemon)
+		case event.DeclarationInForce.Number:
+			if e.Revision < inForce[e.Daemon] {
+				t.Errorf("%s went from revision %d to %d", e.Daemon, inForce[e.Daemon], e.Revision)
+			}
+			inForce[e.Daemon] = e.Revision
+		}
+	}
+}
