--- a/test/harness/tests.go
+++ b/test/harness/tests.go
@@ -18,10 +18,12 @@
 	os.Exit(code)
 }
 
-// StartForTest starts a fleet in a directory of the test's own, which ends with the test.
+// StartForTest starts a fleet whose logs are in Spec.Dir, or else in a directory that ends with the test.
 func StartForTest(t *testing.T, spec Spec) *Fleet {
 	t.Helper()
-	spec.Dir = t.TempDir()
+	if spec.Dir == "" {
+		spec.Dir = t.TempDir()
+	}
 	f, cleanUp, err := Start(spec)
 	if err != nil {
 		t.Fatal(err)
