fix(serve): the 408 of an unused connection does not wait for the server's own read

Cause: a connection that may be compressed is locked while its first byte is awaited, so that the 408 waited for the server's read, whose deadline is 5 s; the deadline that had ended it came first before and second since then.

--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -139,6 +139,7 @@
 	for _, listener := range s.public {
 		listener.Wait(ctx)
 	}
+	s.CloseUnused() // those that were accepted since Refuse
 	err := errors.Join(
 		shutDown(ctx, s.callers, "callers"),
 		shutDown(ctx, s.peers, "peers"),
