--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -23,7 +23,7 @@
 func changeFailed(err error) error {
 	var refused *operatorapi.RefusedStatusCode
 	if errors.As(err, &refused) {
-		code, ok := result.ByNumber(int(refused.Response.Code))
+		code, ok := result.ByNumber(refused.Response.Code)
 		if ok && code.Ran == result.RanNo {
 			return err
 		}
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -178,7 +178,7 @@
 	defer c.open.Add(-1)
 	defer func() { _ = c.Conn.Close() }()
 	// The server's own Read ends first: a compressed connection is not written to while its first byte is awaited.
-	if err := errors.Join(c.Conn.SetReadDeadline(time.Now()), c.Conn.SetWriteDeadline(time.Now().Add(writeWithin))); err != nil {
+	if err := errors.Join(c.Conn.SetReadDeadline(time.Now()), c.SetWriteDeadline(time.Now().Add(writeWithin))); err != nil {
 		return // the connection has ended
 	}
 	if err := result.WriteConn(c.Conn, result.New(result.ConnectionUnused)); err != nil {
--- a/test/wallclock/wallclock.go
+++ b/test/wallclock/wallclock.go
@@ -20,7 +20,7 @@
 // went back by whole seconds. It panics if the standard library keeps times in another form.
 func ReadBeforeStepBack(t time.Time, back time.Duration) time.Time {
 	read := t
-	wall := (*uint64)(unsafe.Pointer(&read)) //nolint:gosec // there is no other way to such a time; checked below
+	wall := (*uint64)(unsafe.Pointer(&read)) // there is no other way to such a time; checked below
 	*wall += uint64(back/time.Second) << secondsShift
 	if read.Sub(t) != 0 || read.UnixNano()-t.UnixNano() != int64(back) {
 		panic(fmt.Sprintf("%s is not %s with its wall clock %s on", read, t, back))
