--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -22,7 +22,7 @@
 //
 // The first rule that applies decides (Queue.Admit, then Queue.Offer):
 //
-//  1. The backend server is draining: refused.
+//  1. The backend server is draining, or its data centre is evacuated: refused.
 //  2. It is suspected: refused, except for a request for which no other backend server is
 //     left, a probe, and an idempotent request if the suspicion rests mostly on slow requests.
 //     Ejection is not checked in this case.
@@ -83,6 +83,8 @@
 	RefusedShare Verdict = "refused-share"
 	// RefusedDraining means that the backend server accepts no new requests.
 	RefusedDraining Verdict = "refused-draining"
+	// RefusedEvacuated means that the backend server's data centre is evacuated.
+	RefusedEvacuated Verdict = "refused-evacuated"
 	// RefusedSuspected means that the backend server is suspected.
 	RefusedSuspected Verdict = "refused-suspected"
 	// RefusedEjected means that the backend server is ejected, or in probation with a request
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -11,6 +11,8 @@
 type Server struct {
 	// Draining means that it finishes its running requests and accepts no new ones.
 	Draining bool
+	// Evacuated means that its data centre is evacuated.
+	Evacuated bool
 	// Suspicion is the state of the suspicion against it.
 	Suspicion Suspicion
 	// State says whether it is ejected or in probation; EjectedFor is the remaining ejection
@@ -62,6 +64,8 @@
 	switch {
 	case s.Draining:
 		return Decision{Verdict: RefusedDraining}
+	case s.Evacuated:
+		return Decision{Verdict: RefusedEvacuated}
 	case s.Suspicion.Suspected && !s.Suspicion.accepts(a):
 		return Decision{Verdict: RefusedSuspected, RetryAfter: s.Suspicion.RetryAfter}
 	case s.isEjected() && s.State == detect.Ejected:
--- a/internal/attempts/choose.go
+++ b/internal/attempts/choose.go
@@ -125,7 +125,7 @@
 // known.
 func (h *History) mayFindBetter(pool *balance.Pool) bool {
 	known := len(pool.Targets())
-	return h.FullQueues == 0 && (known == 0 || len(h.Tried) < known)
+	return h.FullQueues == 0 && !pool.AllEvacuated() && (known == 0 || len(h.Tried) < known)
 }
 
 // hasTimeToReselect reports whether the request has time for another selection.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -27,6 +27,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -68,9 +69,10 @@
 
 // view is the state that Pick reads; it is immutable once stored.
 type view struct {
-	all   []*Target
-	own   []*Target
-	other []*Target
+	all       []*Target // all but the evacuated ones
+	own       []*Target
+	other     []*Target
+	evacuated []*Target // in evacuated data centres, kept for their state
 }
 
 // NewPool returns a pool without targets.
@@ -81,10 +83,11 @@
 }
 
 // Reconfigure replaces the targets by the service's backend servers. Targets that remain keep
-// their state.
+// their state. Those in evacuated data centres are never chosen.
 func (p *Pool) Reconfigure(service fleet.Service, index *fleet.Index) {
 	old := make(map[string]*Target)
-	for _, t := range p.view.Load().all {
+	last := p.view.Load()
+	for _, t := range slices.Concat(last.all, last.evacuated) {
 		old[t.Name] = t
 	}
 	next := &view{}
@@ -96,6 +99,10 @@
 			t.SetShare(FullShare)
 		}
 		t.placement.Store(&placement)
+		if index.Evacuated(placement.Host.DataCentre) {
+			next.evacuated = append(next.evacuated, t)
+			continue
+		}
 		next.add(t, placement.Host.DataCentre == p.config.DataCentre)
 	}
 	p.view.Store(next)
@@ -114,7 +121,17 @@
 // sinceStart returns the time in nanoseconds since the pool's start.
 func (p *Pool) sinceStart(at time.Time) int64 { return int64(at.Sub(p.config.Start)) }
 
-// Targets returns all targets in the order of the declaration.
+// Evacuated returns the targets in evacuated data centres.
+func (p *Pool) Evacuated() []*Target { return p.view.Load().evacuated }
+
+// AllEvacuated reports whether the service has backend servers, all of them in evacuated data
+// centres.
+func (p *Pool) AllEvacuated() bool {
+	v := p.view.Load()
+	return len(v.all) == 0 && len(v.evacuated) > 0
+}
+
+// Targets returns all targets outside evacuated data centres, in the order of the declaration.
 func (p *Pool) Targets() []*Target { return p.view.Load().all }
 
 // RecordLoad records the load that was reported with a target's answer.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -63,7 +63,7 @@
 		ErrWriter:             errOut,
 		Flags:                 []cli.Flag{daemonFlag(), tokenFlag(), jsonFlag()},
 		Commands: []*cli.Command{
-			newCheck(), newPlan(), newApply(), newExport(), newHistory(), newRollback(), newStatus(), newShow(), newCustomers(), newKey(), newQuarantine(), newWhy(), newRequest(), newDrain(), newUndrain(), newSchema(), newVersion(),
+			newCheck(), newPlan(), newApply(), newExport(), newHistory(), newRollback(), newStatus(), newShow(), newCustomers(), newKey(), newQuarantine(), newWhy(), newRequest(), newDrain(), newUndrain(), newEvacuate(), newSchema(), newVersion(),
 		},
 	}
 	return run(ctx, root, args, errOut)
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -125,9 +125,11 @@
 // newStoredDeclaration returns the location and format of the declaration that the platform's operator writes.
 func newStoredDeclaration() declaration.Stored {
 	return declaration.Stored{
-		Key:    platform.DesiredKey,
-		Number: platform.DesiredVersion,
-		Redact: platform.RedactKeys,
+		Key:              platform.DesiredKey,
+		Prefix:           platform.OperatorPrefix,
+		EvacuationPrefix: platform.EvacuationPrefix,
+		Number:           platform.DesiredVersion,
+		Redact:           platform.RedactKeys,
 		Parse: func(data []byte, s settings.Source) (fleet.Declaration, error) {
 			return platform.ParseDesired(data, platform.Defaults{
 				FloorShare:  s.FloorShare,
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,6 +18,7 @@
 package control
 
 import (
+	"github.com/tideliftd/tidelift/internal/evacuation"
 	"github.com/tideliftd/tidelift/internal/floor"
 	"github.com/tideliftd/tidelift/internal/quarantine"
 	"github.com/tideliftd/tidelift/internal/quota"
@@ -56,6 +57,8 @@
 	MethodLend Method = "retries.lend"
 	// MethodQuarantine sends records of suspected and quarantined requests.
 	MethodQuarantine Method = "quarantine.told"
+	// MethodEvacuations sends an evacuation.View of the evacuated data centres.
+	MethodEvacuations Method = "evacuations.told"
 	// MethodReportCounts reports counts of customers' requests and requests the verdict.
 	MethodReportCounts Method = "customers.counted"
 	// MethodRequestLease requests a lease to keep serving from a backend server.
@@ -118,6 +121,8 @@
 	Hosts uint64 `json:"hosts,omitempty"`
 	// Quarantines is a hash of all quarantine records of the caller.
 	Quarantines uint64 `json:"quarantines,omitempty"`
+	// Evacuations is a hash of the caller's states of evacuated data centres.
+	Evacuations uint64 `json:"evacuations,omitempty"`
 }
 
 // HostUpdates is the parameter of MethodHostUpdates.
@@ -147,6 +152,9 @@
 	Digest []byte `json:"digest,omitempty"`
 	// Quarantines are the peer's quarantine records; they are empty if the caller has the same records.
 	Quarantines []quarantine.Record `json:"quarantines,omitempty"`
+	// Evacuations is the peer's view of the evacuated data centres; it is nil if the caller has the
+	// same states.
+	Evacuations *evacuation.View `json:"evacuations,omitempty"`
 }
 
 // Quarantine is the parameter of MethodQuarantine.
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -38,6 +38,7 @@
 	d.buildMembers()
 	d.quarantines = d.newQuarantines()
 	d.buildLedger()
+	d.evacuations = d.newEvacuations()
 	d.buildHostList()
 	d.buildDeclarations()
 	d.buildLender()
@@ -138,10 +139,11 @@
 		Quarantines: d.quarantines,
 		Source:      d.source(),
 		Publish:     d.ledger.Publish,
+		Evacuations: d.evacuations,
 		Apply:       d.apply,
 	}
 	if !d.registers() {
-		config.WhileWatching = d.hostList.Run
+		config.WhileWatching = d.followOperatorKeys
 	}
 	d.declarations = declaration.New(config)
 }
@@ -157,6 +159,7 @@
 		Settings: func() settings.Source { return d.live.Load().Source },
 		Health:   d.health,
 		Logger:   d.config.Logger,
+		OnBatch:  d.evacuations.ApplyBatch,
 	})
 }
 
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -21,6 +21,7 @@
 		control.MethodHostUpdates:      d.members.HandleUpdates,
 		control.MethodRevision:         d.declarations.HandleRevision,
 		control.MethodQuarantine:       d.handleQuarantine,
+		control.MethodEvacuations:      d.handleEvacuations,
 		control.MethodLend:             d.lender.HandleLend,
 		control.MethodReportCounts:     d.limits.HandleCountReport,
 		control.MethodRequestLease:     d.handleAsk,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 //	declaration    the declaration, applied to sidecar, limits and ingress
 //	hostlist       the platform's list of draining hosts, where hosts are declared
 //	quarantinesync requests that make backend servers end
+//	evacuationsync the evacuated data centres
 //	retry, lend    the retry budgets of this host, and loans from other hosts
 //	limits         the customers' limits
 //	sidecar        accepts hops for the backend servers of this host
@@ -64,6 +65,7 @@
 
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/declaration"
+	"github.com/tideliftd/tidelift/internal/evacuationsync"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/hostlist"
 	"github.com/tideliftd/tidelift/internal/ingress"
@@ -125,6 +127,7 @@
 	budgets      *retry.Budgets
 	members      *membership.Membership
 	quarantines  *quarantinesync.Syncer
+	evacuations  *evacuationsync.Syncer
 	ledger       *revision.Ledger
 	hostList     *hostlist.Follower
 	declarations *declaration.Follower
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -61,6 +61,7 @@
 		InForce:    d.declarations.Current,
 		Ledger:     d.ledger,
 		Publish:    d.declarations.Publish,
+		Evacuate:   d.evacuations.Set,
 		Call:       d.peers.CallHost,
 		Local:      handle,
 	})
--- a/internal/declaration/ask.go
+++ b/internal/declaration/ask.go
@@ -25,13 +25,16 @@
 func (f *Follower) Sync(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	query := control.RevisionQuery{Revision: f.Revision(), Hosts: f.config.Members.Sum(), Quarantines: f.config.Quarantines.Sum()}
+	query := control.RevisionQuery{Revision: f.Revision(), Hosts: f.config.Members.Sum(), Quarantines: f.config.Quarantines.Sum(), Evacuations: f.config.Evacuations.Sum()}
 	var response control.RevisionResponse
 	if err := f.config.Peers.Call(ctx, address, control.MethodRevision, query, &response); err != nil {
 		return false
 	}
 	f.config.Members.Exchange(ctx, address, response)
 	f.recordQuarantines(response)
+	if response.Evacuations != nil {
+		f.config.Evacuations.Merge(*response.Evacuations)
+	}
 	f.config.Health.RecordSeen(time.Now().Add(-time.Duration(response.SilentMs) * time.Millisecond))
 	if response.Revision.Number > query.Revision {
 		f.apply(revision.Revision(response.Revision))
@@ -69,6 +72,10 @@
 	if query.Quarantines != f.config.Quarantines.Sum() {
 		response.Quarantines = f.config.Quarantines.Quarantines()
 	}
+	if query.Evacuations != f.config.Evacuations.Sum() {
+		view := f.config.Evacuations.View()
+		response.Evacuations = &view
+	}
 	current := f.inForce.Load()
 	if current == nil {
 		return response
--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -11,8 +11,8 @@
 // The declaration in force is the declared one completed with the hosts and backend servers that
 // registered themselves. It is put in force again whenever those change (Reapply).
 //
-// A poll also exchanges host records and quarantined requests, so that it makes up for updates that
-// were lost.
+// A poll also exchanges host records, quarantined requests and evacuations, so that it makes up for
+// updates that were lost.
 //
 // The package owns the declaration in force and the plan of which hosts to notify. It relies on its
 // Source for revisions, on internal/gossip for which daemons watch and which hosts to notify, on
@@ -35,6 +35,7 @@
 	"sync/atomic"
 
 	"github.com/tideliftd/tidelift/internal/control"
+	"github.com/tideliftd/tidelift/internal/evacuationsync"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/gossip"
 	"github.com/tideliftd/tidelift/internal/membership"
@@ -62,6 +63,8 @@
 	// Members holds the known hosts, Quarantines the suspected and quarantined requests.
 	Members     *membership.Membership
 	Quarantines *quarantinesync.Syncer
+	// Evacuations holds the evacuated data centres.
+	Evacuations *evacuationsync.Syncer
 	// Source provides the declarations.
 	Source Source
 	// Publish writes a change to the platform's store as the next revision.
--- a/internal/declaration/inforce.go
+++ b/internal/declaration/inforce.go
@@ -47,7 +47,7 @@
 		f.putInForce(current.Revision)
 		return
 	}
-	f.updatePlan(f.config.Members.Complete(fleet.Declaration{}).Hosts)
+	f.updatePlan(f.config.Members.Complete(fleet.Declaration{}, nil).Hosts)
 }
 
 // updatePlan replaces the plan of which hosts to notify.
@@ -62,7 +62,8 @@
 // putInForce builds the index of what is declared and registered, and distributes it
 // to every part of the daemon. The caller holds mu.
 func (f *Follower) putInForce(r revision.Revision) {
-	index := fleet.NewIndex(f.config.Members.Complete(f.declared))
+	evacuated := f.config.Evacuations.Evacuated()
+	index := fleet.NewIndex(f.config.Members.Complete(f.declared, evacuated)).WithEvacuated(evacuated)
 	f.config.Apply(index)
 	f.updatePlan(index.Declaration.Hosts)
 	f.inForce.Store(&InForce{Revision: r, Index: index})
--- a/internal/declaration/notice_test.go
+++ b/internal/declaration/notice_test.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tideliftd/tidelift/internal/control"
+	"github.com/tideliftd/tidelift/internal/evacuationsync"
 	"github.com/tideliftd/tidelift/internal/member"
 	"github.com/tideliftd/tidelift/internal/membership"
 	"github.com/tideliftd/tidelift/internal/quarantinesync"
@@ -35,7 +36,7 @@
 	f := New(Config{
 		Health: storehealth.New(storehealth.Config{}), Peers: peers, Members: membership.New(membership.Config{
 			Self: member.Host{Name: "csepel-1"}, Registers: true, Logger: slog.New(slog.DiscardHandler), Reapply: func() {},
-		}), Quarantines: quarantinesync.New(quarantinesync.Config{Scope: tally.NoopScope}),
+		}), Quarantines: quarantinesync.New(quarantinesync.Config{Scope: tally.NoopScope}), Evacuations: evacuationsync.New(evacuationsync.Config{}),
 	})
 	f.config.Members.Learn("", []member.Host{{Name: "csepel-2", Control: listener.Addr().String(), Start: "a", Incarnation: 1, Version: 1}})
 	f.receiveNotice(control.Notice{Host: "csepel-2", Revision: 7})
--- a/internal/declaration/source.go
+++ b/internal/declaration/source.go
@@ -14,8 +14,11 @@
 
 // Stored describes a declaration that another system keeps in the store.
 type Stored struct {
-	// Key is the store key of the declaration.
-	Key string
+	// Key is the store key of the declaration. Prefix is the common prefix of the keys that the
+	// other system writes, and EvacuationPrefix that of the keys that name evacuated data centres.
+	Key              string
+	Prefix           string
+	EvacuationPrefix string
 	// Number returns the revision number, Redact removes what must not be kept, and Parse
 	// parses the redacted text.
 	Number func(data []byte) (int64, error)
@@ -45,6 +48,8 @@
 	Stored Stored
 	// Settings returns the current settings, which supply what the declaration omits.
 	Settings func() settings.Source
+	// OnBatch receives every batch of keys that is read from the store.
+	OnBatch func(store.Batch)
 	// Health records the outcome of each call. Logger receives an event for each invalid declaration.
 	Health *storehealth.Health
 	Logger *slog.Logger
@@ -55,6 +60,8 @@
 	key := revision.KeyConfig{
 		Store:     config.Store,
 		Key:       config.Stored.Key,
+		Prefix:    config.Stored.Prefix,
+		OnBatch:   config.OnBatch,
 		Number:    config.Stored.Number,
 		Redact:    config.Stored.Redact,
 		OnInvalid: func(err error) { event.Log(config.Logger, event.DeclarationRefused, "error", err) },
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -47,6 +47,8 @@
 	PlatformReachable    = Event{204, slog.LevelInfo, "platform reachable", "The platform answers again."}
 	DeclarationAccepted  = Event{205, slog.LevelInfo, "declaration accepted", "This daemon wrote an operator's change to the platform."}
 	DeclarationFromPeers = Event{206, slog.LevelInfo, "declaration taken from peers", "The platform did not answer, and other daemons supplied the declaration."}
+	DataCentreEvacuated  = Event{207, slog.LevelWarn, "data centre evacuated", "An operator evacuated a data centre: its backend servers complete what they run and receive no new requests from this daemon."}
+	DataCentreInUse      = Event{208, slog.LevelInfo, "data centre in use again", "An operator ended the evacuation of a data centre; its backend servers receive requests again."}
 )
 
 // Events of backend servers.
@@ -95,7 +97,7 @@
 func All() []Event {
 	return []Event{
 		DaemonStarted, DaemonStopping, DaemonStopped, StopCut, ServeFailed, SettingsTaken, SettingsRefused, KeysRefused,
-		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers,
+		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers, DataCentreEvacuated, DataCentreInUse,
 		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerDraining, ServerBack, ServerSuspected, ServerTrusted, ServerProbed, ServerEnded,
 		RequestFailed, AttemptFailed, RequestRefused, RequestHedged, RouteSubrequest, RequestQuarantined, QuarantineEnded, QuarantineTrial, QuarantineUntried, QuarantineDropped,
 		ServersRegistered, RegistrationRefused, HostLearned, RecordRefused, PeerSilent, HostUnreachable, HostBack, HostGone, UpdatesDropped, HostListRefused,
--- a/internal/failures/failures_test.go
+++ b/internal/failures/failures_test.go
@@ -66,6 +66,7 @@
 2023 refusal passed-over
 2024 refusal
 2025 final
+2027 no-work refusal
 3001 final reached evidence:timed-out
 3002 reached evidence:lost
 3003 reached evidence:lost
--- a/internal/failures/table.go
+++ b/internal/failures/table.go
@@ -36,6 +36,7 @@
 	result.Draining.Number:      {Target: NotAccepting, NeedsRetryAfter: true},
 	result.Ejected.Number:       {Target: NotAccepting, NeedsRetryAfter: true},
 	result.UnknownServer.Number: {Target: NotAccepting, NeedsRetryAfter: true},
+	result.Evacuated.Number:     {Target: NotAccepting, NeedsRetryAfter: true},
 
 	// The backend server does not accept this request now.
 	result.Busy.Number:         {Target: NoSlot, NeedsRetryAfter: true},
@@ -70,15 +71,17 @@
 	result.ServerError.Number:          {Reached: true}, // the answer that it stands for has already been recorded as evidence
 
 	// Operators' calls; no sidecar answers a request with these.
-	result.BadDeclaration.Number:  {},
-	result.RevisionChanged.Number: {},
-	result.PlatformDown.Number:    {NeedsRetryAfter: true},
-	result.NotDeclared.Number:     {},
-	result.ChangeUnknown.Number:   {Reached: true},
-	result.ValueTooLarge.Number:   {},
-	result.MalformedCall.Number:   {},
-	result.ChangeIDReused.Number:  {},
-	result.TokenRefused.Number:    {},
-	result.RoleRefused.Number:     {},
-	result.PeerSilent.Number:      {Reached: true, NeedsRetryAfter: true},
+	result.BadDeclaration.Number:    {},
+	result.RevisionChanged.Number:   {},
+	result.PlatformDown.Number:      {NeedsRetryAfter: true},
+	result.NotDeclared.Number:       {},
+	result.ChangeUnknown.Number:     {Reached: true},
+	result.ValueTooLarge.Number:     {},
+	result.MalformedCall.Number:     {},
+	result.ChangeIDReused.Number:    {},
+	result.TokenRefused.Number:      {},
+	result.RoleRefused.Number:       {},
+	result.DeclaredElsewhere.Number: {},
+	result.NoneLeft.Number:          {},
+	result.PeerSilent.Number:        {Reached: true, NeedsRetryAfter: true},
 }
--- a/internal/fleet/complete.go
+++ b/internal/fleet/complete.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -22,8 +23,9 @@
 
 // WithRegistered returns the declaration with the registered hosts and backend servers added
 // to the declared ones. The floor of a service with a floor share is that share of its backend
-// servers, rounded up. Backend servers of undeclared services are omitted.
-func (d Declaration) WithRegistered(hosts []Host, servers []Registered) Declaration {
+// servers outside the evacuated data centres, rounded up. Backend servers of undeclared services
+// are omitted.
+func (d Declaration) WithRegistered(hosts []Host, servers []Registered, evacuated []string) Declaration {
 	byService := make(map[string][]BackendServer)
 	for _, r := range servers {
 		r.BackendServer.Queue = queuePerSlot * r.BackendServer.Slots
@@ -35,7 +37,7 @@
 	for _, s := range d.Services {
 		s.BackendServers = append(append([]BackendServer(nil), s.BackendServers...), byService[s.Name]...)
 		if s.FloorShare > 0 {
-			s.Floor = int(math.Ceil(s.FloorShare * float64(len(s.BackendServers))))
+			s.Floor = int(math.Ceil(s.FloorShare * float64(next.countInUse(s.BackendServers, evacuated))))
 		}
 		next.Services = append(next.Services, s)
 	}
@@ -43,6 +45,24 @@
 	return next
 }
 
+// countInUse returns how many of the backend servers are outside the evacuated data centres.
+func (d Declaration) countInUse(servers []BackendServer, evacuated []string) int {
+	if len(evacuated) == 0 {
+		return len(servers)
+	}
+	dataCentres := make(map[string]string, len(d.Hosts))
+	for _, h := range d.Hosts {
+		dataCentres[h.Name] = h.DataCentre
+	}
+	count := 0
+	for _, s := range servers {
+		if !slices.Contains(evacuated, dataCentres[s.Host]) {
+			count++
+		}
+	}
+	return count
+}
+
 // queuePerSlot is the number of requests that may wait for each slot of a backend
 // server that registered itself.
 const queuePerSlot = 10
--- a/internal/fleet/index.go
+++ b/internal/fleet/index.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "slices"
+
 // Index finds the parts of a declaration by name. It is read-only and safe for
 // concurrent use.
 type Index struct {
@@ -10,6 +12,7 @@
 	services    map[string]Service
 	servers     map[string]Placement
 	dataCentres map[string]string // by address of a host
+	evacuated   []string          // names of data centres
 }
 
 // Placement is a backend server with its service and host.
@@ -41,6 +44,19 @@
 	return index
 }
 
+// WithEvacuated returns the index with the named data centres evacuated.
+func (x *Index) WithEvacuated(dataCentres []string) *Index {
+	next := *x
+	next.evacuated = dataCentres
+	return &next
+}
+
+// Evacuated reports whether the data centre is evacuated: its backend servers receive no new
+// requests.
+func (x *Index) Evacuated(dataCentre string) bool {
+	return slices.Contains(x.evacuated, dataCentre)
+}
+
 // addAddresses records the data centre of each of the host's addresses.
 func (x *Index) addAddresses(h Host) {
 	x.dataCentres[h.Peers] = h.DataCentre
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -158,9 +158,9 @@
 func (m *Membership) Host(name string) (member.Host, bool) { return m.known.host(name) }
 
 // Complete returns the declaration with the hosts that are not gone and the
-// backend servers in service there. It returns a declaration that declares hosts
-// unchanged.
-func (m *Membership) Complete(declared fleet.Declaration) fleet.Declaration {
+// backend servers in service there, of which those in evacuated data centres do not count towards
+// floors. It returns a declaration that declares hosts unchanged.
+func (m *Membership) Complete(declared fleet.Declaration, evacuated []string) fleet.Declaration {
 	if len(declared.Hosts) > 0 {
 		return declared
 	}
@@ -181,5 +181,5 @@
 			})
 		}
 	}
-	return declared.WithRegistered(hosts, servers)
+	return declared.WithRegistered(hosts, servers, evacuated)
 }
--- a/internal/operator/describe.go
+++ b/internal/operator/describe.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -31,6 +32,7 @@
 	stateServing     = "serving"
 	stateAvoided     = "avoided"
 	stateRefusesWork = "refuses-work"
+	stateEvacuated   = "evacuated"
 	stateUnknown     = "unknown"
 )
 
@@ -58,7 +60,7 @@
 		return nil
 	}
 	var servers []operatorapi.BackendServer
-	for _, target := range pool.Targets() {
+	for _, target := range slices.Concat(pool.Targets(), pool.Evacuated()) {
 		servers = append(servers, s.describeTarget(declared, pool, target))
 	}
 	return servers
@@ -85,6 +87,8 @@
 // refusals from the target itself or on observations of the path to it.
 func pathState(pool *balance.Pool, target *balance.Target, explanation detect.Explanation) string {
 	switch {
+	case slices.Contains(pool.Evacuated(), target):
+		return stateEvacuated
 	case explanation.State == detect.Ejected:
 		return stateAvoided
 	case explanation.State == detect.Probation:
@@ -144,7 +148,7 @@
 	observer := newObserver(observerIngress, s.config.Host, explanation)
 	observer.Floor = floor
 	if pool, ok := s.config.Ingress.Pool(placement.Service.Name); ok {
-		for _, target := range pool.Targets() {
+		for _, target := range slices.Concat(pool.Targets(), pool.Evacuated()) {
 			if target.Name == name {
 				observer.State = pathState(pool, target, explanation)
 			}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -47,6 +47,8 @@
 	Lift       func(ctx context.Context, fingerprint string) (quarantine.Record, error)
 	// Ledger reads past revisions.
 	Ledger *revision.Ledger
+	// Evacuate begins or ends the evacuation of a data centre.
+	Evacuate func(ctx context.Context, dataCentre string, evacuated bool) error
 	// Publish publishes a change as the next revision.
 	Publish func(context.Context, revision.Change) (revision.Accepted, error)
 	// Call makes a control call to the daemon of another host.
--- a/internal/operatorapi/oas_client_gen.go
+++ b/internal/operatorapi/oas_client_gen.go
@@ -76,6 +76,12 @@
 	//
 	// GET /v1/customers
 	ListCustomers(ctx context.Context) ([]Customer, error)
+	// ListEvacuations invokes listEvacuations operation.
+	//
+	// The data centres of the fleet and whether they are evacuated, as known to the daemon that is asked.
+	//
+	// GET /v1/evacuations
+	ListEvacuations(ctx context.Context) ([]Evacuation, error)
 	// ListQuarantine invokes listQuarantine operation.
 	//
 	// The requests that are quarantined, and those that are suspected at the daemon that is asked.
@@ -88,6 +94,13 @@
 	//
 	// GET /v1/services
 	ListServices(ctx context.Context) ([]Service, error)
+	// SetEvacuation invokes setEvacuation operation.
+	//
+	// Begins or ends the evacuation of a data centre. Its backend servers finish what they run and get
+	// nothing new.
+	//
+	// POST /v1/evacuations
+	SetEvacuation(ctx context.Context, request *EvacuationChange) (*Evacuation, error)
 	// Status invokes status operation.
 	//
 	// Who this daemon is and what it has in force.
@@ -593,6 +606,49 @@
 	return result, nil
 }
 
+// ListEvacuations invokes listEvacuations operation.
+//
+// The data centres of the fleet and whether they are evacuated, as known to the daemon that is asked.
+//
+// GET /v1/evacuations
+func (c *Client) ListEvacuations(ctx context.Context) ([]Evacuation, error) {
+	res, err := c.sendListEvacuations(ctx)
+	return res, err
+}
+
+func (c *Client) sendListEvacuations(ctx context.Context) (res []Evacuation, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/evacuations"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeListEvacuationsResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ListQuarantine invokes listQuarantine operation.
 //
 // The requests that are quarantined, and those that are suspected at the daemon that is asked.
@@ -679,6 +735,53 @@
 	return result, nil
 }
 
+// SetEvacuation invokes setEvacuation operation.
+//
+// Begins or ends the evacuation of a data centre. Its backend servers finish what they run and get
+// nothing new.
+//
+// POST /v1/evacuations
+func (c *Client) SetEvacuation(ctx context.Context, request *EvacuationChange) (*Evacuation, error) {
+	res, err := c.sendSetEvacuation(ctx, request)
+	return res, err
+}
+
+func (c *Client) sendSetEvacuation(ctx context.Context, request *EvacuationChange) (res *Evacuation, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/evacuations"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+	if err := encodeSetEvacuationRequest(request, r); err != nil {
+		return res, errors.Wrap(err, "encode request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeSetEvacuationResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // Status invokes status operation.
 //
 // Who this daemon is and what it has in force.
--- a/internal/operatorapi/oas_handlers_gen.go
+++ b/internal/operatorapi/oas_handlers_gen.go
@@ -827,6 +827,82 @@
 	}
 }
 
+// handleListEvacuationsRequest handles listEvacuations operation.
+//
+// The data centres of the fleet and whether they are evacuated, as known to the daemon that is asked.
+//
+// GET /v1/evacuations
+func (s *Server) handleListEvacuationsRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response []Evacuation
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListEvacuationsOperation,
+			OperationSummary: "",
+			OperationID:      "listEvacuations",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = []Evacuation
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListEvacuations(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListEvacuations(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*RefusedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListEvacuationsResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleListQuarantineRequest handles listQuarantine operation.
 //
 // The requests that are quarantined, and those that are suspected at the daemon that is asked.
@@ -979,6 +1055,102 @@
 	}
 }
 
+// handleSetEvacuationRequest handles setEvacuation operation.
+//
+// Begins or ends the evacuation of a data centre. Its backend servers finish what they run and get
+// nothing new.
+//
+// POST /v1/evacuations
+func (s *Server) handleSetEvacuationRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: SetEvacuationOperation,
+			ID:   "setEvacuation",
+		}
+	)
+
+	var rawBody []byte
+	request, rawBody, close, err := s.decodeSetEvacuationRequest(r)
+	if err != nil {
+		err = &ogenerrors.DecodeRequestError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeRequest", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+	defer func() {
+		if err := close(); err != nil {
+			recordError("CloseRequest", err)
+		}
+	}()
+
+	var response *Evacuation
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    SetEvacuationOperation,
+			OperationSummary: "",
+			OperationID:      "setEvacuation",
+			Body:             request,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = *EvacuationChange
+			Params   = struct{}
+			Response = *Evacuation
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.SetEvacuation(ctx, request)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.SetEvacuation(ctx, request)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*RefusedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeSetEvacuationResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleStatusRequest handles status operation.
 //
 // Who this daemon is and what it has in force.
--- a/internal/operatorapi/oas_json_gen.go
+++ b/internal/operatorapi/oas_json_gen.go
@@ -1083,6 +1083,266 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Evacuation) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Evacuation) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("data_centre")
+		e.Str(s.DataCentre)
+	}
+	{
+		e.FieldStart("evacuated")
+		e.Bool(s.Evacuated)
+	}
+	{
+		e.FieldStart("backend_servers")
+		e.Int(s.BackendServers)
+	}
+}
+
+var jsonFieldsNameOfEvacuation = [3]string{
+	0: "data_centre",
+	1: "evacuated",
+	2: "backend_servers",
+}
+
+// Decode decodes Evacuation from json.
+func (s *Evacuation) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Evacuation to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "data_centre":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.DataCentre = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"data_centre\"")
+			}
+		case "evacuated":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Bool()
+				s.Evacuated = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"evacuated\"")
+			}
+		case "backend_servers":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.BackendServers = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"backend_servers\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Evacuation")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfEvacuation) {
+					name = jsonFieldsNameOfEvacuation[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Evacuation) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Evacuation) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *EvacuationChange) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *EvacuationChange) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("data_centre")
+		e.Str(s.DataCentre)
+	}
+	{
+		e.FieldStart("evacuated")
+		e.Bool(s.Evacuated)
+	}
+	{
+		if s.Force.Set {
+			e.FieldStart("force")
+			s.Force.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfEvacuationChange = [3]string{
+	0: "data_centre",
+	1: "evacuated",
+	2: "force",
+}
+
+// Decode decodes EvacuationChange from json.
+func (s *EvacuationChange) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode EvacuationChange to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "data_centre":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.DataCentre = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"data_centre\"")
+			}
+		case "evacuated":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Bool()
+				s.Evacuated = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"evacuated\"")
+			}
+		case "force":
+			if err := func() error {
+				s.Force.Reset()
+				if err := s.Force.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"force\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode EvacuationChange")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfEvacuationChange) {
+					name = jsonFieldsNameOfEvacuationChange[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *EvacuationChange) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *EvacuationChange) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Evidence) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1554,6 +1814,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes bool as json.
+func (o OptBool) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Bool(bool(o.Value))
+}
+
+// Decode decodes bool from json.
+func (o *OptBool) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptBool to nil")
+	}
+	o.Set = true
+	v, err := d.Bool()
+	if err != nil {
+		return err
+	}
+	o.Value = bool(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptBool) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptBool) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes time.Time as json.
 func (o OptDateTime) Encode(e *jx.Encoder, format func(*jx.Encoder, time.Time)) {
 	if !o.Set {
--- a/internal/operatorapi/oas_operations_gen.go
+++ b/internal/operatorapi/oas_operations_gen.go
@@ -15,8 +15,10 @@
 	LiftQuarantineOperation     OperationName = "LiftQuarantine"
 	ListBackendServersOperation OperationName = "ListBackendServers"
 	ListCustomersOperation      OperationName = "ListCustomers"
+	ListEvacuationsOperation    OperationName = "ListEvacuations"
 	ListQuarantineOperation     OperationName = "ListQuarantine"
 	ListServicesOperation       OperationName = "ListServices"
+	SetEvacuationOperation      OperationName = "SetEvacuation"
 	StatusOperation             OperationName = "Status"
 	WhyOperation                OperationName = "Why"
 )
--- a/internal/operatorapi/oas_request_decoders_gen.go
+++ b/internal/operatorapi/oas_request_decoders_gen.go
@@ -226,3 +226,74 @@
 		return req, rawBody, close, validate.InvalidContentType(ct)
 	}
 }
+
+func (s *Server) decodeSetEvacuationRequest(r *http.Request) (
+	req *EvacuationChange,
+	rawBody []byte,
+	close func() error,
+	rerr error,
+) {
+	var closers []func() error
+	close = func() error {
+		var merr error
+		// Close in reverse order, to match defer behavior.
+		for i := len(closers) - 1; i >= 0; i-- {
+			c := closers[i]
+			merr = errors.Join(merr, c())
+		}
+		return merr
+	}
+	defer func() {
+		if rerr != nil {
+			rerr = errors.Join(rerr, close())
+		}
+	}()
+	ct, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil {
+		return req, rawBody, close, errors.Wrap(err, "parse media type")
+	}
+	switch {
+	case ct == "application/json":
+		if r.ContentLength == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+		buf, err := io.ReadAll(r.Body)
+		defer func() {
+			_ = r.Body.Close()
+		}()
+		if err != nil {
+			return req, rawBody, close, err
+		}
+
+		// Reset the body to allow for downstream reading.
+		r.Body = io.NopCloser(bytes.NewBuffer(buf))
+
+		if len(buf) == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+
+		rawBody = append(rawBody, buf...)
+		d := jx.DecodeBytes(buf)
+
+		var request EvacuationChange
+		if err := func() error {
+			if err := request.Decode(d); err != nil {
+				return err
+			}
+			if err := d.Skip(); err != io.EOF {
+				return errors.New("unexpected trailing data")
+			}
+			return nil
+		}(); err != nil {
+			err = &ogenerrors.DecodeBodyError{
+				ContentType: ct,
+				Body:        buf,
+				Err:         err,
+			}
+			return req, rawBody, close, err
+		}
+		return &request, rawBody, close, nil
+	default:
+		return req, rawBody, close, validate.InvalidContentType(ct)
+	}
+}
--- a/internal/operatorapi/oas_request_encoders_gen.go
+++ b/internal/operatorapi/oas_request_encoders_gen.go
@@ -51,3 +51,17 @@
 	ht.SetBody(r, bytes.NewReader(encoded), contentType)
 	return nil
 }
+
+func encodeSetEvacuationRequest(
+	req *EvacuationChange,
+	r *http.Request,
+) error {
+	const contentType = "application/json"
+	e := new(jx.Encoder)
+	{
+		req.Encode(e)
+	}
+	encoded := e.Bytes()
+	ht.SetBody(r, bytes.NewReader(encoded), contentType)
+	return nil
+}
--- a/internal/operatorapi/oas_response_decoders_gen.go
+++ b/internal/operatorapi/oas_response_decoders_gen.go
@@ -881,6 +881,106 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeListEvacuationsResponse(resp *http.Response) (res []Evacuation, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response []Evacuation
+			if err := func() error {
+				response = make([]Evacuation, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Evacuation
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					response = append(response, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if response == nil {
+					return errors.New("nil is invalid value")
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *RefusedStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Refusal
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &RefusedStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeListQuarantineResponse(resp *http.Response) (res []HeldRequest, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -1098,6 +1198,89 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeSetEvacuationResponse(resp *http.Response) (res *Evacuation, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Evacuation
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *RefusedStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Refusal
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &RefusedStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeStatusResponse(resp *http.Response) (res *Status, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/internal/operatorapi/oas_response_encoders_gen.go
+++ b/internal/operatorapi/oas_response_encoders_gen.go
@@ -143,6 +143,23 @@
 	return nil
 }
 
+func encodeListEvacuationsResponse(response []Evacuation, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	e.ArrStart()
+	for _, elem := range response {
+		elem.Encode(e)
+	}
+	e.ArrEnd()
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeListQuarantineResponse(response []HeldRequest, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -177,6 +194,19 @@
 	return nil
 }
 
+func encodeSetEvacuationResponse(response *Evacuation, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeStatusResponse(response *Status, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/internal/operatorapi/oas_router_gen.go
+++ b/internal/operatorapi/oas_router_gen.go
@@ -17,6 +17,9 @@
 	rn3AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
+	rn12AllowedHeaders = map[string]string{
+		"POST": "Content-Type",
+	}
 	rn9AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
@@ -189,6 +192,33 @@
 
 				}
 
+			case 'e': // Prefix: "evacuations"
+
+				if l := len("evacuations"); len(elem) >= l && elem[0:l] == "evacuations" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleListEvacuationsRequest([0]string{}, elemIsEscaped, w, r)
+					case "POST":
+						s.handleSetEvacuationRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET,POST",
+							allowedHeaders: rn12AllowedHeaders,
+							acceptPost:     "application/json",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			case 'h': // Prefix: "history"
 
 				if l := len("history"); len(elem) >= l && elem[0:l] == "history" {
@@ -638,6 +668,40 @@
 
 				}
 
+			case 'e': // Prefix: "evacuations"
+
+				if l := len("evacuations"); len(elem) >= l && elem[0:l] == "evacuations" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = ListEvacuationsOperation
+						r.summary = ""
+						r.operationID = "listEvacuations"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/evacuations"
+						r.args = args
+						r.count = 0
+						return r, true
+					case "POST":
+						r.name = SetEvacuationOperation
+						r.summary = ""
+						r.operationID = "setEvacuation"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/evacuations"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			case 'h': // Prefix: "history"
 
 				if l := len("history"); len(elem) >= l && elem[0:l] == "history" {
--- a/internal/operatorapi/oas_schemas_gen.go
+++ b/internal/operatorapi/oas_schemas_gen.go
@@ -76,7 +76,7 @@
 	Service    string `json:"service"`
 	DataCentre string `json:"data_centre"`
 	Host       string `json:"host"`
-	// Serving, avoided, ejected, trial or leaving.
+	// Serving, avoided, ejected, trial, leaving or evacuated.
 	State string `json:"state"`
 	// Why it is in this state; empty while serving.
 	Cause string `json:"cause"`
@@ -433,6 +433,83 @@
 	s.Leaving = val
 }
 
+// Ref: #/components/schemas/Evacuation
+type Evacuation struct {
+	DataCentre string `json:"data_centre"`
+	Evacuated  bool   `json:"evacuated"`
+	// Its backend servers.
+	BackendServers int `json:"backend_servers"`
+}
+
+// GetDataCentre returns the value of DataCentre.
+func (s *Evacuation) GetDataCentre() string {
+	return s.DataCentre
+}
+
+// GetEvacuated returns the value of Evacuated.
+func (s *Evacuation) GetEvacuated() bool {
+	return s.Evacuated
+}
+
+// GetBackendServers returns the value of BackendServers.
+func (s *Evacuation) GetBackendServers() int {
+	return s.BackendServers
+}
+
+// SetDataCentre sets the value of DataCentre.
+func (s *Evacuation) SetDataCentre(val string) {
+	s.DataCentre = val
+}
+
+// SetEvacuated sets the value of Evacuated.
+func (s *Evacuation) SetEvacuated(val bool) {
+	s.Evacuated = val
+}
+
+// SetBackendServers sets the value of BackendServers.
+func (s *Evacuation) SetBackendServers(val int) {
+	s.BackendServers = val
+}
+
+// Ref: #/components/schemas/EvacuationChange
+type EvacuationChange struct {
+	DataCentre string `json:"data_centre"`
+	// False ends the evacuation.
+	Evacuated bool `json:"evacuated"`
+	// Evacuates it even if a service is left without a backend server.
+	Force OptBool `json:"force"`
+}
+
+// GetDataCentre returns the value of DataCentre.
+func (s *EvacuationChange) GetDataCentre() string {
+	return s.DataCentre
+}
+
+// GetEvacuated returns the value of Evacuated.
+func (s *EvacuationChange) GetEvacuated() bool {
+	return s.Evacuated
+}
+
+// GetForce returns the value of Force.
+func (s *EvacuationChange) GetForce() OptBool {
+	return s.Force
+}
+
+// SetDataCentre sets the value of DataCentre.
+func (s *EvacuationChange) SetDataCentre(val string) {
+	s.DataCentre = val
+}
+
+// SetEvacuated sets the value of Evacuated.
+func (s *EvacuationChange) SetEvacuated(val bool) {
+	s.Evacuated = val
+}
+
+// SetForce sets the value of Force.
+func (s *EvacuationChange) SetForce(val OptBool) {
+	s.Force = val
+}
+
 // Ref: #/components/schemas/Evidence
 type Evidence struct {
 	Name  string `json:"name"`
@@ -595,6 +672,52 @@
 	s.Fingerprint = val
 }
 
+// NewOptBool returns new OptBool with value set to v.
+func NewOptBool(v bool) OptBool {
+	return OptBool{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptBool is optional bool.
+type OptBool struct {
+	Value bool
+	Set   bool
+}
+
+// IsSet returns true if OptBool was set.
+func (o OptBool) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptBool) Reset() {
+	var v bool
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptBool) SetTo(v bool) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptBool) Get() (v bool, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptBool) Or(d bool) bool {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptDateTime returns new OptDateTime with value set to v.
 func NewOptDateTime(v time.Time) OptDateTime {
 	return OptDateTime{
--- a/internal/operatorapi/oas_server_gen.go
+++ b/internal/operatorapi/oas_server_gen.go
@@ -63,6 +63,12 @@
 	//
 	// GET /v1/customers
 	ListCustomers(ctx context.Context) ([]Customer, error)
+	// ListEvacuations implements listEvacuations operation.
+	//
+	// The data centres of the fleet and whether they are evacuated, as known to the daemon that is asked.
+	//
+	// GET /v1/evacuations
+	ListEvacuations(ctx context.Context) ([]Evacuation, error)
 	// ListQuarantine implements listQuarantine operation.
 	//
 	// The requests that are quarantined, and those that are suspected at the daemon that is asked.
@@ -75,6 +81,13 @@
 	//
 	// GET /v1/services
 	ListServices(ctx context.Context) ([]Service, error)
+	// SetEvacuation implements setEvacuation operation.
+	//
+	// Begins or ends the evacuation of a data centre. Its backend servers finish what they run and get
+	// nothing new.
+	//
+	// POST /v1/evacuations
+	SetEvacuation(ctx context.Context, req *EvacuationChange) (*Evacuation, error)
 	// Status implements status operation.
 	//
 	// Who this daemon is and what it has in force.
--- a/internal/quarantinesync/follow.go
+++ b/internal/quarantinesync/follow.go
@@ -41,7 +41,7 @@
 		Prefix:     s.quarantinedPrefix(),
 		Wait:       maxWatchDuration,
 		MaxBackoff: maxPause,
-		Apply:      s.mergeItems,
+		Apply:      s.mergeBatch,
 		OnError:    s.config.OnError,
 		OnAnswer:   s.config.OnAnswer,
 	})
@@ -49,11 +49,11 @@
 	}
 }
 
-// mergeItems merges records of the store. Records that cannot be decoded are logged and skipped. Deletions are
+// mergeBatch merges records of the store. Records that cannot be decoded are logged and skipped. Deletions are
 // ignored, since a quarantine ends by a record of a new epoch.
-func (s *Syncer) mergeItems(ctx context.Context, items []store.Item) error {
+func (s *Syncer) mergeBatch(ctx context.Context, batch store.Batch) error {
 	m := mergeMessage{stored: true}
-	for _, item := range items {
+	for _, item := range batch.Items {
 		if item.Deleted {
 			continue
 		}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -47,6 +47,7 @@
 	CustomerLimit         = Code{2024, "customer-limit", http.StatusTooManyRequests, RanNo, "The customer asks more of the whole fleet than its limit allows."}
 	Quarantined           = Code{2025, "quarantined", http.StatusServiceUnavailable, RanNo, "The same request ended each backend server that ran it; none is sent it until it is known to be harmless, so that it is of no use to send it again."}
 	ConnectionUnused      = Code{2026, "connection-unused", http.StatusRequestTimeout, RanNo, "The daemon closed the connection on which it had not read a whole request; a request that was sent meanwhile is not read."}
+	Evacuated             = Code{2027, "evacuated", http.StatusServiceUnavailable, RanNo, "An operator evacuated the backend server's data centre; it takes no new work."}
 	ReservationUnanswered = Code{2015, "reservation-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a reservation in time; the request was never sent."}
 )
 
@@ -66,17 +67,19 @@
 
 // Codes of operators' calls that were refused.
 var (
-	BadDeclaration  = Code{4001, "bad-declaration", http.StatusUnprocessableEntity, RanNo, "The declaration is wrong; nothing was changed."}
-	RevisionChanged = Code{4002, "revision-changed", http.StatusConflict, RanNo, "Another revision is in force than the one the change was based on; nothing was changed."}
-	PlatformDown    = Code{4003, "platform-down", http.StatusServiceUnavailable, RanNo, "The platform's key-value service did not answer; nothing was changed."}
-	NotDeclared     = Code{4004, "not-declared", http.StatusNotFound, RanNo, "Nothing of that name is declared."}
-	ChangeUnknown   = Code{4005, "change-unknown", http.StatusGatewayTimeout, RanUnknown, "The platform's answer to the write was lost; apply the same change id again to learn what became of it."}
-	ValueTooLarge   = Code{4006, "value-too-large", http.StatusRequestEntityTooLarge, RanNo, "The declaration is larger than the platform holds; nothing was changed."}
-	MalformedCall   = Code{4007, "malformed-call", http.StatusBadRequest, RanNo, "The operator's call cannot be understood."}
-	ChangeIDReused  = Code{4009, "change-id-reused", http.StatusConflict, RanNo, "The change id already names a change with other content; nothing was changed."}
-	TokenRefused    = Code{4010, "token-refused", http.StatusUnauthorized, RanNo, "The token is missing or not known."}
-	RoleRefused     = Code{4011, "role-refused", http.StatusForbidden, RanNo, "The token may read and not change."}
-	PeerSilent      = Code{4008, "peer-silent", http.StatusServiceUnavailable, RanUnknown, "The daemon that has to act did not answer the control call."}
+	BadDeclaration    = Code{4001, "bad-declaration", http.StatusUnprocessableEntity, RanNo, "The declaration is wrong; nothing was changed."}
+	RevisionChanged   = Code{4002, "revision-changed", http.StatusConflict, RanNo, "Another revision is in force than the one the change was based on; nothing was changed."}
+	PlatformDown      = Code{4003, "platform-down", http.StatusServiceUnavailable, RanNo, "The platform's key-value service did not answer; nothing was changed."}
+	NotDeclared       = Code{4004, "not-declared", http.StatusNotFound, RanNo, "Nothing of that name is declared."}
+	ChangeUnknown     = Code{4005, "change-unknown", http.StatusGatewayTimeout, RanUnknown, "The platform's answer to the write was lost; apply the same change id again to learn what became of it."}
+	ValueTooLarge     = Code{4006, "value-too-large", http.StatusRequestEntityTooLarge, RanNo, "The declaration is larger than the platform holds; nothing was changed."}
+	MalformedCall     = Code{4007, "malformed-call", http.StatusBadRequest, RanNo, "The operator's call cannot be understood."}
+	ChangeIDReused    = Code{4009, "change-id-reused", http.StatusConflict, RanNo, "The change id already names a change with other content; nothing was changed."}
+	TokenRefused      = Code{4010, "token-refused", http.StatusUnauthorized, RanNo, "The token is missing or not known."}
+	RoleRefused       = Code{4011, "role-refused", http.StatusForbidden, RanNo, "The token may read and not change."}
+	DeclaredElsewhere = Code{4012, "declared-elsewhere", http.StatusConflict, RanNo, "Another system declares this in the platform's store; nothing was changed."}
+	NoneLeft          = Code{4013, "none-left", http.StatusConflict, RanNo, "The change would leave a service without a backend server; nothing was changed."}
+	PeerSilent        = Code{4008, "peer-silent", http.StatusServiceUnavailable, RanUnknown, "The daemon that has to act did not answer the control call."}
 )
 
 // All returns every code, ordered by the first digit.
@@ -84,8 +87,8 @@
 	return []Code{
 		MalformedRequest, NoRoute, AmbiguousFraming, HeadersTooLarge, BodyTooLarge, BadDeadline, UpgradeRefused, ProtocolVersion, KeyMissing, KeyUnknown,
 		NotReady, Stopping, NoneAble, QueueFull, QueueTooSlow, CustomerShare, Draining, Ejected, PeerUnreachable, ServerUnreachable,
-		ReservationExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, ReservationUnanswered, PlaceLost, NotTaken, Misdirected, Suspected, Busy, Unproven, MovedOn, RetryLimit, CustomerLimit, Quarantined, ConnectionUnused,
+		ReservationExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, ReservationUnanswered, PlaceLost, NotTaken, Misdirected, Suspected, Busy, Unproven, MovedOn, RetryLimit, CustomerLimit, Quarantined, ConnectionUnused, Evacuated,
 		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, StoppedWhileRunning, SpoiltAnswer, ServerFailed, ServerError,
-		BadDeclaration, RevisionChanged, PlatformDown, NotDeclared, ChangeUnknown, ValueTooLarge, MalformedCall, PeerSilent, ChangeIDReused, TokenRefused, RoleRefused,
+		BadDeclaration, RevisionChanged, PlatformDown, NotDeclared, ChangeUnknown, ValueTooLarge, MalformedCall, PeerSilent, ChangeIDReused, TokenRefused, RoleRefused, DeclaredElsewhere, NoneLeft,
 	}
 }
--- a/internal/revision/follow.go
+++ b/internal/revision/follow.go
@@ -17,8 +17,8 @@
 		Wait:     watchWait,
 		OnError:  l.config.OnError,
 		OnAnswer: l.config.OnAnswer,
-		Apply: func(ctx context.Context, items []store.Item) error {
-			next, err := l.newest(ctx, items, above)
+		Apply: func(ctx context.Context, batch store.Batch) error {
+			next, err := l.newest(ctx, batch.Items, above)
 			if err != nil || next.Number <= above {
 				return err
 			}
--- a/internal/revision/key.go
+++ b/internal/revision/key.go
@@ -11,12 +11,15 @@
 // KeyConfig describes the key under which another system keeps a whole declaration.
 type KeyConfig struct {
 	Store store.Store
-	// Key is the key of the declaration.
-	Key string
+	// Key is the key of the declaration. All keys that begin with Prefix are followed.
+	Key    string
+	Prefix string
 	// Number returns the revision number in the value.
 	Number func(data []byte) (int64, error)
 	// Redact returns the value without what must not be kept or passed on, such as keys.
 	Redact func(data []byte) ([]byte, error)
+	// OnBatch is called with each batch of followed keys, before apply.
+	OnBatch func(store.Batch)
 	// OnInvalid is called for a value that cannot be read, OnError for each failed call and
 	// OnAnswer for each answered one.
 	OnInvalid func(error)
@@ -30,12 +33,13 @@
 func FollowKey(ctx context.Context, config KeyConfig, above int64, apply func(Revision)) {
 	store.Follow(ctx, store.FollowConfig{
 		Store:    config.Store,
-		Prefix:   config.Key,
+		Prefix:   config.Prefix,
 		Wait:     watchWait,
 		OnError:  config.OnError,
 		OnAnswer: config.OnAnswer,
-		Apply: func(_ context.Context, items []store.Item) error {
-			item, ok := lastOf(items, config.Key)
+		Apply: func(_ context.Context, batch store.Batch) error {
+			config.OnBatch(batch)
+			item, ok := lastOf(batch.Items, config.Key)
 			if !ok {
 				return nil
 			}
--- a/internal/sidecar/admit.go
+++ b/internal/sidecar/admit.go
@@ -36,6 +36,9 @@
 	if t.isDraining(now) {
 		return admission.Server{Draining: true}
 	}
+	if t.declared.evacuated {
+		return admission.Server{Evacuated: true}
+	}
 	s := admission.Server{State: detect.Serving}
 	t.checkSurvivedProbe(now)
 	switch {
@@ -68,6 +71,8 @@
 	switch verdict {
 	case admission.RefusedDraining:
 		return result.Draining
+	case admission.RefusedEvacuated:
+		return result.Evacuated
 	case admission.RefusedSuspected:
 		return result.Suspected
 	case admission.RefusedEjected:
--- a/internal/sidecar/eject.go
+++ b/internal/sidecar/eject.go
@@ -63,17 +63,21 @@
 // maintainEjection renews the leases, or reinstates the backend server if the declaration no longer
 // permits ejections here.
 func (t *task) maintainEjection(now time.Time, adoption fleet.Adoption) {
-	if adoption == fleet.AdoptionSteer {
+	switch {
+	case t.declared.evacuated:
+		t.subject.Reinstate(now)
+		t.returnToService("the data centre is evacuated")
+	case adoption != fleet.AdoptionSteer:
+		t.subject.Reinstate(now)
+		t.returnToService("the service is no longer steered here")
+	default:
 		t.renewLeases(now)
-		return
 	}
-	t.subject.Reinstate(now)
-	t.returnToService("the service is no longer steered here")
 }
 
 // beginEjection requests a lease from every other backend server of the service.
 func (t *task) beginEjection(now time.Time, verdict detect.Verdict) {
-	if t.ejection.inProgress || t.isDraining(now) || now.Before(t.ejection.notBefore) {
+	if t.ejection.inProgress || t.isDraining(now) || t.declared.evacuated || now.Before(t.ejection.notBefore) {
 		return
 	}
 	if len(t.declared.others) < t.declared.Service.Floor {
--- a/internal/sidecar/lease.go
+++ b/internal/sidecar/lease.go
@@ -132,7 +132,7 @@
 	t.isEjected(now)
 	refusesConnections := t.subject.Verdict(now).Cause == detect.CauseRefuses
 	rampingUp := t.subject.TrafficShare(now) < 1
-	t.ledger.SetUnable(t.isDraining(now) || refusesConnections || rampingUp)
+	t.ledger.SetUnable(t.isDraining(now) || t.declared.evacuated || refusesConnections || rampingUp)
 	since := now.Add(-time.Duration(r.SuspectedFor) * time.Millisecond)
 	return LeaseResponse{Refusal: t.ledger.Answer(now, r), Summary: t.subject.Summary(since)}
 }
--- a/internal/sidecar/report.go
+++ b/internal/sidecar/report.go
@@ -20,6 +20,9 @@
 	StateProbation State = "trial"
 	// StateDraining means that the backend server finishes its requests and receives no new ones.
 	StateDraining State = "leaving"
+	// StateEvacuated means that its data centre is evacuated: it finishes its requests and receives
+	// no new ones.
+	StateEvacuated State = "evacuated"
 )
 
 // Report is the state of one backend server as its sidecar sees it.
@@ -56,6 +59,8 @@
 	switch {
 	case t.isDraining(now):
 		return StateDraining
+	case t.declared.evacuated:
+		return StateEvacuated
 	case !t.isEjected(now):
 		return StateServing
 	case t.subject.State(now) == detect.Probation:
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// evacuate refuses the waiting requests, so that they run in other data centres.
+func (t *task) evacuate() {
+	for _, id := range t.queue.Clear() {
+		t.reply(id, refused(result.Evacuated, 0))
+	}
+}
+
 // cancel removes a request from the queue and replies whether it was queued.
 func (t *task) cancel(m cancelMessage) {
 	wasWaiting := t.queue.Cancel(m.request.ID)
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -133,6 +133,9 @@
 // reconfigure applies a new declaration.
 func (t *task) reconfigure(d *declared) {
 	t.declared = d
+	if d.evacuated {
+		t.evacuate()
+	}
 	t.subject.SetRules(d.rules)
 	t.queue.Resize(d.size())
 	names := make([]string, 0, len(d.others))
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -27,10 +27,10 @@
 	// watchers do not synchronise. A silently broken connection goes unnoticed for
 	// up to this long.
 	Wait time.Duration
-	// Apply is called with all items, first at the start and again after the store has
+	// Apply is called with a complete batch at the start and again after the store has
 	// compacted its history, and with each change. If it returns an error, the
 	// items are read and passed to it again.
-	Apply func(context.Context, []Item) error
+	Apply func(context.Context, Batch) error
 	// MaxBackoff raises the maximum pause between calls to an unavailable store; zero means the
 	// default, which a change of the declaration needs.
 	MaxBackoff time.Duration
@@ -70,13 +70,14 @@
 	var err error
 	if after == 0 {
 		batch, err = config.Store.List(ctx, config.Prefix)
+		batch.Complete = true
 	} else {
 		batch, err = config.Store.Watch(ctx, config.Prefix, after, config.Wait/2+rand.N(config.Wait/2))
 	}
 	if err != nil {
 		return after, err
 	}
-	if err := config.Apply(ctx, batch.Items); err != nil {
+	if err := config.Apply(ctx, batch); err != nil {
 		return after, err
 	}
 	return max(batch.Revision, after), nil
--- a/internal/store/follow_test.go
+++ b/internal/store/follow_test.go
@@ -27,11 +27,11 @@
 		Store:  kv,
 		Prefix: "key",
 		Wait:   time.Second,
-		Apply: func(_ context.Context, items []store.Item) error {
+		Apply: func(_ context.Context, batch store.Batch) error {
 			if err := fail(); err != nil {
 				return err
 			}
-			for _, item := range items {
+			for _, item := range batch.Items {
 				applied <- string(item.Data)
 			}
 			return nil
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -63,6 +63,8 @@
 // Batch is a list of items with the store's revision at that time.
 type Batch struct {
 	Items []Item
+	// Complete reports whether the items are all keys with the prefix, as opposed to changes.
+	Complete bool
 	// Revision is the revision to continue watching from.
 	Revision int64
 }
--- a/test/pinned/pinned_test.go
+++ b/test/pinned/pinned_test.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/control"
+	"github.com/tideliftd/tidelift/internal/evacuation"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/floor"
@@ -145,6 +146,7 @@
 		{string(control.MethodLend), new(control.Lend)},
 		{string(control.MethodLend) + " answer", new(control.LendResponse)},
 		{string(control.MethodQuarantine), new(control.Quarantine)},
+		{string(control.MethodEvacuations), new(evacuation.View)},
 		{string(control.MethodReportCounts), new(control.CountReport)},
 		{string(control.MethodReportCounts) + " answer", new(quota.Verdict)},
 		{string(control.MethodRequestLease), new(control.LeaseRequest)},
--- a/test/registered/fleet_test.go
+++ b/test/registered/fleet_test.go
@@ -28,9 +28,6 @@
 const (
 	// waitTimeout bounds waits for conditions that a passing test meets much sooner.
 	waitTimeout = 20 * time.Second
-	// dataCentres is the number of data centres that the hosts are spread over. Within a single one, every
-	// backend server gets some of the requests, which shows the backend servers that a host knows.
-	dataCentres = 1
 )
 
 const settingsText = `name: host-%[1]d
@@ -47,7 +44,7 @@
 "routes":[
  {"name":"once","host":"a.example","path-prefix":"/once/","route-type":"non_idempotent","timeout-s":2,"target-latency-s":0.8,"priority":1,"service":"lookup","attempts":2},
  {"name":"twice","host":"a.example","path-prefix":"%s","route-type":"idempotent","timeout-s":2,"target-latency-s":0.8,"priority":2,"service":"lookup","attempts":2}],
-"services":[{"name":"lookup"}],"limits":{"max-body-bytes":100000}}`
+"services":[{"name":"lookup"%s}],"limits":{"max-body-bytes":100000}}`
 
 // fleet is a set of daemons, each with a backend server on the same host.
 type fleet struct {
@@ -55,8 +52,12 @@
 	store    *standin.Standin
 	storeURL string
 	source   string // additional settings under source, in YAML
+	declared string // additional fields of the service, in JSON
 	net      string // the first three octets of the hosts' addresses
 	hosts    []*host
+	// dataCentres is the number of data centres that the hosts are spread over. Within a single one, every
+	// backend server gets some of the requests, which shows the backend servers that a host knows.
+	dataCentres int
 }
 
 // host is a daemon and its backend server.
@@ -128,7 +129,7 @@
 // newStore returns a fleet with a store and without hosts.
 func newStore(t testing.TB) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: standin.New(), net: fmt.Sprintf("127.%d.%d", 100+rand.N(100), 1+rand.N(250))}
+	f := &fleet{t: t, dataCentres: 1, store: standin.New(), net: fmt.Sprintf("127.%d.%d", 100+rand.N(100), 1+rand.N(250))}
 	server := httptest.NewServer(f.store.Handler())
 	t.Cleanup(server.CloseClientConnections)
 	f.storeURL = server.URL
@@ -145,7 +146,7 @@
 }
 
 func (f *fleet) writeDesired(version int, path string) {
-	f.store.Write(platform.DesiredKey, fmt.Appendf(nil, desiredText, version, path))
+	f.store.Write(platform.DesiredKey, fmt.Appendf(nil, desiredText, version, path, f.declared))
 }
 
 func (f *fleet) waitUntil(what string, done func() bool) {
@@ -166,7 +167,7 @@
 // start starts the host's daemon.
 func (h *host) start() {
 	h.fleet.t.Helper()
-	text := fmt.Sprintf(settingsText, h.number, h.number%dataCentres, h.ip(), h.fleet.storeURL, h.unready, h.service, h.fleet.source)
+	text := fmt.Sprintf(settingsText, h.number, h.number%h.fleet.dataCentres, h.ip(), h.fleet.storeURL, h.unready, h.service, h.fleet.source)
 	s, err := settings.Parse("settings.yaml", []byte(text))
 	if err != nil {
 		h.fleet.t.Fatal(err)
--- a/test/standin/standin.go
+++ b/test/standin/standin.go
@@ -384,3 +384,12 @@
 	found, ok := s.items[key]
 	return string(found.Value), ok
 }
+
+// Remove removes a key as the platform's operator, who is not affected by outages.
+func (s *Standin) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+	s.wakeWatches()
+}
