feat: a cold backend server gets requests at the rate that it bears

Cause: a backend server that has just started, or comes back with its whole data centre, was sent whatever its slots took. What it bears while it is cold (cold-per-s of the platform) was not read.

Change: cold-start and cold-rate of a service; a registration says how much longer the backend server is cold. Its sidecar, which alone sends it requests, limits the grants of slots (a token bucket of a quarter of a second) and reports a full load in between. Where it is not known, it counts as cold: after a start of the daemon, after refused connections, when an evacuation ends.

Ruled out: a share of the slots (depends on how long requests take, which being cold changes); a limit at each ingress (none sees the sum).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -15,7 +15,7 @@
 //
 // File admit.go checks whether the backend server accepts a request at all, admission.go has
 // the queue and the decision on an offered request, crowded.go handles a full queue, grant.go
-// selects the request that gets a freed slot, remove.go removes waiting requests, and line.go
+// selects the request that gets a freed slot, rate.go limits the rate of grants, remove.go removes waiting requests, and line.go
 // holds the waiting requests of one priority.
 //
 // # Order
@@ -38,21 +38,28 @@
 // # Rules of the queue
 //
 //   - A free slot is granted immediately.
+//
 //   - A request that could not start before its deadline, given the service time of recent
 //     requests, is refused immediately. So is one that would miss its latency target while
 //     more requests wait than there are slots: the slot goes to a request that can still be in
 //     time, and the caller gets its refusal early.
+//
 //   - Of two waiting requests the one with the lower priority number is served first, except
 //     for one grant after every UrgentGrants, which prevents starvation. A more urgent request
 //     may evict a less urgent one that has only just been queued.
+//
 //   - Of the requests of one priority those that can still meet their latency target are
 //     served before those that are late in any case.
+//
 //   - Waiting customers of one priority take turns. A customer that has its fair share of the
 //     queue leaves a place free for each other customer seen within ActiveFor, so that a flood
 //     from one customer is refused immediately and the others still find a place.
+//
 //   - If the queue is full nevertheless, a customer with more waiting requests than another
 //     loses its newest place, provided that the request was queued at most EvictWithin ago.
 //
+//   - While the rate of grants is limited, a slot without an available grant is not free.
+//
 // State is bounded: customers share a fixed number of buckets by hash, so two customers may
 // share one turn. The hash is salted with the backend server's name, so that the same two
 // customers collide at few backend servers. Service times are averaged with a weight of 1/16.
@@ -60,6 +67,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -159,6 +167,7 @@
 	levels      []*level               // most urgent first
 	lastSeen    [bucketCount]time.Time // time of the last request of a customer in the bucket
 	serviceTime time.Duration
+	rate        rateLimit
 	// urgentGrants counts the grants to the most urgent priority since the last grant to
 	// another.
 	urgentGrants int
@@ -174,7 +183,11 @@
 
 // Load returns the number of running and waiting requests relative to the number of slots.
 func (q *Queue) Load() float64 {
-	return float64(q.running+q.waiting) / float64(q.config.Slots)
+	load := float64(q.running+q.waiting) / float64(q.config.Slots)
+	if !q.rate.allows() {
+		return math.Max(1, load)
+	}
+	return load
 }
 
 // Running returns the number of requests that hold a slot.
@@ -188,7 +201,9 @@
 func (q *Queue) RetryAfter() time.Duration { return q.estimatedWait(q.waiting + 1) }
 
 // HasSlot reports whether a request would be granted a slot immediately.
-func (q *Queue) HasSlot() bool { return q.running < q.config.Slots && q.waiting == 0 }
+func (q *Queue) HasSlot() bool {
+	return q.running < q.config.Slots && q.waiting == 0 && q.rate.allows()
+}
 
 // Offer decides on one request: it is granted a slot, queued or refused.
 func (q *Queue) Offer(now time.Time, r Request) Decision {
@@ -196,6 +211,7 @@
 	q.lastSeen[bucket] = now
 	if q.HasSlot() {
 		q.running++
+		q.rate.take()
 		return Decision{Verdict: Granted}
 	}
 	start := now.Add(q.estimatedWait(q.countAhead(r.Priority) + 1))
@@ -246,12 +262,13 @@
 // estimatedWait returns the estimated waiting time at the position in the queue. Stalled slots
 // are left out, since it is not known when they are freed.
 func (q *Queue) estimatedWait(position int) time.Duration {
+	limited := q.rate.wait(position)
 	ahead := q.running + position - q.config.Slots
 	if ahead <= 0 {
-		return 0
+		return max(0, limited)
 	}
 	unstalled := max(1, q.config.Slots-q.stalled)
-	return time.Duration(ahead) * q.serviceTime / time.Duration(unstalled)
+	return max(limited, time.Duration(ahead)*q.serviceTime/time.Duration(unstalled))
 }
 
 // MarkStalled records that a running request has outlasted nearly all others of its route.
--- a/internal/admission/grant.go
+++ b/internal/admission/grant.go
@@ -23,13 +23,14 @@
 
 // grant assigns the free slots to the requests that are served next.
 func (q *Queue) grant(now time.Time) (granted, expired []uint64) {
-	for q.running < q.config.Slots && q.waiting > 0 {
+	for q.running < q.config.Slots && q.waiting > 0 && q.rate.allows() {
 		next := q.next(now)
 		if q.cannotMeetDeadline(now, next) {
 			expired = append(expired, next.ID)
 			continue
 		}
 		q.running++
+		q.rate.take()
 		granted = append(granted, next.ID)
 	}
 	return granted, expired
--- /dev/null
+++ b/internal/admission/rate_test.go
@@ -0,0 +1,92 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tideliftd/tidelift/internal/admission"
+)
+
+// TestRateLimitHolds guards against more grants in a second than the rate limit and its burst
+// permit, whether requests arrive together, wait or find a free slot.
+func TestRateLimitHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const second = time.Second
+		rate := float64(rapid.IntRange(1, 40).Draw(t, "rate"))
+		allowed := int(rate + max(1, rate/4) + 1)
+		q := admission.NewQueue(admission.Config{Slots: 8, Depth: 80})
+		now := start
+		q.SetRate(now, rate)
+		var grants []time.Time
+		id := uint64(0)
+		step := func(granted int) {
+			for range granted {
+				grants = append(grants, now)
+			}
+			recent := 0
+			for _, at := range grants {
+				if now.Sub(at) < second {
+					recent++
+				}
+			}
+			if recent > allowed {
+				t.Fatalf("%d grants in a second at a rate of %g", recent, rate)
+			}
+		}
+		running := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
+				if q.SetRate(now, rate) {
+					granted, _ := q.Grant(now)
+					running += len(granted)
+					step(len(granted))
+				}
+			},
+			"offer": func(t *rapid.T) {
+				for range rapid.IntRange(1, 30).Draw(t, "requests") {
+					id++
+					q.SetRate(now, rate)
+					if q.Offer(now, admission.Request{ID: id, Deadline: now.Add(time.Minute)}).Verdict == admission.Granted {
+						running++
+						step(1)
+					}
+				}
+			},
+			"finish": func(t *rapid.T) {
+				if running == 0 {
+					t.Skip("nothing is running")
+				}
+				q.SetRate(now, rate)
+				granted, _ := q.Done(now, 100*time.Millisecond)
+				running += len(granted) - 1
+				step(len(granted))
+			},
+		})
+	})
+}
+
+// TestRateLimitIsVisible guards against callers that are not told that a backend server with free
+// slots takes no request at the moment, and against a limit that outlasts its cause.
+func TestRateLimitIsVisible(t *testing.T) {
+	q := admission.NewQueue(admission.Config{Slots: 8, Depth: 80})
+	q.SetRate(start, 2)
+	q.Offer(start, request(1, "a"))
+	if q.HasSlot() || q.Load() < 1 {
+		t.Fatalf("slot %t, load %g; want none and a full load", q.HasSlot(), q.Load())
+	}
+	if got := q.Offer(start, request(2, "a")); got.Verdict != admission.Queued {
+		t.Fatalf("got %s, want queued", got.Verdict)
+	}
+	if wait := q.RetryAfter(); wait < 900*time.Millisecond || wait > 1100*time.Millisecond {
+		t.Fatalf("retry after %s, want the second grant from now at two a second", wait)
+	}
+	if !q.SetRate(start, 0) {
+		t.Fatal("waiting requests may be granted slots at the end of the limit")
+	}
+	if granted, _ := q.Grant(start); len(granted) != 1 || q.Load() >= 1 {
+		t.Fatalf("granted %v, load %g after the end of the limit", granted, q.Load())
+	}
+}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -37,8 +38,8 @@
 	d.budgets = retry.NewBudgets(retry.Config{StartedAt: d.started, Borrows: true})
 	d.buildMembers()
 	d.quarantines = d.newQuarantines()
-	d.buildLedger()
 	d.evacuations = d.newEvacuations()
+	d.buildLedger()
 	d.buildHostList()
 	d.buildDeclarations()
 	d.buildLender()
@@ -91,6 +92,7 @@
 		},
 		Plan:     func() *gossip.Plan { return d.declarations.Plan() },
 		Services: func() ([]fleet.Service, bool) { return d.declarations.Services() },
+		SetCold:  func(name string, remaining time.Duration) { d.sidecar.SetCold(name, remaining) },
 		Reapply:  func() { d.declarations.Reapply() },
 		Sync:     func(ctx context.Context, address string) bool { return d.declarations.Sync(ctx, address) },
 	})
@@ -137,9 +139,9 @@
 		Unreachable: d.isUnreachable,
 		Members:     d.members,
 		Quarantines: d.quarantines,
+		Evacuations: d.evacuations,
 		Source:      d.source(),
 		Publish:     d.ledger.Publish,
-		Evacuations: d.evacuations,
 		Apply:       d.apply,
 	}
 	if !d.registers() {
@@ -157,9 +159,9 @@
 		Store:    d.config.Store,
 		Stored:   d.config.StoredDeclaration,
 		Settings: func() settings.Source { return d.live.Load().Source },
+		OnBatch:  d.evacuations.ApplyBatch,
 		Health:   d.health,
 		Logger:   d.config.Logger,
-		OnBatch:  d.evacuations.ApplyBatch,
 	})
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -181,6 +181,8 @@
 	RetryWindow    time.Duration       `yaml:"retry-window" json:"retry-window,omitempty" jsonschema:"type=string,description=The time that retries are counted over. Default 10s."`
 	RetryShare     float64             `yaml:"retry-share" json:"retry-share,omitempty" jsonschema:"description=Retries as a share of the service's requests. Default 0.1."`
 	DrainingHeader string              `yaml:"leaving-header" json:"leaving-header,omitempty" jsonschema:"description=The header of an answer by which a backend server says that it is leaving. Default X-Leaving."`
+	ColdStart      time.Duration       `yaml:"cold-start" json:"cold-start,omitempty" jsonschema:"type=string,description=How long a backend server counts as cold after its start unless it says otherwise."`
+	ColdRate       float64             `yaml:"cold-rate" json:"cold-rate,omitempty" jsonschema:"description=Requests a second that a cold backend server is sent at most. Default 0 for no limit."`
 	Adoption       map[string]Adoption `yaml:"adoption" json:"adoption,omitempty" jsonschema:"description=off or observe or steer by data centre; steer where a data centre is not named."`
 	BackendServers []BackendServer     `yaml:"backend-servers" json:"backend-servers" jsonschema:"description=The service's backend servers."`
 }
--- a/internal/membership/known.go
+++ b/internal/membership/known.go
@@ -113,6 +113,13 @@
 	return k.registry.Register(c) && k.publish()
 }
 
+// isLatest reports whether the registration is the last one of a backend server in service.
+func (k *known) isLatest(c registry.Registration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.registry.IsLatest(c)
+}
+
 // serves reports whether the named backend server is in service on this host.
 func (k *known) serves(name string) bool {
 	k.mu.Lock()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -66,6 +66,8 @@
 	Plan func() *gossip.Plan
 	// Services returns the declared services, or false while no declaration is in force.
 	Services func() ([]fleet.Service, bool)
+	// SetCold sets how much longer a backend server of this host is slow after its start.
+	SetCold func(name string, remaining time.Duration)
 	// Reapply applies the declaration again with the current hosts and backend servers.
 	Reapply func()
 	// Sync fetches the state of the daemon at the address and reports whether it answered.
--- a/internal/membership/registrations.go
+++ b/internal/membership/registrations.go
@@ -29,6 +29,9 @@
 			if m.known.register(c) {
 				m.applyRegistration("check-in", c.Name, c.Sequence)
 			}
+			if m.known.isLatest(c) {
+				m.config.SetCold(c.Name, c.Cold)
+			}
 			return nil
 		},
 		Leave: func(name string) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -33,6 +33,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 )
 
 // maxLeft bounds how many names of backend servers that left are remembered. It
@@ -55,6 +56,8 @@
 	Slots int
 	// Draining reports that the backend server is about to end.
 	Draining bool
+	// Cold is how much longer it is slow after its start.
+	Cold time.Duration
 	// Sequence increases with each registration of an incarnation.
 	Sequence int64
 }
@@ -101,7 +104,7 @@
 	if r.claimAddress(c, known) {
 		return true
 	}
-	last.Sequence = c.Sequence
+	last.Sequence, last.Cold = c.Sequence, c.Cold
 	return r.holders[c.Address].name == c.Name && last != c
 }
 
@@ -147,6 +150,10 @@
 	return ok && r.holders[server.Address].name == name
 }
 
+// IsLatest reports whether the registration is the last one recorded of a backend server in
+// service.
+func (r *Registry) IsLatest(c Registration) bool { return r.Serves(c.Name) && r.servers[c.Name] == c }
+
 // Leave records that a backend server ends, and reports whether that is new.
 func (r *Registry) Leave(name string) bool {
 	if slices.Contains(r.left, name) {
--- a/internal/sidecar/messages.go
+++ b/internal/sidecar/messages.go
@@ -39,6 +39,8 @@
 		reply   chan bool
 	}
 	drainMessage struct{ draining bool }
+	// coldMessage reports how long the backend server is cold.
+	coldMessage struct{ until time.Time }
 	// hostListMessage reports whether the platform's host list marks the host as draining.
 	hostListMessage struct{ draining bool }
 	// selfDrainMessage reports that an answer of the backend server says that it is draining.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -19,6 +19,7 @@
 //	task.go        handles the messages
 //	admit.go       decides on a request, by internal/admission
 //	slots.go       grants and queues slots
+//	cold.go        limits the rate of requests to a cold backend server
 //	draining.go    refuses new work while the backend server is draining
 //	suspicion.go   refuses requests at the first sign of failure
 //	eject.go       takes an unhealthy backend server out of service if the floor permits it
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -31,6 +31,7 @@
 	hostDraining      bool      // set by the platform's host list
 	selfDrainUntil    time.Time // end of the draining that its own answer reported
 	probationInFlight bool      // a probation request is running
+	coldUntil         time.Time // until when the rate of requests is limited
 	suspicion         *suspicion.Suspicion
 	refusedHosts      map[string]bool // hosts whose requests were refused because of suspicion
 }
@@ -52,6 +53,7 @@
 		suspicion:    suspicion.New(),
 		refusedHosts: make(map[string]bool),
 	}
+	t.assumeCold(time.Now())
 	return t
 }
 
@@ -83,12 +85,14 @@
 func (t *task) tick(now time.Time) {
 	t.checkSurvivedProbe(now)
 	t.expire(now)
+	t.limitRate(now)
 	t.evaluate(now)
 	t.publish(now)
 }
 
 func (t *task) handle(message any) {
 	now := time.Now()
+	t.limitRate(now)
 	switch m := message.(type) {
 	case offerMessage:
 		t.offer(now, &m)
@@ -102,12 +106,14 @@
 		t.cancel(m)
 	case drainMessage:
 		t.drain(m.draining)
+	case coldMessage:
+		t.coldUntil = m.until
 	case hostListMessage:
 		t.applyHostList(now, m.draining)
 	case selfDrainMessage:
 		t.selfDrain(now)
 	case reconfigureMessage:
-		t.reconfigure(m.declared)
+		t.reconfigure(now, m.declared)
 	case reportMessage:
 		m.reply <- t.report(now)
 	case leaseRequestMessage:
@@ -122,6 +128,9 @@
 
 // observe records the outcome of a request as evidence for suspicion and ejection.
 func (t *task) observe(now time.Time, m observeMessage) {
+	if m.observation.Outcome == detect.ConnectionRefused {
+		t.assumeCold(now)
+	}
 	t.recordSuspicion(now, m.observation, m.others)
 	if t.declared.adoption() == fleet.AdoptionOff || t.subject.State(now) != detect.Serving {
 		return
@@ -131,7 +140,10 @@
 }
 
 // reconfigure applies a new declaration.
-func (t *task) reconfigure(d *declared) {
+func (t *task) reconfigure(now time.Time, d *declared) {
+	if t.declared.evacuated && !d.evacuated {
+		t.assumeCold(now)
+	}
 	t.declared = d
 	if d.evacuated {
 		t.evacuate()
--- a/test/registered/fleet_test.go
+++ b/test/registered/fleet_test.go
@@ -71,6 +71,7 @@
 	name     string // of the backend server's incarnation
 	sequence int64
 	unready  time.Duration // how long its daemon continues to serve during a planned stop
+	cold     float64       // how much longer its backend server is cold, in seconds
 	served   atomic.Int64
 	crashed  atomic.Bool // the backend server has crashed and not restarted yet
 	handler  atomic.Pointer[func(http.ResponseWriter, *http.Request)]
@@ -210,8 +211,8 @@
 // nextCheckIn returns the body of the backend server's next check-in.
 func (h *host) nextCheckIn(state string) string {
 	h.sequence++
-	return fmt.Sprintf(`{"service":"%s","address":"%s","capacity":4,"state":"%s","call-seq":%d}`,
-		h.service, h.backend.Listener.Addr(), state, h.sequence)
+	return fmt.Sprintf(`{"service":"%s","address":"%s","capacity":4,"state":"%s","cold-remaining-s":%g,"call-seq":%d}`,
+		h.service, h.backend.Listener.Addr(), state, h.cold, h.sequence)
 }
 
 func (h *host) sendCheckIn(method, body string) {
