feat(floor): a large service keeps its floor in groups

Cause: an attempt to be ejected asked every other backend server of the service, and what stays ejected renews as many leases as the floor twice a second: 739 calls an attempt and 1,036 calls a second at 740 backend servers, linear in the service for each and quadratic in all. An attempt that can't collect 518 leases within 0.4 s never ejects.

Change: services of more than 40 backend servers are divided into groups by prefixes of the hash of their names; the number of groups is a power of two. Each group keeps its part of the floor, and leases are asked for only within it. Where sidecars know different numbers of backend servers, a smaller group lies within a larger one, so that the sum of the floors that they keep is still the larger one's: no agreement on the number is needed.

Ruled out: permits counted down from the top (a lost holder's part is lost for good, or needs a clock); leases lent by hosts (one backend server a host here); a sample of grantors (needs a proof of the union's floor that differing views break); groups by hash modulo their number (groups overlap where views differ).

--- a/internal/floor/floor.go
+++ b/internal/floor/floor.go
@@ -8,6 +8,10 @@
 // requests, whichever messages are lost, and whether or not the platform is available. The cost is
 // speed: a backend server that cannot collect leases stays in service.
 //
+// The backend servers of a large service are divided into groups (group.go). Each group keeps its part
+// of the floor, and leases are requested only within a group, so that the cost of an ejection does not
+// grow with the service.
+//
 // Package detect decides when a backend server is ejected and reinstated; this package covers the
 // step between a verdict and the ejection. A Ledger holds the leases of one backend server and is
 // owned by its sidecar's task. It takes messages and the time; it has no clock, goroutine or socket.
--- a/internal/sidecar/eject.go
+++ b/internal/sidecar/eject.go
@@ -19,7 +19,7 @@
 	ejectRetryPause = 300 * time.Millisecond
 	// suspectedEjectRetryPause is the pause while the backend server is suspected. Ingresses
 	// already select a suspected backend server last, and each attempt costs a call to every other
-	// backend server of the service.
+	// backend server of the floor group.
 	suspectedEjectRetryPause = 5 * time.Second
 )
 
@@ -29,7 +29,7 @@
 	if t.subject.State(now) == detect.Serving {
 		return false
 	}
-	if t.ledger.MayStayEjected(now, t.declared.Service.Floor) {
+	if t.ledger.MayStayEjected(now, t.declared.floor) {
 		return true
 	}
 	t.subject.Reinstate(now)
@@ -75,12 +75,12 @@
 	}
 }
 
-// beginEjection requests a lease from every other backend server of the service.
+// beginEjection requests a lease from every other backend server of the floor group.
 func (t *task) beginEjection(now time.Time, verdict detect.Verdict) {
 	if t.ejection.inProgress || t.isDraining(now) || t.declared.evacuated || now.Before(t.ejection.notBefore) {
 		return
 	}
-	if len(t.declared.others) < t.declared.Service.Floor {
+	if len(t.declared.others) < t.declared.floor {
 		t.recordFloorHeld("the floor requires every backend server", verdict)
 		return
 	}
@@ -123,7 +123,7 @@
 func (t *task) ejectIfAllowed(now time.Time) {
 	verdict := t.subject.Verdict(now)
 	verdict.Unhealthy = verdict.Unhealthy && t.isOutlier()
-	if verdict.Unhealthy && t.ledger.Eject(now, t.declared.Service.Floor) {
+	if verdict.Unhealthy && t.ledger.Eject(now, t.declared.floor) {
 		t.ejection.inProgress = false
 		t.ejection.floorHeldReason = ""
 		t.subject.Eject(now)
@@ -139,7 +139,7 @@
 		pause = suspectedEjectRetryPause
 	}
 	t.ejection.notBefore = now.Add(pause + rand.N(pause))
-	reason := fmt.Sprintf("%d leases to keep serving, floor %d", len(t.ledger.Grantors(now)), t.declared.Service.Floor)
+	reason := fmt.Sprintf("%d leases to keep serving, floor %d", len(t.ledger.Grantors(now)), t.declared.floor)
 	t.abandonEjection()
 	if verdict.Unhealthy {
 		t.recordFloorHeld(reason, verdict)
@@ -172,7 +172,7 @@
 
 // describeFloor describes to operators what the floor permits.
 func (t *task) describeFloor(now time.Time) string {
-	need := t.declared.Service.Floor
+	need := t.declared.floor
 	if t.subject.State(now) != detect.Serving {
 		return fmt.Sprintf("floor %d: ejected with %d leases of others to serve", need, len(t.ledger.Grantors(now)))
 	}
--- a/internal/sidecar/lease.go
+++ b/internal/sidecar/lease.go
@@ -9,8 +9,8 @@
 	"github.com/tideliftd/tidelift/internal/floor"
 )
 
-// Peer makes the calls that maintain the floor to the sidecars of the service's other backend
-// servers.
+// Peer makes the calls that maintain the floor to the sidecars of the other backend servers of a
+// floor group.
 type Peer struct {
 	// RequestLease requests a lease.
 	RequestLease func(ctx context.Context, other fleet.Placement, r floor.Request) (LeaseResponse, error)
@@ -33,8 +33,8 @@
 // before the next one is made.
 const leaseTimeout = 400 * time.Millisecond
 
-// ejection is the state of the lease requests to the other backend servers of the service, first to
-// be ejected and then to stay ejected.
+// ejection is the state of the lease requests to the other backend servers of the floor group, first
+// to be ejected and then to stay ejected.
 type ejection struct {
 	// inProgress reports whether an attempt to be ejected is in progress; notBefore is when the
 	// next may begin.
@@ -47,7 +47,7 @@
 	// requestedAt is when leases were last requested.
 	requestedAt time.Time
 	// requestAll is set after a lease was refused, so that the next renewal goes to all backend
-	// servers of the service.
+	// servers of the group.
 	requestAll bool
 	// floorHeldReason is why the floor keeps an unhealthy backend server in service; empty if it
 	// does not.
@@ -58,7 +58,7 @@
 	return ejection{pending: make(map[uint64]bool), summaries: make(map[string]detect.Summary)}
 }
 
-// requestLeases requests leases from the given backend servers of the service.
+// requestLeases requests leases from the given backend servers of the group.
 func (t *task) requestLeases(now time.Time, others []fleet.Placement) {
 	t.ejection.requestedAt = now
 	clear(t.ejection.pending)
@@ -108,7 +108,7 @@
 // first.
 func (t *task) trimLeases(now time.Time) {
 	healthy := func(name string) bool { return !t.ejection.summaries[name].Suspect }
-	t.releaseLeases(t.ledger.ReleaseSurplus(now, t.declared.Service.Floor, healthy))
+	t.releaseLeases(t.ledger.ReleaseSurplus(now, t.declared.floor, healthy))
 }
 
 // releaseLeases returns the leases to the backend servers that granted them.
