fix(daemon): a planned stop notifies only who sends requests

Cause: a daemon that stops as planned called the daemon of every other backend server of its services: 739 calls a stop at 740 backend servers, and as many squared when a fleet is replaced. Nearly all of them send it nothing.

Change: the sidecar records which hosts' ingresses sent a request in the last 10 s, and a stop notifies these.

Ruled out: no notice at all (each caller then pays a refused hop); a random part of the service (most of them send nothing).

Measured: TestRecentCallersAreThoseOfTheLastSeconds (of 1,000 callers, the two of the last 10 s are kept and called); the tests of test/registered on stops and drains passed.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -76,28 +76,22 @@
 	return !ok || place != d.config.Settings.DataCentre
 }
 
-// notifyDraining notifies the daemons of the other backend servers of the same
-// services that those of this host accept no more work. A daemon that misses the
-// notification learns it from a refusal.
+// notifyDraining notifies the daemons that send requests to the backend servers of this host that
+// these accept no more work. Other daemons learn it from this host's record, or from a refusal.
 func (d *daemon) notifyDraining(ctx context.Context) {
 	index, ok := d.declarations.Index()
 	if !ok {
 		return
 	}
-	own := index.OnHost(d.config.Settings.Name)
 	var draining control.Draining
-	peers := make(map[string]fleet.Host)
-	for _, placement := range own {
+	for _, placement := range index.OnHost(d.config.Settings.Name) {
 		draining.Names = append(draining.Names, placement.BackendServer.Name)
-		for _, other := range placement.Service.BackendServers {
-			if host, ok := index.Host(other.Host); ok && host.Name != d.config.Settings.Name {
-				peers[host.Name] = host
-			}
-		}
 	}
 	var wg sync.WaitGroup
-	for _, peer := range peers {
-		wg.Go(func() { _ = d.peers.CallHost(ctx, peer, control.MethodDraining, draining, nil) })
+	for _, name := range d.sidecar.RecentCallers() {
+		if host, ok := index.Host(name); ok && name != d.config.Settings.Name {
+			wg.Go(func() { _ = d.peers.CallHost(ctx, host, control.MethodDraining, draining, nil) })
+		}
 	}
 	wg.Wait()
 }
--- a/internal/sidecar/do.go
+++ b/internal/sidecar/do.go
@@ -106,6 +106,7 @@
 	if s.stopping.Load() {
 		return nil, result.New(result.Stopping)
 	}
+	s.callers.record(call.Host, time.Now())
 	server, err := s.server(call.BackendServer)
 	if err != nil {
 		return nil, err
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,6 +9,7 @@
 //	do.go          runs a request: slot, quarantine, sending, evidence
 //	handler.go     serves the requests of other daemons
 //	exchange.go    sends the request and checks the answer
+//	callers.go     records which hosts send requests
 //	reservation.go holds a slot for a request that must not run twice
 //	server.go      is the handle of a task
 //	declared.go    holds the declaration of a backend server
@@ -105,6 +106,7 @@
 	nextID       atomic.Uint64
 	stopping     atomic.Bool
 	reservations *reservations
+	callers      *callers
 
 	mu      sync.Mutex // serialises Reconfigure and end
 	servers atomic.Pointer[map[string]*server]
@@ -126,6 +128,7 @@
 		connects:     config.Scope.Counter("sidecar_connects"),
 		ends:         config.Scope.Counter("sidecar_runs_ended"),
 		reservations: newReservations(),
+		callers:      newCallers(),
 	}
 	s.servers.Store(&map[string]*server{})
 	s.headers.Store(&headers{})
