perf(membership): records that others send are applied together

Cause: each record of another host put the declaration in force again at once.

Change: records of others are applied together, a tenth of a second and 20 times the duration of the last application after it at the earliest, so that applying takes at most a twentieth of the time however large the fleet is. What the host's own backend servers say is applied at once, as before, and a daemon that joins applies what it has learned before it says so.

--- a/internal/membership/gone.go
+++ b/internal/membership/gone.go
@@ -24,7 +24,7 @@
 	}
 	if gone, ok := m.known.setGone(known); ok {
 		event.Log(m.config.Logger, event.HostGone, "host", host.Name, "life", known.Incarnation, "version", known.Version)
-		m.config.Reapply()
+		m.scheduleApply()
 		m.enqueue("", []member.Host{gone})
 	}
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -8,6 +8,9 @@
 // updates arrive later. A host that does not answer is considered gone once its
 // record in the store is gone, too.
 //
+// The hosts learned from others are applied together, at most a few times per second; the local host's own
+// backend servers at once.
+//
 // If hosts are declared, none of this is active: only the local host is known, and a
 // declaration is complete.
 //
@@ -81,6 +84,8 @@
 	record  *record.Record
 	updates chan update
 	joined  chan struct{}
+	// applyWanted holds a value while an application of the known hosts is scheduled.
+	applyWanted chan struct{}
 }
 
 // New returns a membership in which only the local host is known.
@@ -90,6 +95,8 @@
 		known:   newKnown(config.Self),
 		updates: make(chan update, maxQueuedUpdates),
 		joined:  make(chan struct{}),
+
+		applyWanted: make(chan struct{}, 1),
 	}
 	config.Record.Self = m.known.self
 	config.Record.OnHosts = func(hosts []member.Host) { m.Learn("", hosts) }
@@ -113,10 +120,12 @@
 // The store serves only for discovery; updates travel from daemon to daemon.
 func (m *Membership) join(ctx context.Context) {
 	go m.sendUpdates(ctx)
+	go m.applyScheduled(ctx)
 	lease := m.record.Write(ctx)
 	m.record.ReadAll(ctx)
 	m.config.Record.Health.RecordSeen(time.Now())
 	m.syncWithAny(ctx)
+	m.config.Reapply() // with all that was learned, before callers are told that the daemon is ready
 	close(m.joined)
 	m.enqueue("", []member.Host{m.known.self()})
 	go m.record.CountHosts(ctx, m.config.Reapply)
@@ -166,9 +175,10 @@
 	if len(declared.Hosts) > 0 {
 		return declared
 	}
-	var hosts []fleet.Host
-	var servers []fleet.Registered
-	for _, h := range m.known.all() {
+	known := m.known.all()
+	hosts := make([]fleet.Host, 0, len(known))
+	servers := make([]fleet.Registered, 0, len(known))
+	for _, h := range known {
 		if h.Gone {
 			continue
 		}
--- a/internal/membership/updates.go
+++ b/internal/membership/updates.go
@@ -34,7 +34,7 @@
 		event.Log(m.config.Logger, event.HostLearned, "host", h.Name, "from", from, "life", h.Incarnation, "version", h.Version,
 			"gone", h.Gone, "stopping", h.Stopping, "servers", len(h.Servers))
 	}
-	m.config.Reapply()
+	m.scheduleApply()
 	m.enqueue(from, updates)
 }
 
