perf: a daemon keeps connections to a few others

Cause: each request went to a random backend server of the data centre, and each poll to a random daemon. With 150 backend servers and 200 daemons in a data centre, nearly each request opened a connection that was kept for 45 s and nearly each poll one that was kept for 30 s: 326 and 485 connections (middle, busiest) at 300 hosts, growing with a power of 0.63 of the hosts, each with two buffers and two or three goroutines at both ends.

Change: of a service with more than 24 backend servers in its data centre, a daemon prefers 24, by rendezvous hashing with its own name, and draws from all once it finds no free slot among these. Polls go to 8 daemons of the data centre and 2 of others, drawn anew with each plan.

Ruled out: shorter idle times (a connection for each request remains); subsets by ranges of a ring (a change moves all that follow).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -15,13 +15,14 @@
 // The algorithm is power of two choices on load: of two targets drawn at random the less
 // loaded one is chosen, from the caller's own data centre first. A request spills over to
 // another data centre if the target chosen has no free slot and the one drawn there is less
-// loaded by more than SpillMargin.
+// loaded by more than SpillMargin. Of a large service, each daemon prefers a subset of the
+// targets in its own data centre, and draws from all of them only if it finds no free slot there.
 //
 // A target is skipped while it is paused, which lasts as long as it requested, and while it is
 // suspected, unless no other is left or the request is a probe. It is drawn less often while
 // its share is below FullShare.
 //
-// File balance.go has the choice, draw.go the drawing of two targets, pause.go paused and
+// File balance.go has the choice, subset.go the preferred targets, draw.go the drawing of two targets, pause.go paused and
 // suspected targets, busy.go the share of busy targets, and target.go a single target.
 package balance
 
@@ -49,8 +50,10 @@
 	failureShareTTL = 10 * time.Second
 )
 
-// Config holds the data centre, the random source and the time base of a pool.
+// Config holds the daemon's place, the random source and the time base of a pool.
 type Config struct {
+	// Host is the daemon's own host.
+	Host string
 	// DataCentre is the daemon's own data centre.
 	DataCentre string
 	// Random returns 64 random bits and is safe for concurrent use.
@@ -71,8 +74,9 @@
 // view is the state that Pick reads; it is immutable once stored.
 type view struct {
 	all       []*Target // all but the evacuated ones
-	own       []*Target
-	other     []*Target
+	own       []*Target // of the own data centre
+	subset    []*Target // of own, those that are preferred; nil if all are
+	other     []*Target // of other data centres
 	evacuated []*Target // in evacuated data centres, kept for their state
 }
 
@@ -101,6 +105,7 @@
 		}
 		next.add(t, placement.Host.DataCentre == p.config.DataCentre)
 	}
+	next.subset = subsetOf(next.own)
 	p.forgetRemoved(index)
 	p.view.Store(next)
 }
@@ -109,7 +114,7 @@
 func (p *Pool) target(name string) *Target {
 	t, ok := p.targets[name]
 	if !ok {
-		t = &Target{Name: name, poolBaseline: &p.baseline}
+		t = &Target{Name: name, poolBaseline: &p.baseline, affinity: affinity(p.config.Host, name)}
 		t.SetShare(FullShare)
 		p.targets[name] = t
 	}
@@ -202,6 +207,9 @@
 func (p *Pool) Pick(now time.Time, tried []*Target) (*Target, bool) {
 	v := p.view.Load()
 	elapsed := p.sinceStart(now)
+	if preferred := p.drawTwo(v.subset, elapsed, tried); preferred != nil && preferred.cost(elapsed) < 1 {
+		return preferred, true
+	}
 	own := p.drawTwo(v.own, elapsed, tried)
 	if own != nil && own.cost(elapsed) < 1 {
 		return own, true
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -13,6 +13,7 @@
 	// Name is the backend server's name.
 	Name string
 
+	affinity         uint64 // rank among the targets that the daemon prefers
 	placement        atomic.Pointer[fleet.Placement]
 	inFlight         atomic.Int64
 	loadBits         atomic.Uint64
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -26,8 +26,8 @@
 //   - Updates of hosts are sent to a few daemons of the same data centre. A host's
 //     updates of itself also go to one host in each of a few other data centres,
 //     which passes them on there.
-//   - Every PollInterval, a daemon polls another one at random for its revision, to
-//     obtain what was lost. The answer includes the time since the other daemon
+//   - Every PollInterval, a daemon polls one of a few others for its revision, to
+//     obtain what was lost. These are drawn at random with each plan. The answer includes the time since the other daemon
 //     knew the platform to answer.
 //   - A daemon that has not learned of an answer of the platform for StaleAfter,
 //     plus a random time of up to the same length, watches the platform itself,
@@ -61,6 +61,11 @@
 	// maxRemoteTargets bounds how many other data centres a host sends its own updates.
 	// Polls supply the others.
 	maxRemoteTargets = 8
+	// maxLocalNeighbours and maxRemoteNeighbours are how many daemons of the data centre and of others
+	// a daemon polls in turn. They are drawn again with each plan. A daemon keeps a connection to
+	// each; polling all would take as many connections as there are hosts.
+	maxLocalNeighbours  = 8
+	maxRemoteNeighbours = 2
 	// remotePollOneIn makes one in so many polls go to another data centre.
 	remotePollOneIn = 8
 )
@@ -75,12 +80,14 @@
 
 // Plan selects the hosts with which one daemon exchanges revisions and updates of hosts.
 type Plan struct {
-	config     Config
-	hosts      []fleet.Host
-	local      []int // indices of the other hosts of the data centre
-	remote     []int // indices of the hosts of other data centres
-	watcher    bool
-	staleAfter time.Duration
+	config Config
+	hosts  []fleet.Host
+	local  []int // indices of the other hosts of the data centre
+	remote []int // indices of the hosts of other data centres
+	// neighbours are the hosts that are polled, a few of the data centre and of others.
+	localNeighbours, remoteNeighbours []fleet.Host
+	watcher                           bool
+	staleAfter                        time.Duration
 }
 
 // NewPlan returns the daemon's plan for the given hosts.
@@ -102,6 +109,8 @@
 			}
 		}
 	}
+	p.localNeighbours = p.sample(p.local, maxLocalNeighbours)
+	p.remoteNeighbours = p.sample(p.remote, maxRemoteNeighbours)
 	p.watcher = isMember && ahead < WatchersPerDataCentre
 	p.staleAfter = StaleAfter + time.Duration(config.Random()%uint64(StaleAfter))
 	return p
@@ -158,16 +167,16 @@
 	return chosen
 }
 
-// PollTarget returns a random host to poll for its revision, or false if there is none.
+// PollTarget returns a random neighbour to poll for its revision, or false if there is none.
 func (p *Plan) PollTarget() (fleet.Host, bool) {
-	from := p.local
+	from := p.localNeighbours
 	if len(from) == 0 || len(p.remote) > 0 && p.intN(remotePollOneIn) == 0 {
-		from = p.remote
+		from = p.remoteNeighbours
 	}
 	if len(from) == 0 {
 		return fleet.Host{}, false
 	}
-	return p.hosts[from[p.intN(len(from))]], true
+	return from[p.intN(len(from))], true
 }
 
 // intN returns a random number in [0, n).
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -93,3 +93,24 @@
 		t.Fatal("a single daemon has peers, or does not watch")
 	}
 }
+
+// TestPollsKeepToAFewHosts guards against a daemon that polls, and so keeps connections to, more hosts
+// the larger the fleet is.
+func TestPollsKeepToAFewHosts(t *testing.T) {
+	for _, each := range []int{20, 200, 1000} {
+		random := rand.New(rand.NewPCG(1, 1))
+		plan := gossip.NewPlan(gossip.Config{Host: "dc0-0", DataCentre: "dc0", Random: random.Uint64}, hosts(5, each))
+		polled := make(map[string]bool)
+		for range 10_000 {
+			host, ok := plan.PollTarget()
+			if !ok {
+				t.Fatal("no host is polled")
+			}
+			polled[host.Name] = true
+		}
+		const most = 10
+		if len(polled) > most {
+			t.Errorf("%d hosts in each data centre: %d are polled, want at most %d", each, len(polled), most)
+		}
+	}
+}
--- a/internal/ingress/service.go
+++ b/internal/ingress/service.go
@@ -109,7 +109,7 @@
 // newService returns a service of which nothing is known yet. Its outlier detector is not started.
 func (in *Ingress) newService(declared fleet.Service) *service {
 	s := &service{
-		pool:        balance.NewPool(balance.Config{DataCentre: in.config.DataCentre, Random: rand.Uint64, Start: in.start}),
+		pool:        balance.NewPool(balance.Config{Host: in.config.Host, DataCentre: in.config.DataCentre, Random: rand.Uint64, Start: in.start}),
 		limit:       &retryLimit{budgets: in.config.Retries, service: declared.Name, borrow: in.config.BorrowRetry},
 		subrequests: newSubrequestCounters(in.config.Scope, declared.Name),
 	}
