perf(membership): tables are compared only when an exchange is due

Cause: a daemon whose table differed from that of the one it polled was sent a digest of 4 bytes for each host, twice a second, also while it would not exchange: in a large fleet some record is on its way at any time. Each digest hashed each record's text anew.

Change: the sum that asks for a digest is sent only when an exchange is due. A digest has as many buckets as the square root of the hosts times eight, so that it and the records that a difference costs both stay small. Hashes are kept with the records.

Ruled out: two rounds (a coarse digest, then a fine one): one round trip more for each difference.

--- a/internal/declaration/ask.go
+++ b/internal/declaration/ask.go
@@ -25,7 +25,7 @@
 func (f *Follower) Sync(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	query := control.RevisionQuery{Revision: f.Revision(), Hosts: f.config.Members.Sum(), Quarantines: f.config.Quarantines.Sum(), Evacuations: f.config.Evacuations.Sum()}
+	query := control.RevisionQuery{Revision: f.Revision(), Hosts: f.config.Members.SumIfDue(), Quarantines: f.config.Quarantines.Sum(), Evacuations: f.config.Evacuations.Sum()}
 	var response control.RevisionResponse
 	if err := f.config.Peers.Call(ctx, address, control.MethodRevision, query, &response); err != nil {
 		return false
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -37,10 +37,10 @@
 )
 
 const (
-	// minBuckets and maxBuckets bound the buckets of a digest. With about one per
-	// host, a difference costs one or two records; 4,096 buckets take 16 KB.
+	// minBuckets bounds the buckets of a digest. Beyond, their number grows with the square root of
+	// the hosts: a digest is sent in each exchange, and each difference costs the records of a
+	// bucket, so that both stay small.
 	minBuckets = 64
-	maxBuckets = 4096
 	// bucketHashSize is the size of a bucket's hash in bytes.
 	bucketHashSize = 4
 )
@@ -94,15 +94,21 @@
 // Table holds the records of all hosts known to one daemon.
 type Table struct {
 	self  string
-	hosts map[string]Host
+	hosts map[string]entry
 	names []string // of all hosts, sorted
 	sum   uint64   // XOR of the hosts' hashes
 }
 
+// entry is a host's record with its hash, which is needed far more often than it changes.
+type entry struct {
+	Host
+	sum uint64
+}
+
 // NewTable returns a table that holds only the daemon's own host.
 func NewTable(self Host) *Table {
 	self.Incarnation, self.Version = 1, 1
-	t := &Table{self: self.Name, hosts: make(map[string]Host)}
+	t := &Table{self: self.Name, hosts: make(map[string]entry)}
 	t.put(self)
 	return t
 }
@@ -110,17 +116,18 @@
 // put stores a host's record, replacing any previous one.
 func (t *Table) put(h Host) {
 	if known, ok := t.hosts[h.Name]; ok {
-		t.sum ^= known.hash()
+		t.sum ^= known.sum
 	} else {
 		at, _ := slices.BinarySearch(t.names, h.Name)
 		t.names = slices.Insert(t.names, at, h.Name)
 	}
-	t.hosts[h.Name] = h
-	t.sum ^= h.hash()
+	sum := h.hash()
+	t.hosts[h.Name] = entry{h, sum}
+	t.sum ^= sum
 }
 
 // Self returns the record of the daemon's own host.
-func (t *Table) Self() Host { return t.hosts[t.self] }
+func (t *Table) Self() Host { return t.hosts[t.self].Host }
 
 // SetServers sets the backend servers of the daemon's own host.
 func (t *Table) SetServers(servers []Server, left []string) {
@@ -154,7 +161,7 @@
 			}
 			continue
 		}
-		if known, ok := t.hosts[h.Name]; ok && !h.newer(known) {
+		if known, ok := t.hosts[h.Name]; ok && !h.newer(known.Host) {
 			continue
 		}
 		t.put(h)
@@ -181,7 +188,8 @@
 // SetGone records that a host is gone and returns the record to send to others. It
 // returns false if the table holds a newer record.
 func (t *Table) SetGone(name string, incarnation, version int64) (Host, bool) {
-	h, ok := t.hosts[name]
+	known, ok := t.hosts[name]
+	h := known.Host
 	if !ok || name == t.self || h.Gone || h.Incarnation != incarnation || h.Version != version {
 		return Host{}, false
 	}
@@ -192,24 +200,23 @@
 
 // Host returns the record of a host.
 func (t *Table) Host(name string) (Host, bool) {
-	h, ok := t.hosts[name]
-	return h, ok
+	known, ok := t.hosts[name]
+	return known.Host, ok
 }
 
 // Hosts returns all hosts, including those that are gone, sorted by name.
 func (t *Table) Hosts() []Host {
 	all := make([]Host, 0, len(t.names))
 	for _, name := range t.names {
-		all = append(all, t.hosts[name])
+		all = append(all, t.hosts[name].Host)
 	}
 	return all
 }
 
-// Digest returns the hash of each bucket of hosts, four bytes each. The number of
-// buckets grows with the number of hosts, within bounds.
+// Digest returns the hash of each bucket of hosts, four bytes each.
 func (t *Table) Digest() []byte {
 	buckets := minBuckets
-	for buckets < len(t.hosts) && buckets < maxBuckets {
+	for buckets*buckets < minBuckets*len(t.hosts) {
 		buckets *= 2
 	}
 	return t.digest(buckets)
@@ -219,7 +226,7 @@
 	digest := make([]byte, buckets*bucketHashSize)
 	for _, h := range t.hosts {
 		part := digest[bucketOf(h.Name, buckets)*bucketHashSize:]
-		binary.LittleEndian.PutUint32(part, binary.LittleEndian.Uint32(part)^uint32(h.hash()&math.MaxUint32))
+		binary.LittleEndian.PutUint32(part, binary.LittleEndian.Uint32(part)^uint32(h.sum&math.MaxUint32))
 	}
 	return digest
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -144,3 +144,29 @@
 		table.Sum()
 	}
 }
+
+// TestExchangeCostsLittleInLargeFleets guards against an exchange whose size grows as fast as the
+// fleet: daemons exchange whenever their tables differ, and in a large fleet they differ nearly
+// always.
+func TestExchangeCostsLittleInLargeFleets(t *testing.T) {
+	const differing = 2
+	cost := make(map[int]int)
+	for _, count := range []int{100, 1000, 4600} {
+		a, b := newTable("a", "1"), newTable("b", "1")
+		for n := range count {
+			h := member.Host{Name: fmt.Sprintf("host-%d", n), Start: "1", Incarnation: 1, Version: 1}
+			a.Merge([]member.Host{h})
+			if n < differing {
+				h.Version++
+			}
+			b.Merge([]member.Host{h})
+		}
+		a.Merge([]member.Host{b.Self()})
+		b.Merge([]member.Host{a.Self()})
+		const recordSize = 300 // bytes of a record as text, before compression
+		cost[count] = len(a.Digest()) + len(b.Diff(a.Digest()))*recordSize
+	}
+	if cost[1000] > 4*cost[100] || cost[4600] > 10*cost[100] {
+		t.Errorf("bytes of an exchange by hosts: %v; want a growth with the square root of the hosts", cost)
+	}
+}
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -7,18 +7,19 @@
 	"github.com/tideliftd/tidelift/internal/control"
 )
 
-// Sum returns a hash over all known hosts, or 0 if hosts are declared.
-func (m *Membership) Sum() uint64 {
+// SumIfDue returns a hash over all known hosts, by which another daemon finds out whether its own
+// differ. It returns 0, which requests no comparison, if hosts are declared or if no exchange is due.
+func (m *Membership) SumIfDue() uint64 {
 	if !m.config.Registers {
 		return 0
 	}
-	return m.known.sum()
+	return m.known.sumIfDue(time.Now())
 }
 
 // AddDigest adds the local digest to the answer if the requesting daemon's state
 // differs.
 func (m *Membership) AddDigest(query control.RevisionQuery, response *control.RevisionResponse) {
-	if query.Hosts == 0 || !m.config.Registers || query.Hosts == m.Sum() {
+	if query.Hosts == 0 || !m.config.Registers || query.Hosts == m.known.sum() {
 		return
 	}
 	response.Digest = m.known.digest()
@@ -27,9 +28,10 @@
 // Exchange sends the peer the hosts by which the peer's digest differs, and
 // merges the records that it returns.
 func (m *Membership) Exchange(ctx context.Context, address string, response control.RevisionResponse) {
-	if response.Digest == nil || !m.known.beginExchange(time.Now()) {
+	if response.Digest == nil {
 		return
 	}
+	m.known.beginExchange(time.Now())
 	updates := control.HostUpdates{Host: m.config.Self.Name}
 	updates.Hosts, updates.Digest = m.known.diffAndDigest(response.Digest)
 	var rest control.HostUpdatesResponse
--- a/internal/membership/known.go
+++ b/internal/membership/known.go
@@ -79,16 +79,22 @@
 	maxExchangeDelay = 3 * time.Second
 )
 
-// beginExchange reports whether an exchange with another daemon is due, and if so
-// records its time.
-func (k *known) beginExchange(now time.Time) bool {
+// sumIfDue returns a hash over all known hosts if an exchange with another daemon is due, and zero
+// otherwise.
+func (k *known) sumIfDue(now time.Time) uint64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if now.Sub(k.changed) < quietPeriod && now.Sub(k.exchanged) < maxExchangeDelay {
-		return false
+		return 0
 	}
+	return k.table.Sum()
+}
+
+// beginExchange records the time of an exchange with another daemon.
+func (k *known) beginExchange(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.exchanged = now
-	return true
 }
 
 // setStopping records that this daemon is stopping and returns its new record.
