perf(record): a start reads the records of its data centre

Cause: each daemon that started listed the records of all hosts, and again five seconds later to count them: 2 calls of the store for each 500 hosts, each time, and 981 times 981 records. Then it fetched the state of a daemon at any place, four of five times in another data centre.

Change: a record's key names the data centre. A daemon lists its own, and all hosts if there are few or if it is one of about 16 in a data centre; the others learn of other data centres from these. The second list is made by the daemons that watch the store and by one that no other has answered; the others wait two seconds longer for what they tell. State is fetched from the own data centre first. A daemon that registers itself waits up to two seconds for the others before it reads the declaration from the store.

Ruled out: stale reads (a tenth of the price, but none of a start that begins at once is found); one list a data centre (who makes it is not known yet).

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -88,6 +88,7 @@
 			FirstStart:    s.FirstStart,
 			Health:        d.health,
 			Logger:        d.config.Logger,
+			MustCount:     d.mustCountHosts,
 			OnShareUnused: d.budgets.SetSlackUnused,
 		},
 		Plan:     func() *gossip.Plan { return d.declarations.Plan() },
@@ -98,6 +99,13 @@
 	})
 }
 
+// mustCountHosts reports whether this daemon has to list the hosts itself: it is one of those that
+// watch the store, or no other daemon has answered it.
+func (d *daemon) mustCountHosts() bool {
+	plan := d.declarations.Plan()
+	return plan == nil || plan.IsWatcher() || !d.declarations.PeerAnswered()
+}
+
 // registers reports whether hosts and backend servers register themselves.
 func (d *daemon) registers() bool {
 	return d.config.Settings.Source.Declared == settings.DeclaredByPlatform
--- a/internal/declaration/watch.go
+++ b/internal/declaration/watch.go
@@ -12,7 +12,7 @@
 	watchCheckEvery = time.Second
 	// joinTimeout is how long a daemon that registers itself waits to join the others before it
 	// may read the declaration from the platform.
-	joinTimeout = time.Second
+	joinTimeout = 2 * time.Second
 	// bootstrapGrace is how long after the platform was last seen a daemon without a declaration
 	// leaves the watching to others.
 	bootstrapGrace = 3 * time.Second
--- a/internal/membership/gone.go
+++ b/internal/membership/gone.go
@@ -19,7 +19,7 @@
 	if !ok || known.Gone {
 		return
 	}
-	if !m.record.IsGone(host.Name) {
+	if !m.record.IsGone(known) {
 		return
 	}
 	if gone, ok := m.known.setGone(known); ok {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -122,9 +122,12 @@
 	go m.sendUpdates(ctx)
 	go m.applyScheduled(ctx)
 	lease := m.record.Write(ctx)
-	m.record.ReadAll(ctx)
+	complete := m.record.Discover(ctx)
 	m.config.Record.Health.RecordSeen(time.Now())
-	m.syncWithAny(ctx)
+	if !m.syncWithAny(ctx) && !complete {
+		m.record.ReadAll(ctx) // the whole data centre may have lost power
+		m.syncWithAny(ctx)
+	}
 	m.config.Reapply() // with all that was learned, before callers are told that the daemon is ready
 	close(m.joined)
 	m.enqueue("", []member.Host{m.known.self()})
@@ -134,17 +137,28 @@
 
 // syncWithAny fetches the state of the daemons listed in the store, in random
 // order, until one answers, so that a restarted daemon knows the backend servers
-// before requests arrive.
-func (m *Membership) syncWithAny(ctx context.Context) {
+// before requests arrive. It reports whether one did. Those of its data centre come first, since the state of a
+// large fleet is expensive to send between data centres.
+func (m *Membership) syncWithAny(ctx context.Context) bool {
 	others := slices.DeleteFunc(m.known.all(), func(h member.Host) bool {
 		return h.Gone || h.Name == m.config.Self.Name
 	})
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	slices.SortStableFunc(others, func(a, b member.Host) int { return m.distance(a) - m.distance(b) })
 	for _, h := range others[:min(maxJoinAttempts, len(others))] {
 		if m.config.Sync(ctx, h.Control) {
-			return
+			return true
 		}
 	}
+	return false
+}
+
+// distance returns 0 for hosts of the data centre and 1 for others.
+func (m *Membership) distance(h member.Host) int {
+	if h.DataCentre == m.config.Self.DataCentre {
+		return 0
+	}
+	return 1
 }
 
 // Joined returns a channel that is closed once a self-registering host has joined
--- a/internal/record/keep_test.go
+++ b/internal/record/keep_test.go
@@ -42,7 +42,7 @@
 				return nil
 			},
 			Commit: func(_ context.Context, change store.Change) (int64, error) {
-				if key := change.Puts[0].Key; key != "tidelift/hosts/csepel-1" || change.Puts[0].Lease != lease {
+				if key := change.Puts[0].Key; key != "tidelift/hosts/csepel/csepel-1" || change.Puts[0].Lease != lease {
 					t.Errorf("wrote %s under lease %d", key, change.Puts[0].Lease)
 				}
 				return 1, nil
@@ -53,7 +53,7 @@
 			Store:         kv,
 			Prefix:        "tidelift",
 			Health:        storehealth.New(storehealth.Config{Logger: slog.New(slog.DiscardHandler)}),
-			Self:          func() member.Host { return member.Host{Name: "csepel-1"} },
+			Self:          func() member.Host { return member.Host{Name: "csepel-1", DataCentre: "csepel"} },
 			OnShareUnused: func(time.Duration) {},
 		})
 		r.counted.Store(true)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -4,10 +4,13 @@
 // A record is attached to a lease: the store deletes it some time after the last renewal. Daemons do not watch the
 // records; they notify each other of changes.
 //
+// A record's key contains its data centre, so that a daemon that starts lists the hosts of its own. The others it
+// learns from these. Of a large data centre, only a few daemons list all hosts.
+//
 // The hosts divide the retry slack of a service between them. Each therefore has to know the number of hosts, and must
 // not use its share twice. The records provide both: the first write of an incarnation finds out whether the record of
-// an earlier one still exists, the hosts are counted from the records, and a daemon uses its share only while the
-// store has its own record. A declared host has no record; it claims its first start by a separate key.
+// an earlier one still exists, a few daemons list the records of the hosts again, and a daemon uses its share only
+// while the store has its own record. A declared host has no record; it claims its first start by a separate key.
 //
 // The package owns these keys, the lease, and the state that decides whether the share may be used. It uses
 // internal/store for the calls and internal/storehealth for retrying them.
@@ -16,7 +19,7 @@
 //
 //	r := record.New(record.Config{Host: name, Store: kv, Prefix: prefix, Health: health, Self: self, OnHosts: onHosts, OnShareUnused: onShareUnused})
 //	lease := r.Write(ctx)
-//	r.ReadAll(ctx)
+//	r.Discover(ctx)
 //	go r.CountHosts(ctx, reapply)
 //	r.KeepAlive(ctx, lease) // until ctx ends
 package record
@@ -25,6 +28,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +50,8 @@
 	// getTimeout is the timeout for reading another host's record. The read is repeated while the host does not
 	// answer.
 	getTimeout = 2 * time.Second
+	// listingDaemons is about how many daemons of each data centre list all hosts when they start.
+	listingDaemons = 16
 )
 
 // Config configures a Record.
@@ -65,6 +71,9 @@
 	Self func() member.Host
 	// OnHosts receives the hosts that were read from the store.
 	OnHosts func([]member.Host)
+	// MustCount reports whether this daemon has to list the hosts again some time after its start, rather than
+	// rely on others that do.
+	MustCount func() bool
 	// OnShareUnused is called if no incarnation of this host used its share of the retry slack recently, with the time
 	// before this start for which the share is known to be unused.
 	OnShareUnused func(before time.Duration)
@@ -83,8 +92,14 @@
 // New returns a Record. It does not write to the store.
 func New(config Config) *Record { return &Record{config: config} }
 
-// key returns the key of a host's record, or the prefix of all records if host is empty.
-func (r *Record) key(host string) string { return r.config.Prefix + "/hosts/" + host }
+// prefix returns the prefix of the keys of all records.
+func (r *Record) prefix() string { return r.config.Prefix + "/hosts/" }
+
+// dataCentrePrefix returns the prefix of the keys of a data centre's records.
+func (r *Record) dataCentrePrefix(dataCentre string) string { return r.prefix() + dataCentre + "/" }
+
+// key returns the key of a host's record.
+func (r *Record) key(dataCentre, host string) string { return r.dataCentrePrefix(dataCentre) + host }
 
 // Write writes the record under a new lease, and retries until the store accepts it or ctx ends.
 func (r *Record) Write(ctx context.Context) store.Lease {
@@ -135,7 +150,7 @@
 	if err != nil {
 		return store.NoLease, errors.Wrap(err, "encode record")
 	}
-	put := store.Put{Key: r.key(self.Name), Data: data, Lease: lease}
+	put := store.Put{Key: r.key(self.DataCentre, self.Name), Data: data, Lease: lease}
 	requestedAt := time.Now()
 	if err := r.commit(ctx, put); err != nil {
 		return store.NoLease, err
@@ -167,17 +182,36 @@
 	return nil
 }
 
+// Discover reads the records of the data centre's hosts and passes them to Config.OnHosts, and those of all hosts if
+// there are few or if this daemon is one of the few that do; it reports whether it has read all. It retries until the
+// store answers or ctx ends.
+func (r *Record) Discover(ctx context.Context) bool {
+	found := r.read(ctx, r.dataCentrePrefix(r.config.Self().DataCentre))
+	if found > listingDaemons && rand.N(found) >= listingDaemons {
+		return false
+	}
+	r.ReadAll(ctx)
+	return true
+}
+
 // ReadAll reads the records of all hosts and passes them to Config.OnHosts. It retries until the store answers or ctx
 // ends.
-func (r *Record) ReadAll(ctx context.Context) {
+func (r *Record) ReadAll(ctx context.Context) { r.read(ctx, r.prefix()) }
+
+// read reads the records under the prefix, passes them to Config.OnHosts and returns their number. It retries until
+// the store answers or ctx ends.
+func (r *Record) read(ctx context.Context, prefix string) int {
 	var batch store.Batch
 	answered := r.config.Health.UntilAnswered(ctx, func() (err error) {
-		batch, err = r.config.Store.List(ctx, r.key(""))
+		batch, err = r.config.Store.List(ctx, prefix)
 		return err
 	})
-	if answered {
-		r.config.OnHosts(decodeRecords(batch.Items, r.logRefused))
+	if !answered {
+		return 0
 	}
+	hosts := decodeRecords(batch.Items, r.logRefused)
+	r.config.OnHosts(hosts)
+	return len(hosts)
 }
 
 // decodeRecords decodes the records, skips those that cannot be decoded, and calls onBad for each of these.
@@ -200,10 +234,10 @@
 }
 
 // IsGone reports whether the store has no record of the host. It returns false if the store does not answer.
-func (r *Record) IsGone(host string) bool {
+func (r *Record) IsGone(host member.Host) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), getTimeout)
 	defer cancel()
-	item, err := r.config.Store.Get(ctx, r.key(host))
+	item, err := r.config.Store.Get(ctx, r.key(host.DataCentre, host.Name))
 	if err != nil {
 		r.config.Health.RecordFailure(err)
 		return false
--- a/internal/record/share.go
+++ b/internal/record/share.go
@@ -14,6 +14,8 @@
 	// countDelay is the delay before a daemon counts the hosts. By then, hosts that start together have written their
 	// records, even if the store is slow.
 	countDelay = 5 * time.Second
+	// countSpread is how long the records that others listed take to reach a daemon that does not list them itself.
+	countSpread = 2 * time.Second
 	// shareTTL is how long a daemon uses its share after the store last confirmed its record. It must be shorter
 	// than leaseTTL: an incarnation that starts before the record expires finds it and waits, and one that starts
 	// later relies on the share being unused for leaseTTL - shareTTL.
@@ -26,14 +28,19 @@
 	firstStartUnusedFor = 24 * time.Hour
 )
 
-// CountHosts reads the records again countDelay after the start. They then include the hosts that started at the same
-// time, even if these cannot reach each other, so the shares do not add up to more than the whole. It calls changed
-// whenever the result of ShareUsable may have changed, until ctx ends.
+// CountHosts waits until this daemon knows the hosts that were listed countDelay after the start: it lists them itself
+// or receives them from the daemons that do. They then include the hosts that started at the same time, even if these
+// cannot reach each other, so the shares do not add up to more than the whole. It calls changed whenever the result of
+// ShareUsable may have changed, until ctx ends.
 func (r *Record) CountHosts(ctx context.Context, changed func()) {
 	if !wait.For(ctx, countDelay) {
 		return
 	}
-	r.ReadAll(ctx)
+	if r.config.MustCount() {
+		r.ReadAll(ctx)
+	} else if !wait.For(ctx, countSpread) {
+		return
+	}
 	r.counted.Store(true)
 	changed()
 	for usable := true; wait.For(ctx, shareCheckInterval); {
--- a/test/registered/registered_test.go
+++ b/test/registered/registered_test.go
@@ -65,7 +65,7 @@
 	}
 	f.waitUntil("the hosts to write their records again", func() bool {
 		for _, h := range f.hosts {
-			if _, ok := f.store.Value("tidelift/hosts/" + h.daemonName()); !ok {
+			if _, ok := f.store.Value("tidelift/hosts/dc0/" + h.daemonName()); !ok {
 				return false
 			}
 		}
