perf(declaration): an announced revision is fetched once

Cause: several daemons announce a revision within a millisecond, and each announcement that came before the first answer fetched the whole text.

Change: announced revisions are fetched one after the other; what is in force by then isn't fetched again.

--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -89,6 +89,7 @@
 	inForce      atomic.Pointer[InForce]
 	plan         atomic.Pointer[gossip.Plan]
 	peerAnswered atomic.Bool
+	fetching     sync.Mutex // held while an announced revision is fetched
 }
 
 // New returns a follower with no declaration in force.
--- a/internal/declaration/notice.go
+++ b/internal/declaration/notice.go
@@ -10,19 +10,34 @@
 )
 
 // receiveNotice fetches the revision that another daemon announces, if it is higher than the
-// current one. Without a declaration, the sender is looked up among the registered hosts.
+// current one.
 func (f *Follower) receiveNotice(notice control.Notice) {
 	if notice.Revision <= f.Revision() {
 		return
 	}
+	if address, ok := f.addressOf(notice.Host); ok {
+		go f.fetchAnnounced(notice.Revision, address)
+	}
+}
+
+// addressOf returns the control address of a host. Without a declaration, the host is looked up among
+// the registered ones.
+func (f *Follower) addressOf(name string) (string, bool) {
 	if index, declared := f.Index(); declared {
-		if host, ok := index.Host(notice.Host); ok {
-			go f.fetch(context.Background(), f.config.Peers.Address(host))
-		}
-		return
+		host, ok := index.Host(name)
+		return f.config.Peers.Address(host), ok
 	}
-	if host, ok := f.config.Members.Host(notice.Host); ok {
-		go f.fetch(context.Background(), host.Control)
+	host, ok := f.config.Members.Host(name)
+	return host.Control, ok
+}
+
+// fetchAnnounced fetches a revision that the daemon at the address has announced. Several daemons announce
+// it at the same time: it is fetched from one after the other, until one has sent it.
+func (f *Follower) fetchAnnounced(revision int64, address string) {
+	f.fetching.Lock()
+	defer f.fetching.Unlock()
+	if revision > f.Revision() {
+		f.fetch(context.Background(), address)
 	}
 }
 
--- a/internal/declaration/notice_test.go
+++ b/internal/declaration/notice_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,12 +14,36 @@
 
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/evacuationsync"
+	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/member"
 	"github.com/tideliftd/tidelift/internal/membership"
 	"github.com/tideliftd/tidelift/internal/quarantinesync"
 	"github.com/tideliftd/tidelift/internal/storehealth"
 )
 
+// newFollower returns a follower without a declaration, whose host knows no others.
+func newFollower(t *testing.T) *Follower {
+	t.Helper()
+	peers, cleanUp := control.NewClient(control.ClientConfig{Logger: slog.New(slog.DiscardHandler)})
+	t.Cleanup(cleanUp)
+	logger := slog.New(slog.DiscardHandler)
+	return New(Config{
+		Host:   "csepel-1",
+		Logger: logger,
+		Health: storehealth.New(storehealth.Config{}),
+		Peers:  peers,
+		Members: membership.New(membership.Config{
+			Self: member.Host{Name: "csepel-1"}, Registers: true, Logger: logger, Reapply: func() {},
+		}),
+		Quarantines: quarantinesync.New(quarantinesync.Config{Scope: tally.NoopScope}),
+		Evacuations: evacuationsync.New(evacuationsync.Config{}),
+		Source: Source{Parse: func(string) (fleet.Declaration, error) {
+			return fleet.Declaration{Services: []fleet.Service{{Name: "lookup"}}}, nil
+		}},
+		Apply: func(*fleet.Index) {},
+	})
+}
+
 // TestNoticeFetchesRevisionWithoutDeclaration guards against a daemon without a declaration that
 // ignores notices, because it knows only the hosts that registered themselves.
 func TestNoticeFetchesRevisionWithoutDeclaration(t *testing.T) {
@@ -31,13 +57,7 @@
 		return control.RevisionResponse{}, nil
 	}})
 	defer cleanUp()
-	peers, cleanUp := control.NewClient(control.ClientConfig{})
-	defer cleanUp()
-	f := New(Config{
-		Health: storehealth.New(storehealth.Config{}), Peers: peers, Members: membership.New(membership.Config{
-			Self: member.Host{Name: "csepel-1"}, Registers: true, Logger: slog.New(slog.DiscardHandler), Reapply: func() {},
-		}), Quarantines: quarantinesync.New(quarantinesync.Config{Scope: tally.NoopScope}), Evacuations: evacuationsync.New(evacuationsync.Config{}),
-	})
+	f := newFollower(t)
 	f.config.Members.Learn("", []member.Host{{Name: "csepel-2", Control: listener.Addr().String(), Start: "a", Incarnation: 1, Version: 1}})
 	f.receiveNotice(control.Notice{Host: "csepel-2", Revision: 7})
 	select {
@@ -49,3 +69,36 @@
 		t.Fatal("the notice was ignored")
 	}
 }
+
+// TestAnnouncedRevisionIsFetchedOnce guards against a daemon that fetches a revision from each of
+// the daemons that announce it at the same time.
+func TestAnnouncedRevisionIsFetchedOnce(t *testing.T) {
+	const announcing = 6
+	var fetched atomic.Int64
+	handle := func(context.Context, control.Method, json.RawMessage) (any, error) {
+		fetched.Add(1)
+		time.Sleep(20 * time.Millisecond) // so that all announcements have arrived
+		return control.RevisionResponse{Revision: control.Revision{Number: 7, YAML: "{}"}}, nil
+	}
+	f := newFollower(t)
+	for n := range announcing {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(control.Serve(control.ServerConfig{Listener: listener, Handle: handle}))
+		name := fmt.Sprintf("obuda-%d", n)
+		f.config.Members.Learn("", []member.Host{{Name: name, Control: listener.Addr().String(), Start: "a", Incarnation: 1, Version: 1}})
+		f.receiveNotice(control.Notice{Host: name, Revision: 7})
+	}
+	for end := time.Now().Add(5 * time.Second); f.Revision() != 7; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the revision was not fetched")
+		}
+	}
+	f.fetching.Lock()
+	defer f.fetching.Unlock()
+	if count := fetched.Load(); count != 1 {
+		t.Fatalf("the revision was fetched %d times", count)
+	}
+}
