fix(suspicion): probes are few where requests are few

Cause: a suspected backend server was probed once a second at the most. A backend server that gets 1.3 requests a second (740 of them for 965 a second) so got nearly all of its usual requests as probes.

Change: the pauses between probes follow the usual time between requests: three times that before the first, up to six times, at least what it was, at most 2 and 5 s. A backend server that is mostly slow is probed as before, since it serves its probes. Requests that must not be lost are refused (2021, not run, twice at the most) by a backend server that has not run one since its last failure or for longer than its usual time without one.

Ruled out: up to ten times, at most 8 s (as many failures, unused for half longer); a health check as the probe (they answer well while requests fail).

Measured: simulated spells of 9 s (TestProbesAreFewOfTheRequests): requests lost in a spell at 1, 1.3, 2, 4, 8 and 20 a second: 5.3, 6.0, 7.2, 8.6, 9.6 and 10.4 before, 2.7, 2.8, 3.5, 5.8, 9.0 and 10.4 now; unused after it for 4.0, 3.0, 2.3, 1.6, 1.1 and 0.8 s before, 6.0, 4.8, 3.6, 1.8, 1.1 and 0.8 now.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -27,7 +27,7 @@
 //     left, a probe, and an idempotent request if the suspicion rests mostly on slow requests.
 //     Ejection is not checked in this case.
 //  3. It is ejected: refused. In probation it accepts one idempotent request at a time.
-//  4. It appears to hang, and the request is to be refused in that case: refused.
+//  4. It appears to hang or is not proven to run requests, and the request is to be refused in that case: refused.
 //  5. The request is a retry, and the retry budgets of the calls that it will make have
 //     nothing left and cannot borrow: refused.
 //  6. No slot is free, and the request is not to wait: refused.
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -21,8 +21,8 @@
 	EjectedFor time.Duration
 	// ProbationInFlight means that a probation request is running.
 	ProbationInFlight bool
-	// Hanging means that a request is slow there and no later one has been answered
-	// successfully.
+	// Hanging means that it may hang or fail: a request is slow there and no later one has been
+	// answered successfully, or none has recently shown that it runs requests.
 	Hanging bool
 	// RetryLeft means that the retry budgets of the calls that a retry will make have enough
 	// left or can borrow.
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -41,7 +41,7 @@
 	Misdirected           = Code{2018, "misdirected", http.StatusServiceUnavailable, RanNo, "Another backend server has the address; it did not run the request."}
 	Suspected             = Code{2019, "suspected", http.StatusServiceUnavailable, RanNo, "The backend server failed a moment ago; others are asked first."}
 	Busy                  = Code{2020, "busy", http.StatusServiceUnavailable, RanNo, "The backend server has no free slot at this moment; the request asked not to wait for one yet."}
-	Unproven              = Code{2021, "unproven", http.StatusServiceUnavailable, RanNo, "The backend server seems to hang: a request takes longer there than nearly all of its route do, and no later one has been answered well."}
+	Unproven              = Code{2021, "unproven", http.StatusServiceUnavailable, RanNo, "The backend server seems to hang, since a request takes longer there than nearly all of its route do and no later one has been answered well, or no request has shown recently that it runs any; others are asked first."}
 	MovedOn               = Code{2022, "moved-on", http.StatusServiceUnavailable, RanNo, "The request waited long for a slot there, and a hedge at another backend server was answered first."}
 	RetryLimit            = Code{2023, "retry-limit", http.StatusServiceUnavailable, RanNo, "The backend server calls a service whose retry limit leaves no room for that; first sendings are taken."}
 	CustomerLimit         = Code{2024, "customer-limit", http.StatusTooManyRequests, RanNo, "The customer asks more of the whole fleet than its limit allows."}
--- a/internal/sidecar/admit.go
+++ b/internal/sidecar/admit.go
@@ -10,6 +10,7 @@
 
 // offer submits one request to admission control and applies the decision.
 func (t *task) offer(now time.Time, m *offerMessage) {
+	t.suspicion.RecordOffer(now)
 	serverState := t.serverState(now, m)
 	decision := t.queue.Admit(now, &serverState, m.attempt, m.request)
 	if decision.Evicted != 0 {
@@ -49,7 +50,7 @@
 		s.EjectedFor = t.subject.EjectedFor(now)
 		s.ProbationInFlight = t.probationInFlight
 	}
-	s.Hanging = m.attempt.RefuseIfHanging && t.suspicion.Hanging(now)
+	s.Hanging = m.attempt.RefuseIfHanging && (t.suspicion.Hanging(now) || !t.suspicion.Proven(now))
 	s.RetryLeft = m.attempt.Retry && t.config.Retries.MayRun(now, t.declared.Service.Name)
 	s.Size = t.size(now)
 	return s
--- a/internal/sidecar/suspicion.go
+++ b/internal/sidecar/suspicion.go
@@ -60,6 +60,7 @@
 // recordSlotGranted records that a request was granted a slot, which is a probe while the backend
 // server is suspected.
 func (t *task) recordSlotGranted(now time.Time) {
+	t.suspicion.RecordStart(now)
 	if t.suspicion.Suspected() {
 		t.suspicion.RecordProbe(now)
 		t.log(event.ServerProbed, "good", t.suspicion.ConsecutiveSuccesses())
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -24,12 +24,15 @@
 //
 //   - Each bad outcome adds its weight to a sum, and each success removes most of the sum. The
 //     backend server is suspected once the sum reaches 1.
-//   - During suspicion an idempotent request is sent as a probe after 200 ms. Each failed probe
-//     doubles the pause before the next one, up to one second; a successful probe is followed by
-//     the next one without a pause. If no idempotent request arrives, any other request may probe
-//     after two seconds.
+//   - During suspicion an idempotent request is sent as a probe after a pause of about three usual
+//     intervals between requests, at least 200 ms. Each failed probe doubles the pause before the
+//     next one, up to about six intervals, at least one second. The fewer requests a backend server
+//     gets, the fewer probes; otherwise most of the requests of a service that is spread over many
+//     backend servers would be probes. A successful probe is followed by the next one without a
+//     pause. If no idempotent request arrives, any other request may probe after two seconds.
 //   - Three consecutive successful probes end the suspicion. After a broken connection a probe
 //     counts as successful once it has run for 40 ms.
+//   - The backend server is proven (proof.go) if a request that started recently has run for 40 ms.
 //   - The backend server appears to hang (hanging.go) while a request is slow, or was recently, and
 //     no later request has succeeded.
 package suspicion
@@ -72,10 +75,18 @@
 	// connection. A failing backend server breaks connections within milliseconds; a reservation's
 	// request arrives one round trip after its slot was granted.
 	minProbeRun = 40 * time.Millisecond
-	// minProbePause and maxProbePause bound the time between probes; each failed probe doubles it.
-	// Failed probes consume the retry budget, and a recovered server should not wait for seconds.
+	// minProbePause and maxProbePause bound the time between probes of a backend server that gets many
+	// requests; each failed probe doubles it. Failed probes consume the retry budget, and a recovered
+	// server should not wait for seconds.
 	minProbePause = 200 * time.Millisecond
 	maxProbePause = time.Second
+	// minProbeIntervals and maxProbeIntervals are the same bounds in usual intervals between
+	// requests. They are in force if they are longer, up to minProbePauseLimit and
+	// maxProbePauseLimit.
+	minProbeIntervals  = 3
+	maxProbeIntervals  = 6
+	minProbePauseLimit = 2 * time.Second
+	maxProbePauseLimit = 5 * time.Second
 	// probeExclusion is how long a probe prevents further probes from being sent. It must not exceed
 	// maxProbePause.
 	probeExclusion = time.Second
@@ -103,9 +114,12 @@
 	suspected       bool
 	successes       int // consecutive successful probes
 	pause           time.Duration
-	nextProbe       time.Time // earliest time of the next probe
-	pendingProbe    time.Time // time of the last probe while its outcome is unknown; zero otherwise
-	survivedProbes  int       // probes counted as successful before their responses arrived
+	nextProbe       time.Time     // earliest time of the next probe
+	pendingProbe    time.Time     // time of the last probe while its outcome is unknown; zero otherwise
+	survivedProbes  int           // probes counted as successful before their responses arrived
+	interval        time.Duration // usual time between requests when the suspicion began; zero if unknown
+	traffic         traffic
+	proof           proof
 	hanging         hanging
 }
 
@@ -126,18 +140,49 @@
 	s.connectionBroke = weight >= BrokenConnectionWeight
 	s.pendingProbe = time.Time{}
 	s.survivedProbes = 0
+	s.proof = proof{}
 	if s.suspected {
-		s.pauseProbes(now, min(2*s.pause, maxProbePause))
+		s.pauseProbes(now, min(2*s.pause, s.longestPause(now)))
 		return false
 	}
 	if s.sum < suspectedFrom {
 		return false
 	}
 	s.suspected = true
-	s.pauseProbes(now, minProbePause)
+	s.interval = s.traffic.interval(now)
+	s.pauseProbes(now, s.shortestPause(now))
 	return true
 }
 
+// shortestPause returns the pause before the first probe.
+func (s *Suspicion) shortestPause(now time.Time) time.Duration {
+	return min(max(minProbePause, minProbeIntervals*s.usualInterval(now)), minProbePauseLimit)
+}
+
+// longestPause returns the maximum pause between two probes.
+func (s *Suspicion) longestPause(now time.Time) time.Duration {
+	return min(max(maxProbePause, maxProbeIntervals*s.usualInterval(now)), maxProbePauseLimit)
+}
+
+// usualInterval returns the usual time between requests, or zero if it is not known or does not
+// matter: a slow backend server serves its probes, too. During a suspicion fewer are offered.
+func (s *Suspicion) usualInterval(now time.Time) time.Duration {
+	switch {
+	case s.MostlySlow():
+		return 0
+	case s.interval > 0:
+		return s.interval
+	default:
+		return s.traffic.interval(now)
+	}
+}
+
+// RecordOffer records that a request was offered to the backend server, whether it accepts it or not.
+func (s *Suspicion) RecordOffer(now time.Time) { s.traffic.record(now) }
+
+// RecordStart records that a request has started.
+func (s *Suspicion) RecordStart(now time.Time) { s.proof.recordStart(now) }
+
 // pauseProbes delays the next probe and resets the count of successful ones.
 func (s *Suspicion) pauseProbes(now time.Time, pause time.Duration) {
 	s.successes = 0
