perf(membership): what is read from the store stays in the data centre

Cause: records that a daemon had read from the store counted as its own news and were sent on to another data centre each: at the start of 981 hosts each sent the records of its data centre, and a few those of all, to four daemons elsewhere. A daemon that had no answer of another within a second followed the quarantines in the store by itself, and one that knew no watcher for three seconds read the declaration.

Change: records from the store are passed on within the data centre alone; each data centre reads its own. A daemon follows quarantines for want of an answer 2.5 s after its start, and reads the declaration for want of a watcher after 5 s.

Ruled out: not passing them on at all (hosts that can't reach each other are found through the lists of others).

--- a/internal/declaration/watch.go
+++ b/internal/declaration/watch.go
@@ -15,7 +15,7 @@
 	joinTimeout = 2 * time.Second
 	// bootstrapGrace is how long after the platform was last seen a daemon without a declaration
 	// leaves the watching to others.
-	bootstrapGrace = 3 * time.Second
+	bootstrapGrace = 5 * time.Second
 )
 
 // Run obtains revisions until ctx is done: it polls other daemons, and watches the
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -50,6 +50,9 @@
 	// maxQueuedUpdates bounds the updates that wait to be batched. Further updates are
 	// dropped; other daemons obtain them by exchange.
 	maxQueuedUpdates = 256
+	// fromStore is the sender of records that were read from the store. They are not sent to other data
+	// centres, since each reads its own.
+	fromStore = "store"
 )
 
 // Config identifies the local host and holds the dependencies of a Membership.
@@ -99,7 +102,7 @@
 		applyWanted: make(chan struct{}, 1),
 	}
 	config.Record.Self = m.known.self
-	config.Record.OnHosts = func(hosts []member.Host) { m.Learn("", hosts) }
+	config.Record.OnHosts = func(hosts []member.Host) { m.Learn(fromStore, hosts) }
 	m.record = record.New(config.Record)
 	return m
 }
--- a/internal/quarantinesync/follow.go
+++ b/internal/quarantinesync/follow.go
@@ -15,6 +15,9 @@
 	// maxWatchDuration is the maximum duration of one watch call. Daemons also notify each other directly, so long
 	// waits, which save calls, do not delay a quarantine.
 	maxWatchDuration = 40 * time.Second
+	// startDelay is how long after the start of a daemon it may follow the store because no other daemon has answered
+	// it. In a large fleet that starts at once, the first answers take a second or two.
+	startDelay = 2500 * time.Millisecond
 	// watchCheckInterval is the interval at which Config.Watches is checked.
 	watchCheckInterval = time.Second
 	// maxPause is the maximum pause between calls to a store that does not answer. It bounds the delay of a
@@ -25,6 +28,7 @@
 // follow receives quarantines from the store while this daemon watches it. Daemons that do not watch the store are
 // notified by others, and compare their state with each other.
 func (s *Syncer) follow(ctx context.Context) {
+	wait.For(ctx, startDelay-watchCheckInterval)
 	for wait.For(ctx, watchCheckInterval) {
 		if s.config.Watches() {
 			s.watch(ctx)
--- a/test/standin/faults.go
+++ b/test/standin/faults.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 	"net/http/httptest"
 )
 
@@ -44,6 +45,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	s.byCall[callName(r)]++
 	if isWrite(r) && s.faults.limited {
 		refused = s.faults.writesLeft <= 0
 		s.faults.writesLeft--
@@ -51,6 +53,18 @@
 	return s.faults, refused
 }
 
+// callName returns the path of the call, without the lease that it names, and the prefix of the keys that it reads.
+func callName(r *http.Request) string {
+	path := r.URL.Path
+	if strings.HasPrefix(path, "/-/kv-keep/") {
+		path = "/-/kv-keep"
+	}
+	if prefix := r.URL.Query().Get("path-prefix"); prefix != "" {
+		return path + " " + prefix
+	}
+	return path
+}
+
 // isWrite reports whether the call writes keys.
 func isWrite(r *http.Request) bool { return r.URL.Path == "/-/kv-txn" }
 
--- a/test/standin/standin.go
+++ b/test/standin/standin.go
@@ -14,6 +14,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -39,6 +40,7 @@
 	changed   chan struct{} // closed and replaced at each change
 	faults    faults
 	calls     int64
+	byCall    map[string]int64
 	bytes     int64
 }
 
@@ -64,6 +66,7 @@
 		items:    make(map[string]item),
 		leases:   make(map[int64]lease),
 		changed:  make(chan struct{}),
+		byCall:   make(map[string]int64),
 	}
 }
 
@@ -357,6 +360,13 @@
 	return s.calls
 }
 
+// CallsByName returns the number of calls by their path and the prefix of the keys that they read.
+func (s *Standin) CallsByName() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.byCall)
+}
+
 // Bytes returns the number of bytes sent in response bodies.
 func (s *Standin) Bytes() int64 {
 	s.mu.Lock()
