fix(retry): a retry is found while most of the service's limit is unused

Cause: a host's share of a service's retries is a few in a window, one at 981 hosts, and three others were asked before a failed request was given up. A borrowed retry was lost if the backend server that it was for refused it, and the next had to be borrowed anew.

Change: up to eight hosts are asked, the first six of the own data centre, none twice. A borrowed retry whose attempt reached no backend server is used for the next one, within the time of the loan.

Ruled out: a bank for several hosts (a call for each retry, and what it holds is lost with it); larger shares (their sum is the limit).

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -28,6 +28,7 @@
 			return o.response, nil
 		}
 		failure := p.record(o)
+		p.settleLoan(o.attempt, failure)
 		retried := p.MayRetry(time.Now(), r.attemptRequest, r.body.Consumed()) && in.takeRetry(ctx, r, p)
 		in.logAttempt(r, o.attempt, p, failure, retried)
 		if !retried {
@@ -54,7 +55,11 @@
 	if !p.IsRetry() {
 		return true
 	}
-	p.grant = r.service.limit.takeOrBorrow(ctx)
+	if p.useLoan(time.Now()) {
+		p.grant = grantBorrowed
+		return true
+	}
+	p.grant, p.loanUntil = r.service.limit.takeOrBorrow(ctx)
 	if p.grant == grantNone {
 		in.metrics.limited.Inc(p.Last.Code)
 		return false
--- a/internal/ingress/limit.go
+++ b/internal/ingress/limit.go
@@ -35,16 +35,17 @@
 // takeOwn takes a retry from this host's budget, and reports whether one was left.
 func (l *retryLimit) takeOwn() bool { return l.budgets.Take(time.Now(), l.service) }
 
-// takeOrBorrow takes a retry from this host's budget, or else borrows one from another host.
-func (l *retryLimit) takeOrBorrow(ctx context.Context) retryGrant {
-	switch {
-	case l.takeOwn():
-		return grantOwn
-	case l.borrow != nil && l.borrow(ctx, l.service):
-		return grantBorrowed
-	default:
-		return grantNone
+// takeOrBorrow takes a retry from this host's budget, or else borrows one from another host and
+// returns until when it may be made.
+func (l *retryLimit) takeOrBorrow(ctx context.Context) (grant retryGrant, loanUntil time.Time) {
+	if l.takeOwn() {
+		return grantOwn, time.Time{}
 	}
+	asked := time.Now()
+	if l.borrow != nil && l.borrow(ctx, l.service) {
+		return grantBorrowed, asked.Add(l.budgets.LoanTTL(l.service))
+	}
+	return grantNone, time.Time{}
 }
 
 // release returns an unused retry.
--- a/internal/ingress/limit_test.go
+++ b/internal/ingress/limit_test.go
@@ -41,6 +41,7 @@
 	sent    atomic.Int64 // requests that reached a backend server
 	retries atomic.Int64 // of these, requests marked as retries
 	reject  *result.Code // refusal of each retry; nil if retries reach a backend server
+	lent    atomic.Int64 // retries that another host lent
 }
 
 // do refuses retries with l.reject if it is set, and loses the connection of all other requests.
@@ -55,12 +56,21 @@
 	return sidecar.Answer{}, result.New(result.ConnectionLost)
 }
 
+// lend lends a retry to requests to the service that have none left, if the budgets permit borrowing.
+func (l *limitedIngress) lend(context.Context, string) bool {
+	if !l.budgets.MayBorrow(time.Now(), "names") {
+		return false
+	}
+	l.lent.Add(1)
+	return true
+}
+
 func newLimitedIngress(t *testing.T, reject *result.Code) *limitedIngress {
 	t.Helper()
 	l := &limitedIngress{runs: runs.New(), budgets: retry.NewBudgets(retry.Config{StartedAt: time.Now()}), reject: reject}
 	in, cleanUp := New(Config{
 		Host: "h1", DataCentre: "dc", Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, HeaderBytes: 1 << 16,
-		Local: l.do, Runs: l.runs, Retries: l.budgets,
+		Local: l.do, Runs: l.runs, Retries: l.budgets, BorrowRetry: l.lend,
 	})
 	t.Cleanup(cleanUp)
 	declaration, err := fleet.Parse("fleet.yaml", []byte(limitedServers))
@@ -116,6 +126,25 @@
 	}
 }
 
+// TestRefusedRetryKeepsItsLoan guards against a request that borrows a retry again, or fails for want
+// of one, because a backend server refused the attempt for which it was borrowed.
+func TestRefusedRetryKeepsItsLoan(t *testing.T) {
+	code := result.QueueFull
+	l := newLimitedIngress(t, &code)
+	l.budgets = retry.NewBudgets(retry.Config{StartedAt: time.Now(), Borrows: true})
+	l.in.config.Retries = l.budgets
+	declaration, err := fleet.Parse("fleet.yaml", []byte(limitedServers))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.in.state.Load().services["names"].limit.budgets = l.budgets
+	l.in.Reconfigure(fleet.NewIndex(declaration))
+	l.send(1, "a")
+	if l.lent.Load() != 1 {
+		t.Fatalf("%d retries were borrowed for one request, want 1", l.lent.Load())
+	}
+}
+
 // TestSubrequestOfRetryCountsAsRetry guards against subrequests of a retry that are not marked and
 // counted as retries, or that add to the retry budget.
 func TestSubrequestOfRetryCountsAsRetry(t *testing.T) {
--- a/internal/ingress/progress.go
+++ b/internal/ingress/progress.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/tideliftd/tidelift/internal/attempts"
+	"github.com/tideliftd/tidelift/internal/failures"
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
@@ -13,8 +15,21 @@
 	answer     *http.Response // error response of a backend server, used if no attempt does better
 	passedOver passedOver     // since the last logged failure
 	grant      retryGrant     // of the next attempt
+	loanUntil  time.Time      // until when a borrowed retry may be made; zero if there is none left
 }
 
+// settleLoan gives up the borrowed retry that the last attempt was, unless it reached no backend
+// server and the next attempt can use it.
+func (p *progress) settleLoan(last *attempt, failure *result.Error) {
+	if last.grant == grantBorrowed && failures.Classify(failure.Code).Reached {
+		p.loanUntil = time.Time{}
+	}
+}
+
+// useLoan uses a retry that was borrowed for an attempt that reached no backend server, and reports
+// whether there is one.
+func (p *progress) useLoan(now time.Time) bool { return now.Before(p.loanUntil) }
+
 // record records an attempt that failed or returned an error response, and returns its failure.
 func (p *progress) record(o outcome) *result.Error {
 	failure := p.failureOf(o)
--- a/internal/lend/lend.go
+++ b/internal/lend/lend.go
@@ -18,6 +18,8 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -29,12 +31,15 @@
 
 const (
 	// maxHostsQueried is the number of hosts queried for a retry, one after the other, before a
-	// failed request is not retried.
-	maxHostsQueried = 3
+	// failed request is not retried. Each host's share is small in a large fleet, and often used up
+	// while most of the service's limit is not.
+	maxHostsQueried = 8
+	// maxLocalQueried is how many of them are in the own data centre, from the first.
+	maxLocalQueried = 6
 	// queryTimeout bounds a query to one host. It is short, since the caller waits.
 	queryTimeout = 30 * time.Millisecond
 	// maxPicks bounds the number of random picks for one host to query.
-	maxPicks = 8
+	maxPicks = 4
 )
 
 // Config configures a Lender.
@@ -57,6 +62,13 @@
 type Lender struct {
 	config           Config
 	granted, refused tally.Counter
+	lenders          atomic.Pointer[lenders]
+}
+
+// lenders are the hosts that may be queried, for one list of hosts.
+type lenders struct {
+	hosts []fleet.Host
+	local []fleet.Host // of the own data centre
 }
 
 // New returns a lender.
@@ -67,37 +79,57 @@
 	return &Lender{config: config, granted: counter("granted"), refused: counter("refused")}
 }
 
-// Borrow tries to borrow a retry of a request to the service, first from a host of this data
+// Borrow tries to borrow a retry of a request to the service, first from hosts of this data
 // centre, then from any, and reports whether one lent it.
 func (l *Lender) Borrow(ctx context.Context, service string) bool {
 	hosts, ok := l.config.Hosts()
 	if !ok || !l.config.Budgets.MayBorrow(time.Now(), service) {
 		return false
 	}
-	var lastQueried fleet.Host
+	queried := make([]string, 0, maxHostsQueried)
+	candidates := l.lendersOf(hosts)
 	for n := range maxHostsQueried {
-		host, ok := l.pickHost(hosts, n == 0, lastQueried.Name)
-		if !ok {
+		from := candidates.hosts
+		if n < maxLocalQueried {
+			from = candidates.local
+		}
+		host, ok := l.pickHost(from, queried)
+		if !ok || ctx.Err() != nil {
 			continue
 		}
 		if l.query(ctx, host, service) {
 			l.granted.Inc(1)
 			return true
 		}
-		lastQueried = host
+		queried = append(queried, host.Name)
 	}
 	l.refused.Inc(1)
 	l.config.Budgets.RecordRefused(time.Now(), service)
 	return false
 }
 
-// pickHost returns a random host to query, other than this one and excluded. If local is set, the
-// host is in this data centre.
-func (l *Lender) pickHost(hosts []fleet.Host, local bool, excluded string) (fleet.Host, bool) {
-	for range min(maxPicks, len(hosts)) {
-		host := hosts[rand.IntN(len(hosts))]
-		remote := host.DataCentre != l.config.DataCentre
-		if host.Name == l.config.Host || host.Name == excluded || local && remote || l.config.Unreachable(host.Name) {
+// lendersOf returns the hosts that may be queried. It keeps the last result, since the hosts change
+// rarely compared to the queries.
+func (l *Lender) lendersOf(hosts []fleet.Host) *lenders {
+	last := l.lenders.Load()
+	if last != nil && len(last.hosts) == len(hosts) && len(hosts) > 0 && &last.hosts[0] == &hosts[0] {
+		return last
+	}
+	next := &lenders{hosts: hosts}
+	for _, host := range hosts {
+		if host.DataCentre == l.config.DataCentre && host.Name != l.config.Host {
+			next.local = append(next.local, host)
+		}
+	}
+	l.lenders.Store(next)
+	return next
+}
+
+// pickHost returns a random one of the hosts, other than this one and those already queried.
+func (l *Lender) pickHost(from []fleet.Host, queried []string) (fleet.Host, bool) {
+	for range min(maxPicks, len(from)) {
+		host := from[rand.IntN(len(from))]
+		if host.Name == l.config.Host || slices.Contains(queried, host.Name) || l.config.Unreachable(host.Name) {
 			continue
 		}
 		return host, true
--- a/internal/lend/lend_test.go
+++ b/internal/lend/lend_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -88,3 +90,37 @@
 		t.Fatalf("queried %v", queried)
 	}
 }
+
+// TestBorrowFindsOneOfFewLenders guards against a request that fails for want of a retry while most of a
+// large fleet's retries are unused: each host's share is small, and often used up.
+func TestBorrowFindsOneOfFewLenders(t *testing.T) {
+	const hosts, borrowed = 200, 500
+	var all []fleet.Host
+	for n := range hosts {
+		all = append(all, fleet.Host{Name: fmt.Sprintf("csepel-%d", n), DataCentre: "csepel"})
+	}
+	queries, found := 0, 0
+	for range borrowed {
+		lender := lend.New(lend.Config{
+			Host: "csepel-0", DataCentre: "csepel",
+			Budgets:     retry.NewBudgets(retry.Config{StartedAt: time.Now(), Borrows: true}),
+			Hosts:       func() ([]fleet.Host, bool) { return all, true },
+			Unreachable: func(string) bool { return false },
+			Call: func(_ context.Context, _ fleet.Host, _ control.Method, _, answer any) error {
+				queries++
+				answer.(*control.LendResponse).Granted = rand.IntN(2) == 0 // half of the hosts have one
+				return nil
+			},
+			Scope: tally.NoopScope,
+		})
+		if lender.Borrow(context.Background(), "lookup") {
+			found++
+		}
+	}
+	if found < borrowed*97/100 {
+		t.Errorf("%d of %d requests borrowed a retry that half of the hosts would lend", found, borrowed)
+	}
+	if queries > 3*borrowed {
+		t.Errorf("%d queries for %d retries", queries, borrowed)
+	}
+}
--- a/internal/retry/lend.go
+++ b/internal/retry/lend.go
@@ -25,6 +25,13 @@
 	return true
 }
 
+// LoanTTL returns the time within which a borrowed retry of the service has to be made.
+func (b *Budgets) LoanTTL(service string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return LoanTTL(b.limits[service].Window)
+}
+
 // endExpiredLoans ends the loans whose retries can no longer be made. The caller holds mu.
 func (b *Budgets) endExpiredLoans(now time.Time) {
 	for len(b.lent) > 0 && now.After(b.lent[0].until) {
