fix(suspicion): a probe that is not sent is followed by another

Cause: a request that was granted a slot counted as the probe, also if it was never sent: a retry whose calls had no retry budget (2023, after the slot), or a reservation that was not used. It kept the next probe away for a second and showed nothing. Under load these came once a second (496 of 617 probes from 16 to 20 s were of requests that insist, most of them retries), so that a suspicion never ended.

Change: when the slot of a request that was not sent is released, the next probe is due. Event 310 says who sent the probe and how (from, once, insist).

Ruled out: hedges (1 or 2 a second in the fleet); answers that are late or lost (they end the count of good probes, which stayed at two); refusing the retry before it gets a slot (its calls may be borrowed only then).

Measured: TestProbeThatIsNotSentIsFollowedByAnother fails without it.

--- a/internal/sidecar/admit.go
+++ b/internal/sidecar/admit.go
@@ -22,7 +22,7 @@
 	}
 	if decision.Verdict == admission.Granted {
 		t.probationInFlight = t.probationInFlight || decision.Probation
-		t.recordSlotGranted(now)
+		t.recordSlotGranted(now, m.host, m.attempt)
 		m.reply <- grant{probation: decision.Probation}
 		return
 	}
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -21,6 +21,9 @@
 // release takes back a slot and grants it to waiting requests. The outcome of a probation request
 // also shows whether the backend server has recovered.
 func (t *task) release(now time.Time, m releaseMessage) {
+	if m.took == 0 {
+		t.suspicion.RecordNotSent(now)
+	}
 	granted, expired := t.queue.Done(now, m.took)
 	t.answerWaiting(now, granted, expired)
 	if !m.probation {
@@ -51,7 +54,7 @@
 // too near to run.
 func (t *task) answerWaiting(now time.Time, granted, expired []uint64) {
 	for _, id := range granted {
-		t.recordSlotGranted(now)
+		t.recordSlotGranted(now, "", admission.Attempt{})
 		t.reply(id, grant{})
 	}
 	for _, id := range expired {
--- a/internal/sidecar/suspicion.go
+++ b/internal/sidecar/suspicion.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tideliftd/tidelift/internal/admission"
 	"github.com/tideliftd/tidelift/internal/detect"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/experiment"
@@ -59,11 +60,11 @@
 
 // recordSlotGranted records that a request was granted a slot, which is a probe while the backend
 // server is suspected.
-func (t *task) recordSlotGranted(now time.Time) {
+func (t *task) recordSlotGranted(now time.Time, by string, a admission.Attempt) {
 	t.suspicion.RecordStart(now)
 	if t.suspicion.Suspected() {
 		t.suspicion.RecordProbe(now)
-		t.log(event.ServerProbed, "good", t.suspicion.ConsecutiveSuccesses())
+		t.log(event.ServerProbed, "good", t.suspicion.ConsecutiveSuccesses(), "from", by, "once", a.NonIdempotent, "insist", a.DespiteSuspicion)
 	}
 }
 
--- a/internal/sidecar/suspicion_test.go
+++ b/internal/sidecar/suspicion_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/tideliftd/tidelift/internal/detect"
 	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/hop"
 )
 
 // newTestTask returns the task of a backend server, without a goroutine that runs it.
@@ -59,3 +60,29 @@
 		t.Fatal("a broken connection did not begin a suspicion")
 	}
 }
+
+// TestProbeThatIsNotSentIsFollowedByAnother guards against a suspicion that does not end because its
+// probes go to requests that received a slot and were not sent: a retry whose calls have no retry
+// budget, or a reservation that is not used.
+func TestProbeThatIsNotSentIsFollowedByAnother(t *testing.T) {
+	task := newTestTask()
+	now := time.Now()
+	task.recordSuspicion(now, detect.Observation{Outcome: detect.ConnectionLost}, detect.Baseline{})
+	for id := uint64(1); task.suspicion.Suspected(); id += 2 {
+		now = now.Add(5 * time.Second)
+		if g := offer(task, now, id, hop.Call{}); g.err != nil {
+			t.Fatalf("probe refused: %v", g.err)
+		}
+		task.release(now, releaseMessage{})
+		if g := offer(task, now, id+1, hop.Call{}); g.err != nil {
+			t.Fatalf("probe refused after one that was not sent: %v", g.err)
+		}
+		now = now.Add(100 * time.Millisecond)
+		task.recordSuspicion(now, detect.Observation{Outcome: detect.OK, Latency: 100 * time.Millisecond}, detect.Baseline{})
+		task.release(now, releaseMessage{took: 100 * time.Millisecond})
+		const most = 7
+		if id > most {
+			t.Fatal("the suspicion has not ended after three good probes")
+		}
+	}
+}
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -260,6 +260,16 @@
 	s.pendingProbe = now
 }
 
+// RecordNotSent records that a request that had received a slot was not sent to the backend server, so
+// that it shows nothing. If it was a probe, the next one is due.
+func (s *Suspicion) RecordNotSent(now time.Time) {
+	s.proof.pendingStart = time.Time{}
+	if s.suspected && !s.pendingProbe.IsZero() {
+		s.pendingProbe = time.Time{}
+		s.nextProbe = now
+	}
+}
+
 // RetryAfter returns how long a caller that is refused because of the suspicion should wait.
 func (s *Suspicion) RetryAfter(now time.Time) time.Duration {
 	return max(minProbePause, s.nextProbe.Sub(now))
