fix(suspicion): a backend server without a proof is used again

Callers saw: none of a service's requests that must not be lost reached a backend server that had failed once, as long as another had run one recently.

Change: if no request has started for the longest pause between probes (2 s, or six usual intervals, at most 5 s), the next one is accepted.

Ruled out: accepting it only as a probe of a suspected backend server (one that is not suspected starves as well); no refusal while only such requests come (the kinds would have to be counted).

TestNonIdempotentRequestsProve fails without it (none accepted for 10 s).

--- a/internal/suspicion/pace_test.go
+++ b/internal/suspicion/pace_test.go
@@ -62,3 +62,41 @@
 		}
 	}
 }
+
+// TestNonIdempotentRequestsProve guards against a backend server that is never used again because its
+// service has only requests that must not be lost, each of which goes where another has run recently.
+func TestNonIdempotentRequestsProve(t *testing.T) {
+	for _, pause := range []time.Duration{5 * time.Millisecond, 50 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second} {
+		s := suspicion.New()
+		refused := time.Duration(0)
+		accepts := func(now time.Time) bool {
+			return s.Proven(now) && (!s.Suspected() || s.MayProbeNonIdempotent(now))
+		}
+		fails := 0
+		for at := time.Duration(0); at < time.Minute; at += pause {
+			now := epoch.Add(at)
+			s.RecordOffer(now)
+			if !accepts(now) {
+				refused += pause
+				if refused > 10*time.Second {
+					t.Fatalf("a request each %s: none was accepted for %s", pause, refused)
+				}
+				continue
+			}
+			refused = 0
+			if s.Suspected() {
+				s.RecordProbe(now)
+			}
+			s.RecordStart(now)
+			if fails < 2 && at > 5*time.Second {
+				fails++
+				s.RecordFailure(now, suspicion.BrokenConnectionWeight)
+				continue
+			}
+			s.RecordSuccess(now.Add(pause/2), now)
+		}
+		if s.Suspected() || fails < 2 {
+			t.Fatalf("a request each %s: suspected %t after %d failures", pause, s.Suspected(), fails)
+		}
+	}
+}
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -32,7 +32,8 @@
 //     pause. If no idempotent request arrives, any other request may probe after two seconds.
 //   - Three consecutive successful probes end the suspicion. After a broken connection a probe
 //     counts as successful once it has run for 40 ms.
-//   - The backend server is proven (proof.go) if a request that started recently has run for 40 ms.
+//   - The backend server is proven (proof.go) if a request that started recently has run for 40 ms,
+//     or if none has started for so long that the next one has to show it.
 //   - The backend server appears to hang (hanging.go) while a request is slow, or was recently, and
 //     no later request has succeeded.
 package suspicion
@@ -140,7 +141,7 @@
 	s.connectionBroke = weight >= BrokenConnectionWeight
 	s.pendingProbe = time.Time{}
 	s.survivedProbes = 0
-	s.proof = proof{}
+	s.proof.discard()
 	if s.suspected {
 		s.pauseProbes(now, min(2*s.pause, s.longestPause(now)))
 		return false
