fix(retry): hosts round their shares of the retry limit up or down

Cause: a host's share is what its requests earn and its part of the slack, rounded down to whole retries.

Change: before it is rounded down, a share is raised by a fixed fraction that a hash of host and service draws, so that the sum of the rounded shares stays about the sum of the shares. All hosts together add at most the reserve of the slack, even if each gains by it.

Ruled out: larger shares (their sum is the limit); fewer hosts with the whole slack (who they are has to be agreed on).

TestAFleetStaysWithinTheLimit holds.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -35,7 +35,7 @@
 	d.buildMetrics()
 	d.health = storehealth.New(storehealth.Config{Logger: d.config.Logger})
 	d.buildPeers()
-	d.budgets = retry.NewBudgets(retry.Config{StartedAt: d.started, Borrows: true})
+	d.budgets = retry.NewBudgets(retry.Config{Host: d.config.Settings.Name, StartedAt: d.started, Borrows: true})
 	d.buildMembers()
 	d.quarantines = d.newQuarantines()
 	d.evacuations = d.newEvacuations()
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -10,8 +10,10 @@
 	// The retries of all daemons together are bounded only if all use the same value.
 	carryOverShare = 0.25
 	// usableSlackShare is the fraction of the slack that hosts may use. The rest is a reserve for
-	// hosts that are not known yet and for unexpected calls.
+	// hosts that are not known yet, for unexpected calls and for the rounding of the shares.
 	usableSlackShare = 0.75
+	// meanRounding is the mean of the values that hosts draw for SetRounding.
+	meanRounding = 0.5
 	// oneRetry is the cost of a retry.
 	oneRetry = 1
 )
@@ -36,6 +38,7 @@
 	maxHosts       int // largest number of hosts that was ever known
 	startedAt      time.Time
 	slackUnusedFor time.Duration // before the daemon started
+	rounding       float64       // from 0 to 1; see SetRounding
 	counted        window
 	inFlight       int // retries that were taken and have not ended
 }
@@ -49,6 +52,12 @@
 // the daemon started, which shortens the wait for it.
 func (b *Budget) SetSlackUnusedFor(before time.Duration) { b.slackUnusedFor = before }
 
+// SetRounding sets what is added to the budget before it is rounded down to whole retries, from 0 to
+// 1. In a large fleet the share of a host is less than one retry; if all hosts rounded it down, none
+// could retry. Hosts should draw the value evenly, so that the sum of their rounded shares is about
+// the sum of the shares.
+func (b *Budget) SetRounding(rounding float64) { b.rounding = rounding }
+
 // SetLimit sets the limit. Counts are kept unless the window changes, in which case the budget
 // starts over.
 func (b *Budget) SetLimit(now time.Time, limit Limit) {
@@ -90,12 +99,15 @@
 	return max(0, int(math.Floor(minimum))-b.inFlight)
 }
 
-// slack returns this budget's share of the slack.
+// slack returns this budget's share of the slack, with what rounding adds to it. Over all hosts
+// rounding adds at most the reserve, even if each of them gains by it.
 func (b *Budget) slack(now time.Time) float64 {
 	if b.limit.Hosts == 0 || now.Before(b.startedAt.Add(b.limit.Window-b.slackUnusedFor)) {
 		return 0
 	}
-	return usableSlackShare * b.limit.Slack / float64(b.maxHosts)
+	share := b.limit.Slack / float64(b.maxHosts)
+	reserve := (1 - usableSlackShare) * share
+	return usableSlackShare*share + b.rounding*min(1, reserve/meanRounding)
 }
 
 // Take takes a retry, and reports whether one was left. The caller must call End for it.
--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -15,7 +15,7 @@
 //
 // # Usage
 //
-//	budgets := retry.NewBudgets(retry.Config{StartedAt: now})
+//	budgets := retry.NewBudgets(retry.Config{Host: "host-1", StartedAt: now})
 //	budgets.SetLimits(now, map[string]retry.Limit{"lookup": {Share: 0.2, Slack: 56, Window: 10 * time.Second, Hosts: 21}})
 //	budgets.RecordRequest(now, "lookup") // for each request that begins here
 //	if budgets.Take(now, "lookup") {
@@ -37,6 +37,8 @@
 //   - Three quarters of the slack are divided among the hosts that the platform's store listed. Each
 //     host uses its share once no previous daemon of that host can have used it within a window, and
 //     while the store has its record.
+//   - A host's share is rounded up or down by a hash of its name, so that the sum of the rounded shares
+//     stays about the same however many hosts there are.
 //   - A host that has no retry left may borrow one, which counts at the lender.
 //   - A retry runs only if there is room for the calls that it may make, judged by the calls of the
 //     service's runs in the last minutes. Calls beyond that are made, and charged to the budget.
@@ -47,12 +49,17 @@
 package retry
 
 import (
+	"math"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Config configures the budgets of a host.
 type Config struct {
+	// Host is the name of the host.
+	Host string
 	// StartedAt is the time at which the daemon started.
 	StartedAt time.Time
 	// Borrows is set if retries can be borrowed from other hosts.
@@ -122,12 +129,19 @@
 	if !ok {
 		budget = NewBudget(b.config.StartedAt)
 		budget.SetSlackUnusedFor(b.slackUnusedFor)
+		budget.SetRounding(rounding(b.config.Host, service))
 		budget.SetLimit(b.config.StartedAt, b.limits[service])
 		b.budgets[service] = budget
 	}
 	return budget
 }
 
+// rounding returns a host's fixed value for SetRounding, evenly drawn from 0 to 1 by a hash.
+func rounding(host, service string) float64 {
+	const mantissaBits = 53
+	return math.Ldexp(float64(xxhash.Sum64String(host+"\n"+service)>>(64-mantissaBits)), -mantissaBits)
+}
+
 // RecordRequest counts a request to the service that begins on the host.
 func (b *Budgets) RecordRequest(now time.Time, service string) {
 	b.mu.Lock()
--- a/internal/retry/daemon_test.go
+++ b/internal/retry/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/retry"
@@ -24,7 +25,7 @@
 }
 
 func newSimDaemon(f *simFleet, h *simHost) simDaemon {
-	d := simDaemon{fleet: f, host: h, budgets: retry.NewBudgets(retry.Config{StartedAt: f.now, Borrows: true}), counted: new(int), open: make(map[*simRequest]int), called: make(map[*simRequest]bool)}
+	d := simDaemon{fleet: f, host: h, budgets: retry.NewBudgets(retry.Config{Host: strconv.Itoa(h.number), StartedAt: f.now, Borrows: true}), counted: new(int), open: make(map[*simRequest]int), called: make(map[*simRequest]bool)}
 	if f.faults.lateUpdates {
 		d.delay = time.Duration(f.random.IntN(5000)) * time.Millisecond
 	}
