fix(membership): a start logs few of the hosts that it learns of

Cause: each change of another host was a log line (event 403) at each host.

Change: at most ten hosts a second are logged one by one; event 411 counts the others, at most once for each application of what was learned.

Ruled out: event 403 at debug (a single change of a host could not be traced any more); a summary alone (the same).

Measured: TestLearnedHostsTakeFewLogLines: 11 lines for 300, 1,000 and 4,600 hosts that change within a second, as many as hosts before.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -70,6 +70,7 @@
 	ServersRegistered   = Event{401, slog.LevelInfo, "backend servers registered", "A backend server of this host sent a check-in with changes or left; the line lists the backend servers that serve now."}
 	RegistrationRefused = Event{402, slog.LevelWarn, "check-in refused", "A check-in cannot be read, or names a service that is not declared; it changed nothing."}
 	HostLearned         = Event{403, slog.LevelInfo, "host learned", "Another daemon or the store reported a change of a host."}
+	MoreHostsLearned    = Event{411, slog.LevelInfo, "more hosts learned", "Many hosts changed at the same time; the line says how many are not logged one by one."}
 	RecordRefused       = Event{404, slog.LevelWarn, "record refused", "A record of a host or of a quarantine in the store cannot be read, or is stored under the key of another record, and was ignored."}
 	HostUnreachable     = Event{406, slog.LevelWarn, "host away", "A request could not reach another host's daemon; the host is skipped until its daemon answers."}
 	HostBack            = Event{407, slog.LevelInfo, "host back", "The other host's daemon answers again, or the time limit for skipping the host has passed."}
@@ -100,7 +101,7 @@
 		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers, DataCentreEvacuated, DataCentreInUse,
 		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerDraining, ServerBack, ServerSuspected, ServerTrusted, ServerProbed, ServerEnded,
 		RequestFailed, AttemptFailed, RequestRefused, RequestHedged, RouteSubrequest, RequestQuarantined, QuarantineEnded, QuarantineTrial, QuarantineUntried, QuarantineDropped,
-		ServersRegistered, RegistrationRefused, HostLearned, RecordRefused, PeerSilent, HostUnreachable, HostBack, HostGone, UpdatesDropped, HostListRefused,
+		ServersRegistered, RegistrationRefused, HostLearned, RecordRefused, PeerSilent, HostUnreachable, HostBack, HostGone, UpdatesDropped, HostListRefused, MoreHostsLearned,
 	}
 }
 
--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -34,6 +34,7 @@
 		}
 		began := time.Now()
 		m.config.Reapply()
+		m.learnLog.summarize()
 		wait.For(ctx, max(minApplyPause, applyDivisor*time.Since(began)))
 	}
 }
--- a/internal/membership/apply_test.go
+++ b/internal/membership/apply_test.go
@@ -1,9 +1,11 @@
 package membership
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -50,3 +52,25 @@
 		t.Errorf("%d hosts were applied in the end, want %d", hosts, records+1)
 	}
 }
+
+// TestLearnedHostsTakeFewLogLines guards against a log line for each other host of a large fleet when it
+// starts, which is as many at all hosts as the square of their number.
+func TestLearnedHostsTakeFewLogLines(t *testing.T) {
+	for _, hosts := range []int{5, 300, 1000, 4600} {
+		var lines bytes.Buffer
+		logged := learnLog{logger: slog.New(slog.NewTextHandler(&lines, nil))}
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		for n := range hosts {
+			logged.record(now, "host-1", []member.Host{{Name: fmt.Sprintf("host-%d", n+1)}})
+		}
+		logged.summarize()
+		logged.summarize()
+		count := strings.Count(lines.String(), "\n")
+		if most := min(hosts, maxHostLines+1); count != most {
+			t.Errorf("%d hosts took %d lines, want %d", hosts, count, most)
+		}
+		if want := fmt.Sprintf("hosts=%d\n", hosts-maxHostLines); hosts > maxHostLines && !strings.HasSuffix(lines.String(), want) {
+			t.Errorf("the last line is not that of %s", want)
+		}
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -82,11 +82,12 @@
 
 // Membership tracks the known hosts and notifies others of changes.
 type Membership struct {
-	config  Config
-	known   *known
-	record  *record.Record
-	updates chan update
-	joined  chan struct{}
+	config   Config
+	known    *known
+	learnLog *learnLog
+	record   *record.Record
+	updates  chan update
+	joined   chan struct{}
 	// applyWanted holds a value while an application of the known hosts is scheduled.
 	applyWanted chan struct{}
 }
@@ -94,10 +95,11 @@
 // New returns a membership in which only the local host is known.
 func New(config Config) *Membership {
 	m := &Membership{
-		config:  config,
-		known:   newKnown(config.Self),
-		updates: make(chan update, maxQueuedUpdates),
-		joined:  make(chan struct{}),
+		config:   config,
+		known:    newKnown(config.Self),
+		learnLog: &learnLog{logger: config.Logger},
+		updates:  make(chan update, maxQueuedUpdates),
+		joined:   make(chan struct{}),
 
 		applyWanted: make(chan struct{}, 1),
 	}
--- a/internal/membership/updates.go
+++ b/internal/membership/updates.go
@@ -30,10 +30,7 @@
 	if len(updates) == 0 {
 		return
 	}
-	for _, h := range updates {
-		event.Log(m.config.Logger, event.HostLearned, "host", h.Name, "from", from, "life", h.Incarnation, "version", h.Version,
-			"gone", h.Gone, "stopping", h.Stopping, "servers", len(h.Servers))
-	}
+	m.learnLog.record(time.Now(), from, updates)
 	m.scheduleApply()
 	m.enqueue(from, updates)
 }
