test(declaration): count the fetches of a revision alone

Cause: it counted every call. Once the revision is in force, the daemon announces it to the same hosts; these calls were counted if they came before the check. The test took 20 ms, too short for two fetches, which take 20 ms each and come one after the other.

Change: calls of the method that fetches are counted, as strictly as before.

--- a/internal/declaration/notice_test.go
+++ b/internal/declaration/notice_test.go
@@ -75,7 +75,10 @@
 func TestAnnouncedRevisionIsFetchedOnce(t *testing.T) {
 	const announcing = 6
 	var fetched atomic.Int64
-	handle := func(context.Context, control.Method, json.RawMessage) (any, error) {
+	handle := func(_ context.Context, method control.Method, _ json.RawMessage) (any, error) {
+		if method != control.MethodRevision {
+			return control.Done{}, nil // the daemon announces the revision in turn
+		}
 		fetched.Add(1)
 		time.Sleep(20 * time.Millisecond) // so that all announcements have arrived
 		return control.RevisionResponse{Revision: control.Revision{Number: 7, YAML: "{}"}}, nil
