--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -167,7 +167,7 @@
 				case admission.Queued:
 					waiting[nextID] = customer
 				case admission.RefusedFull, admission.RefusedTooSlow, admission.RefusedShare:
-				case admission.RefusedDraining, admission.RefusedSuspected, admission.RefusedEjected,
+				case admission.RefusedDraining, admission.RefusedEvacuated, admission.RefusedSuspected, admission.RefusedEjected,
 					admission.RefusedHanging, admission.RefusedRetry, admission.RefusedBusy:
 					t.Fatalf("Offer returned %s, want a verdict of the queue", decision.Verdict)
 				}
--- a/internal/admission/many_test.go
+++ b/internal/admission/many_test.go
@@ -84,7 +84,7 @@
 			result.refused++
 		case admission.RefusedFull, admission.RefusedTooSlow:
 			result.refused++
-		case admission.RefusedDraining, admission.RefusedSuspected, admission.RefusedEjected,
+		case admission.RefusedDraining, admission.RefusedEvacuated, admission.RefusedSuspected, admission.RefusedEjected,
 			admission.RefusedHanging, admission.RefusedRetry, admission.RefusedBusy:
 			panic("Offer returned " + decision.Verdict)
 		}
--- a/internal/daemon/apply_test.go
+++ b/internal/daemon/apply_test.go
@@ -29,7 +29,7 @@
 		List: func(context.Context, string) (store.Batch, error) {
 			return store.Batch{Items: []store.Item{{Key: "declaration", Data: []byte("{}"), Revision: 1}}, Revision: 1}, nil
 		},
-		Watch: func(ctx context.Context, _ string, _ int64, wait time.Duration) (store.Batch, error) {
+		Watch: func(ctx context.Context, _ string, _ int64, _ time.Duration) (store.Batch, error) {
 			<-ctx.Done()
 			return store.Batch{}, ctx.Err()
 		},
--- a/internal/floor/group.go
+++ b/internal/floor/group.go
@@ -29,8 +29,8 @@
 // must be a power of two.
 func GroupOf(name string, groups int) int {
 	const hashBits = 64
-	prefix := bits.TrailingZeros(uint(groups)) //nolint:gosec // positive
-	return int(xxhash.Sum64String(name) >> (hashBits - prefix))
+	prefix := bits.TrailingZeros(uint(groups))
+	return int(xxhash.Sum64String(name) >> (hashBits - prefix)) //nolint:gosec // less than groups
 }
 
 // GroupFloor returns the floor of a group with that many of the service's backend servers: its part
--- a/internal/lend/lend_test.go
+++ b/internal/lend/lend_test.go
@@ -95,7 +95,7 @@
 // large fleet's retries are unused: each host's share is small, and often used up.
 func TestBorrowFindsOneOfFewLenders(t *testing.T) {
 	const hosts, borrowed = 200, 500
-	var all []fleet.Host
+	all := make([]fleet.Host, 0, hosts)
 	for n := range hosts {
 		all = append(all, fleet.Host{Name: fmt.Sprintf("csepel-%d", n), DataCentre: "csepel"})
 	}
--- a/internal/record/discover_test.go
+++ b/internal/record/discover_test.go
@@ -18,7 +18,7 @@
 func TestStartReadsFewRecords(t *testing.T) {
 	const dataCentres = 5
 	for _, hosts := range []int{30, 100, 300, 1000, 4500} {
-		var items []store.Item
+		items := make([]store.Item, 0, hosts)
 		for n := range hosts {
 			h := member.Host{Name: fmt.Sprintf("host-%d", n), DataCentre: fmt.Sprintf("dc%d", n%dataCentres)}
 			data, err := json.Marshal(h)
--- a/internal/sidecar/declared_test.go
+++ b/internal/sidecar/declared_test.go
@@ -13,7 +13,7 @@
 func TestEjectionAsksNoMoreInLargerServices(t *testing.T) {
 	for _, servers := range []int{100, 300, 740, 1500} {
 		service := fleet.Service{Name: "lookup", FloorShare: 0.7, Floor: (servers*7 + 9) / 10}
-		var hosts []fleet.Host
+		hosts := make([]fleet.Host, 0, servers)
 		for n := range servers {
 			host := fmt.Sprintf("host-%d", n)
 			hosts = append(hosts, fleet.Host{Name: host, DataCentre: "dc"})
--- a/test/registered/evacuation_test.go
+++ b/test/registered/evacuation_test.go
@@ -44,11 +44,14 @@
 	return len(servers)
 }
 
-// servedIn returns how many requests the backend servers of the data centre have served.
-func (f *fleet) servedIn(dataCentre int) int64 {
+// evacuated is the number of the data centre that is evacuated.
+const evacuated = 1
+
+// servedInEvacuated returns how many requests the backend servers of the evacuated data centre have served.
+func (f *fleet) servedInEvacuated() int64 {
 	served := int64(0)
 	for _, h := range f.hosts {
-		if h.number%f.dataCentres == dataCentre {
+		if h.number%f.dataCentres == evacuated {
 			served += h.served.Load()
 		}
 	}
@@ -73,14 +76,13 @@
 // evacuated data centre, also from daemons that the store turns away, and against callers that get
 // failures when an evacuation begins or ends.
 func TestEvacuatedDataCentreGetsNoRequests(t *testing.T) {
-	const evacuated = 1
 	f := newSpreadFleet(t, 6, 3)
 	f.store.Write(platform.EvacuationPrefix+"dc1", []byte("{}"))
 	f.requestEverywhere("while the evacuation begins", 10)
 	f.waitUntil("the evacuation to be in force", func() bool {
-		before := f.servedIn(evacuated)
+		before := f.servedInEvacuated()
 		f.requestEverywhere("while the evacuation begins", 2)
-		return f.servedIn(evacuated) == before
+		return f.servedInEvacuated() == before
 	})
 	for _, h := range f.hosts {
 		if !h.log.contains(`"evacuated":"dc1"`) {
@@ -93,16 +95,16 @@
 	restarted.start()
 	restarted.waitReady()
 	f.waitUntil("the restarted daemon to hear of the evacuation", func() bool { return restarted.log.count(`"evacuated":"dc1"`) > 1 })
-	before := f.servedIn(evacuated)
+	before := f.servedInEvacuated()
 	f.requestEverywhere("during the evacuation", 10)
-	if served := f.servedIn(evacuated) - before; served > 0 {
+	if served := f.servedInEvacuated() - before; served > 0 {
 		t.Fatalf("%d requests reached an evacuated data centre", served)
 	}
 	f.store.SetOutage(false)
 	f.store.Remove(platform.EvacuationPrefix + "dc1")
 	f.waitUntil("the data centre to receive requests again", func() bool {
 		f.requestEverywhere("while the evacuation ends", 2)
-		return f.servedIn(evacuated) > before
+		return f.servedInEvacuated() > before
 	})
 }
 
--- a/test/standin/faults.go
+++ b/test/standin/faults.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"io"
 	"net/http"
-	"strings"
 	"net/http/httptest"
+	"strings"
 )
 
 // faults are the faults that are switched on.
