perf(membership): four relays in a data centre compare hosts with others

Cause: each daemon compared its hosts with daemons of other data centres, in one of eight polls and whenever it polled a host at random, four times out of five elsewhere. When a fleet starts, each so received the records of all other data centres from there: the square of the hosts, between data centres.

Change: the four daemons with the highest hashes in each data centre, the relays, compare with the others, each of these in turn, about once a second; what they learn spreads within theirs. Other daemons do so once a minute, in case none of the relays can, and with a host that counts as gone.

Ruled out: longer pauses (a start sends as much); updates alone (what is lost is found by nobody).

--- a/internal/declaration/ask.go
+++ b/internal/declaration/ask.go
@@ -13,24 +13,31 @@
 // missed a change can query several others within two seconds.
 const syncTimeout = 400 * time.Millisecond
 
-// fetch syncs with the daemon at the address and reports whether that raised the revision in
-// force.
-func (f *Follower) fetch(ctx context.Context, address string) bool {
+// fetch polls the daemon and reports whether that raised the revision in force.
+func (f *Follower) fetch(ctx context.Context, from peer) bool {
 	before := f.Revision()
-	return f.Sync(ctx, address) && f.Revision() > before
+	return f.poll(ctx, from) && f.Revision() > before
 }
 
-// Sync requests the revision and the quarantines of the daemon at the address and exchanges host
-// records with it, applies what is newer here, and reports whether the daemon answered.
+// Sync polls the daemon at the address, wherever it is, and reports whether it answered.
 func (f *Follower) Sync(ctx context.Context, address string) bool {
+	return f.poll(ctx, peer{address: address})
+}
+
+// poll requests the revision and the quarantines of the daemon and exchanges host records with it if
+// that is due, applies what is newer here, and reports whether the daemon answered.
+func (f *Follower) poll(ctx context.Context, from peer) bool {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	query := control.RevisionQuery{Revision: f.Revision(), Hosts: f.config.Members.SumIfDue(), Quarantines: f.config.Quarantines.Sum(), Evacuations: f.config.Evacuations.Sum()}
+	query := control.RevisionQuery{
+		Revision: f.Revision(), Hosts: f.config.Members.SumIfDue(from.dataCentre),
+		Quarantines: f.config.Quarantines.Sum(), Evacuations: f.config.Evacuations.Sum(),
+	}
 	var response control.RevisionResponse
-	if err := f.config.Peers.Call(ctx, address, control.MethodRevision, query, &response); err != nil {
+	if err := f.config.Peers.Call(ctx, from.address, control.MethodRevision, query, &response); err != nil {
 		return false
 	}
-	f.config.Members.Exchange(ctx, address, response)
+	f.config.Members.Exchange(ctx, from.address, response)
 	f.recordQuarantines(response)
 	if response.Evacuations != nil {
 		f.config.Evacuations.Merge(*response.Evacuations)
--- a/internal/declaration/notice.go
+++ b/internal/declaration/notice.go
@@ -15,29 +15,29 @@
 	if notice.Revision <= f.Revision() {
 		return
 	}
-	if address, ok := f.addressOf(notice.Host); ok {
-		go f.fetchAnnounced(notice.Revision, address)
+	if from, ok := f.peerOf(notice.Host); ok {
+		go f.fetchAnnounced(notice.Revision, from)
 	}
 }
 
-// addressOf returns the control address of a host. Without a declaration, the host is looked up among
-// the registered ones.
-func (f *Follower) addressOf(name string) (string, bool) {
+// peerOf returns the daemon of a host. Without a declaration, the host is looked up among the
+// registered ones.
+func (f *Follower) peerOf(name string) (peer, bool) {
 	if index, declared := f.Index(); declared {
 		host, ok := index.Host(name)
-		return f.config.Peers.Address(host), ok
+		return peer{address: f.config.Peers.Address(host), dataCentre: host.DataCentre}, ok
 	}
 	host, ok := f.config.Members.Host(name)
-	return host.Control, ok
+	return peer{address: host.Control, dataCentre: host.DataCentre}, ok
 }
 
-// fetchAnnounced fetches a revision that the daemon at the address has announced. Several daemons announce
-// it at the same time: it is fetched from one after the other, until one has sent it.
-func (f *Follower) fetchAnnounced(revision int64, address string) {
+// fetchAnnounced fetches a revision that the daemon has announced. Several daemons announce it at the
+// same time: it is fetched from one after the other, until one has sent it.
+func (f *Follower) fetchAnnounced(revision int64, from peer) {
 	f.fetching.Lock()
 	defer f.fetching.Unlock()
 	if revision > f.Revision() {
-		f.fetch(context.Background(), address)
+		f.fetch(context.Background(), from)
 	}
 }
 
--- a/internal/declaration/poll.go
+++ b/internal/declaration/poll.go
@@ -16,12 +16,18 @@
 	anyHostPollRatio = 8
 )
 
+// peer is another daemon to poll.
+type peer struct {
+	address    string // of its control calls
+	dataCentre string // empty if hosts are compared with it wherever it is
+}
+
 // pollPeers periodically queries another daemon for its revision, or the seeds until
 // another daemon is known.
 func (f *Follower) pollPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		if address, ok := f.drawPeer(); ok {
-			f.fetch(ctx, address)
+		if from, ok := f.drawPeer(); ok {
+			f.fetch(ctx, from)
 		} else {
 			f.pollSeeds(ctx)
 		}
@@ -29,18 +35,22 @@
 	}
 }
 
-// drawPeer returns the control address of the daemon to poll next. Occasionally this is
-// any host ever known, since a host that was removed may be back and know no others.
-func (f *Follower) drawPeer() (string, bool) {
+// drawPeer returns the daemon to poll next. Occasionally this is any host ever known, since a host
+// that was removed may be back and know no others.
+func (f *Follower) drawPeer() (peer, bool) {
 	if f.config.Registers && rand.N(anyHostPollRatio) == 0 {
 		known := f.config.Members.Hosts()
-		if h := known[rand.N(len(known))]; h.Name != f.config.Host {
-			return h.Control, true
+		h := known[rand.N(len(known))]
+		switch {
+		case h.Gone:
+			return peer{address: h.Control}, true
+		case h.Name != f.config.Host:
+			return peer{address: h.Control, dataCentre: h.DataCentre}, true
 		}
 	}
 	plan := f.plan.Load()
 	if plan == nil {
-		return "", false
+		return peer{}, false
 	}
 	host, ok := plan.PollTarget()
 	for range maxDraws {
@@ -49,7 +59,7 @@
 		}
 		host, ok = plan.PollTarget()
 	}
-	return f.config.Peers.Address(host), ok
+	return peer{address: f.config.Peers.Address(host), dataCentre: host.DataCentre}, ok
 }
 
 // pollSeeds queries every seed and applies the highest revision among them. It does nothing
@@ -59,7 +69,7 @@
 		return
 	}
 	for _, seed := range f.config.Seeds {
-		if f.fetch(ctx, seed) {
+		if f.fetch(ctx, peer{address: seed}) {
 			event.Log(f.config.Logger, event.DeclarationFromPeers, "from", seed, "revision", f.Revision())
 		}
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -27,8 +27,10 @@
 //     updates of itself also go to one host in each of a few other data centres,
 //     which passes them on there.
 //   - Every PollInterval, a daemon polls one of a few others for its revision, to
-//     obtain what was lost. These are drawn at random with each plan. The answer includes the time since the other daemon
-//     knew the platform to answer.
+//     obtain what was lost. These are drawn at random with each plan. The answer
+//     includes the time since the other daemon knew the platform to answer.
+//   - In each data centre, a few daemons, the relays, regularly compare all hosts with
+//     other data centres. What they learn spreads within theirs.
 //   - A daemon that has not learned of an answer of the platform for StaleAfter,
 //     plus a random time of up to the same length, watches the platform itself,
 //     since the watchers may be gone.
@@ -46,6 +48,10 @@
 const (
 	// WatchersPerDataCentre is the number of daemons per data centre that watch the platform.
 	WatchersPerDataCentre = 2
+	// RelaysPerDataCentre is the number of daemons per data centre that compare all hosts with other
+	// data centres. If every daemon did, each would receive the records of all other data centres from
+	// there when a fleet starts.
+	RelaysPerDataCentre = 4
 	// LocalFanout is how many daemons of its own data centre a daemon notifies of a revision.
 	LocalFanout = 4
 	// RemoteFanout is how many daemons of other data centres a daemon notifies of a revision.
@@ -66,8 +72,10 @@
 	// each; polling all would take as many connections as there are hosts.
 	maxLocalNeighbours  = 8
 	maxRemoteNeighbours = 2
-	// remotePollOneIn makes one in so many polls go to another data centre.
+	// remotePollOneIn makes one in so many polls go to another data centre, and relayPollOneIn those of
+	// a relay.
 	remotePollOneIn = 8
+	relayPollOneIn  = 2
 )
 
 // Config holds the settings of a Plan.
@@ -86,7 +94,7 @@
 	remote []int // indices of the hosts of other data centres
 	// neighbours are the hosts that are polled, a few of the data centre and of others.
 	localNeighbours, remoteNeighbours []fleet.Host
-	watcher                           bool
+	watcher, relay                    bool
 	staleAfter                        time.Duration
 }
 
@@ -110,8 +118,9 @@
 		}
 	}
 	p.localNeighbours = p.sample(p.local, maxLocalNeighbours)
-	p.remoteNeighbours = p.sample(p.remote, maxRemoteNeighbours)
 	p.watcher = isMember && ahead < WatchersPerDataCentre
+	p.relay = ahead < RelaysPerDataCentre
+	p.remoteNeighbours = p.drawRemoteNeighbours()
 	p.staleAfter = StaleAfter + time.Duration(config.Random()%uint64(StaleAfter))
 	return p
 }
@@ -125,6 +134,17 @@
 // IsWatcher reports whether the daemon is one of the permanent watchers.
 func (p *Plan) IsWatcher() bool { return p.watcher }
 
+// IsRelay reports whether the daemon regularly compares all hosts with other data centres.
+func (p *Plan) IsRelay() bool { return p.relay }
+
+// drawRemoteNeighbours returns the hosts of other data centres to poll. A relay polls each of them.
+func (p *Plan) drawRemoteNeighbours() []fleet.Host {
+	if p.relay {
+		return p.oneOfEachRemote()
+	}
+	return p.sample(p.remote, maxRemoteNeighbours)
+}
+
 // NotifyTargets returns random hosts to notify of a new revision.
 func (p *Plan) NotifyTargets() []fleet.Host {
 	return append(p.sample(p.local, LocalFanout), p.sample(p.remote, RemoteFanout)...)
@@ -135,7 +155,10 @@
 
 // RemoteUpdateTargets returns one host in each of a few other data centres, to which
 // a host sends its own updates. They pass them on within their data centres.
-func (p *Plan) RemoteUpdateTargets() []fleet.Host {
+func (p *Plan) RemoteUpdateTargets() []fleet.Host { return p.oneOfEachRemote() }
+
+// oneOfEachRemote returns a random host in each of up to maxRemoteTargets other data centres.
+func (p *Plan) oneOfEachRemote() []fleet.Host {
 	byDataCentre := make(map[string][]int)
 	for _, i := range p.remote {
 		dataCentre := p.hosts[i].DataCentre
@@ -169,8 +192,12 @@
 
 // PollTarget returns a random neighbour to poll for its revision, or false if there is none.
 func (p *Plan) PollTarget() (fleet.Host, bool) {
+	oneIn := remotePollOneIn
+	if p.relay {
+		oneIn = relayPollOneIn
+	}
 	from := p.localNeighbours
-	if len(from) == 0 || len(p.remote) > 0 && p.intN(remotePollOneIn) == 0 {
+	if len(from) == 0 || len(p.remote) > 0 && p.intN(oneIn) == 0 {
 		from = p.remoteNeighbours
 	}
 	if len(from) == 0 {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -114,3 +114,31 @@
 		}
 	}
 }
+
+// TestFewCompareHostsWithOtherDataCentres guards against daemons that each receive the records of all
+// other data centres from there, which is as many as the square of the hosts.
+func TestFewCompareHostsWithOtherDataCentres(t *testing.T) {
+	const dataCentres = 5
+	for _, each := range []int{20, 60, 200, 1000} {
+		all := hosts(dataCentres, each)
+		relays := 0
+		reached := make(map[string]bool) // pairs of data centres that are compared
+		for name, plan := range plans(all, 1) {
+			if !plan.IsRelay() {
+				continue
+			}
+			relays++
+			for range 1000 {
+				if other, ok := plan.PollTarget(); ok {
+					reached[name[:len("dc0")]+other.DataCentre] = true
+				}
+			}
+		}
+		if relays != dataCentres*gossip.RelaysPerDataCentre {
+			t.Errorf("%d hosts in each data centre: %d relays", each, relays)
+		}
+		if len(reached) != dataCentres*dataCentres {
+			t.Errorf("%d hosts in each data centre: relays poll %d of %d pairs of data centres", each, len(reached), dataCentres*dataCentres)
+		}
+	}
+}
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -7,13 +7,24 @@
 	"github.com/tideliftd/tidelift/internal/control"
 )
 
-// SumIfDue returns a hash over all known hosts, by which another daemon finds out whether its own
-// differ. It returns 0, which requests no comparison, if hosts are declared or if no exchange is due.
-func (m *Membership) SumIfDue() uint64 {
+// SumIfDue returns a hash over all known hosts, by which a daemon in that data centre finds out whether
+// its own differ. It returns 0, which requests no comparison, if hosts are declared or if no exchange
+// is due. An empty data centre stands for any.
+func (m *Membership) SumIfDue(dataCentre string) uint64 {
 	if !m.config.Registers {
 		return 0
 	}
-	return m.known.sumIfDue(time.Now())
+	now := time.Now()
+	if dataCentre == "" || dataCentre == m.config.Self.DataCentre || m.isRelay() {
+		return m.known.sumIfDue(now)
+	}
+	return m.known.sumIfDueRemotely(now)
+}
+
+// isRelay reports whether this daemon regularly compares hosts with other data centres.
+func (m *Membership) isRelay() bool {
+	plan := m.config.Plan()
+	return plan == nil || plan.IsRelay()
 }
 
 // AddDigest adds the local digest to the answer if the requesting daemon's state
--- a/internal/membership/known.go
+++ b/internal/membership/known.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,12 +14,17 @@
 	mu        sync.Mutex
 	changed   time.Time // last time that merge changed the table
 	exchanged time.Time // last exchange with another daemon
-	table     *member.Table
-	registry  *registry.Registry
+	// nextRemote is when this daemon, if it is not a relay, compares hosts with another data centre
+	// the next time.
+	nextRemote time.Time
+	table      *member.Table
+	registry   *registry.Registry
 }
 
 func newKnown(self member.Host) *known {
-	return &known{table: member.NewTable(self), registry: registry.New()}
+	k := &known{table: member.NewTable(self), registry: registry.New()}
+	k.postponeRemote(time.Now())
+	return k
 }
 
 // sum returns a hash over all known hosts.
@@ -77,6 +83,9 @@
 	quietPeriod = 500 * time.Millisecond
 	// maxExchangeDelay bounds how long an exchange is postponed by changes.
 	maxExchangeDelay = 3 * time.Second
+	// remoteExchangeInterval is the mean interval at which a daemon that is not a relay compares hosts
+	// with another data centre, in case none of the relays can.
+	remoteExchangeInterval = 60 * time.Second
 )
 
 // sumIfDue returns a hash over all known hosts if an exchange with another daemon is due, and zero
@@ -84,6 +93,31 @@
 func (k *known) sumIfDue(now time.Time) uint64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	return k.sumUnlessRecent(now)
+}
+
+// sumIfDueRemotely is sumIfDue for an exchange of a daemon that is not a relay with another data
+// centre.
+func (k *known) sumIfDueRemotely(now time.Time) uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if now.Before(k.nextRemote) {
+		return 0
+	}
+	sum := k.sumUnlessRecent(now)
+	if sum != 0 {
+		k.postponeRemote(now)
+	}
+	return sum
+}
+
+// postponeRemote draws the next time of an exchange with another data centre. The caller holds mu.
+func (k *known) postponeRemote(now time.Time) {
+	k.nextRemote = now.Add(remoteExchangeInterval/2 + rand.N(remoteExchangeInterval))
+}
+
+// sumUnlessRecent implements sumIfDue. The caller holds mu.
+func (k *known) sumUnlessRecent(now time.Time) uint64 {
 	if now.Sub(k.changed) < quietPeriod && now.Sub(k.exchanged) < maxExchangeDelay {
 		return 0
 	}
