--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -95,12 +95,11 @@
 // New returns a membership in which only the local host is known.
 func New(config Config) *Membership {
 	m := &Membership{
-		config:   config,
-		known:    newKnown(config.Self),
-		learnLog: &learnLog{logger: config.Logger},
-		updates:  make(chan update, maxQueuedUpdates),
-		joined:   make(chan struct{}),
-
+		config:      config,
+		known:       newKnown(config.Self),
+		learnLog:    &learnLog{logger: config.Logger},
+		updates:     make(chan update, maxQueuedUpdates),
+		joined:      make(chan struct{}),
 		applyWanted: make(chan struct{}, 1),
 	}
 	config.Record.Self = m.known.self
