--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -67,10 +67,10 @@
 	// maxRemoteTargets bounds how many other data centres a host sends its own updates.
 	// Polls supply the others.
 	maxRemoteTargets = 8
-	// maxLocalNeighbours and maxRemoteNeighbours are how many daemons of the data centre and of others
-	// a daemon polls in turn. They are drawn again with each plan. A daemon keeps a connection to
-	// each; polling all would take as many connections as there are hosts.
-	maxLocalNeighbours  = 8
+	// maxNeighbours is how many daemons a daemon polls in turn. They are drawn again with each plan. A
+	// daemon keeps a connection to each; polling all would take as many connections as there are hosts.
+	maxNeighbours = 10
+	// maxRemoteNeighbours is how many of them are in other data centres, unless the daemon is a relay.
 	maxRemoteNeighbours = 2
 	// remotePollOneIn makes one in so many polls go to another data centre, and relayPollOneIn those of
 	// a relay.
@@ -117,10 +117,10 @@
 			}
 		}
 	}
-	p.localNeighbours = p.sample(p.local, maxLocalNeighbours)
 	p.watcher = isMember && ahead < WatchersPerDataCentre
 	p.relay = ahead < RelaysPerDataCentre
 	p.remoteNeighbours = p.drawRemoteNeighbours()
+	p.localNeighbours = p.sample(p.local, maxNeighbours-len(p.remoteNeighbours))
 	p.staleAfter = StaleAfter + time.Duration(config.Random()%uint64(StaleAfter))
 	return p
 }
