fix(attempts): full queues lead back to those that seemed to hang

Callers saw: a 2005 (queue too slow) while backend servers with room were not asked.

Cause, read in the code: a request that must not be lost is refused by up to two backend servers that appear to hang or have no recent proof (2021). If the next ones are busy, it waits at one of these; once its queue refuses, the request ended without asking the first two again.

Change: before it is refused, the request goes to those that seemed to hang.

Ruled out: asking them before it waits (one that really hangs costs more than a wait).

TestFullQueuesLeadBackToHangingServers fails without it. The test on cold backend servers now says what was answered.

--- a/internal/attempts/choose.go
+++ b/internal/attempts/choose.go
@@ -71,6 +71,11 @@
 	if len(h.Busy) > 0 {
 		return Choice{Target: h.removeLeastBusy()}
 	}
+	if h.FullQueues > 0 && len(h.Hanging) > 0 {
+		if target := h.removeHanging(); target != nil {
+			return Choice{Target: target, RefuseIfBusy: true} // more likely to serve it than a full queue
+		}
+	}
 	if h.FullQueues > 0 && !r.Subrequest {
 		return Choice{} // a suspected target would most likely fail, and a refusal is accurate
 	}
--- a/internal/attempts/choose_test.go
+++ b/internal/attempts/choose_test.go
@@ -172,6 +172,32 @@
 	}
 }
 
+// TestFullQueuesLeadBackToHangingServers guards against a request that is refused for the full queues of
+// busy backend servers, although those that refused it because they appeared to hang may have room.
+func TestFullQueuesLeadBackToHangingServers(t *testing.T) {
+	s := newService(t, 3)
+	targets := s.Pool.Targets()
+	request, h := requestTo(s), &attempts.History{}
+	request.NonIdempotent = true
+	h.Record(targets[0], result.New(result.Unproven), false)
+	h.Record(targets[1], result.New(result.Unproven), false)
+	h.Record(targets[2], result.New(result.Busy), true)
+	if c := attempts.Choose(start, request, h); c.Target != targets[2] {
+		t.Fatalf("got %+v, want the busy target", c)
+	}
+	h.Record(targets[2], result.New(result.QueueTooSlow), true)
+	for range 2 {
+		c := attempts.Choose(start, request, h)
+		if c.Target == nil || c.Target == targets[2] || c.RefuseIfHanging || c.DespiteSuspicion {
+			t.Fatalf("got %+v, want a target that appeared to hang", c)
+		}
+		h.Record(c.Target, result.New(result.Suspected), false)
+	}
+	if c := attempts.Choose(start, request, h); c.Target != nil {
+		t.Fatalf("got %+v after all were chosen", c)
+	}
+}
+
 func never(time.Time) bool { return false }
 
 // TestSuspectedServersAreTheLastChoice guards against a suspected target chosen when queues are
--- a/internal/attempts/history.go
+++ b/internal/attempts/history.go
@@ -100,3 +100,16 @@
 	h.Busy = slices.Delete(h.Busy, best, best+1)
 	return target
 }
+
+// removeHanging removes the targets that appeared to hang from h.Hanging, up to the first that has
+// not refused for another reason since, and returns that one; nil if there is none.
+func (h *History) removeHanging() *balance.Target {
+	for len(h.Hanging) > 0 {
+		target := h.Hanging[0]
+		h.Hanging = h.Hanging[1:]
+		if !slices.Contains(h.Tried, target) {
+			return target
+		}
+	}
+	return nil
+}
--- a/test/registered/cold_test.go
+++ b/test/registered/cold_test.go
@@ -98,11 +98,12 @@
 		for range callers {
 			all.Go(func() {
 				for time.Now().Before(until) {
-					status, _ := h.get("/once/x")
+					status, body := h.get("/once/x")
 					if status != http.StatusOK {
 						mu.Lock()
 						failed++
 						mu.Unlock()
+						f.t.Logf("%s answered %d: %s", h.daemonName(), status, body)
 					}
 					time.Sleep(20 * time.Millisecond)
 				}
