refactor: the prefix of evacuations stands once

Found when the change was read again: the daemon composed the prefix of the evacuations' keys in two places, and a choice checked a list that the function it calls checks.

Measured: the tests of internal/daemon and internal/attempts pass.

--- a/internal/attempts/choose.go
+++ b/internal/attempts/choose.go
@@ -71,7 +71,7 @@
 	if len(h.Busy) > 0 {
 		return Choice{Target: h.removeLeastBusy()}
 	}
-	if h.FullQueues > 0 && len(h.Hanging) > 0 {
+	if h.FullQueues > 0 {
 		if target := h.removeHanging(); target != nil {
 			return Choice{Target: target, RefuseIfBusy: true} // more likely to serve it than a full queue
 		}
--- a/internal/daemon/evacuation.go
+++ b/internal/daemon/evacuation.go
@@ -18,13 +18,9 @@
 // newEvacuations returns the syncer of evacuated data centres. Their keys are written by whoever
 // writes the declaration.
 func (d *daemon) newEvacuations() *evacuationsync.Syncer {
-	prefix := d.config.Settings.Platform.Prefix + "/evacuations/"
-	if d.registers() {
-		prefix = d.config.StoredDeclaration.EvacuationPrefix
-	}
 	return evacuationsync.New(evacuationsync.Config{
 		Store:    d.config.Store,
-		Prefix:   prefix,
+		Prefix:   d.evacuationPrefix(),
 		ReadOnly: d.registers(),
 		Gossip:   d.gossipEvacuations,
 		OnChange: func() { d.declarations.Reapply() },
@@ -32,6 +28,14 @@
 	})
 }
 
+// evacuationPrefix returns the prefix of the keys that name evacuated data centres.
+func (d *daemon) evacuationPrefix() string {
+	if d.registers() {
+		return d.config.StoredDeclaration.EvacuationPrefix
+	}
+	return d.config.Settings.Platform.Prefix + "/evacuations/"
+}
+
 // gossipEvacuations notifies a few other daemons, in this data centre and in others, of evacuations
 // that have begun or ended.
 func (d *daemon) gossipEvacuations(view evacuation.View) {
@@ -58,7 +62,7 @@
 	go d.hostList.Run(ctx)
 	store.Follow(ctx, store.FollowConfig{
 		Store:  d.config.Store,
-		Prefix: d.config.Settings.Platform.Prefix + "/evacuations/",
+		Prefix: d.evacuationPrefix(),
 		Wait:   evacuationWatchWait,
 		Apply: func(_ context.Context, batch store.Batch) error {
 			d.evacuations.ApplyBatch(batch)
