style: comments in the usual terms; two lines above a test

Found by the check on wording when the change was read again: eight heads of tests with three lines, seven figurative phrases, and a list that the formatter had spread. Comments alone change.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -15,8 +15,8 @@
 //
 // File admit.go checks whether the backend server accepts a request at all, admission.go has
 // the queue and the decision on an offered request, crowded.go handles a full queue, grant.go
-// selects the request that gets a freed slot, rate.go limits the rate of grants, remove.go removes waiting requests, and line.go
-// holds the waiting requests of one priority.
+// selects the request that gets a freed slot, rate.go limits the rate of grants, remove.go removes
+// waiting requests, and line.go holds the waiting requests of one priority.
 //
 // # Order
 //
@@ -38,26 +38,20 @@
 // # Rules of the queue
 //
 //   - A free slot is granted immediately.
-//
 //   - A request that could not start before its deadline, given the service time of recent
 //     requests, is refused immediately. So is one that would miss its latency target while
 //     more requests wait than there are slots: the slot goes to a request that can still be in
 //     time, and the caller gets its refusal early.
-//
 //   - Of two waiting requests the one with the lower priority number is served first, except
 //     for one grant after every UrgentGrants, which prevents starvation. A more urgent request
 //     may evict a less urgent one that has only just been queued.
-//
 //   - Of the requests of one priority those that can still meet their latency target are
 //     served before those that are late in any case.
-//
 //   - Waiting customers of one priority take turns. A customer that has its fair share of the
 //     queue leaves a place free for each other customer seen within ActiveFor, so that a flood
 //     from one customer is refused immediately and the others still find a place.
-//
 //   - If the queue is full nevertheless, a customer with more waiting requests than another
 //     loses its newest place, provided that the request was queued at most EvictWithin ago.
-//
 //   - While the rate of grants is limited, a slot without an available grant is not free.
 //
 // State is bounded: customers share a fixed number of buckets by hash, so two customers may
--- a/internal/admission/rate_test.go
+++ b/internal/admission/rate_test.go
@@ -68,7 +68,7 @@
 	})
 }
 
-// TestRateLimitIsVisible guards against callers that are not told that a backend server with free
+// TestRateLimitIsVisible guards against callers that do not learn that a backend server with free
 // slots takes no request at the moment, and against a limit that outlasts its cause.
 func TestRateLimitIsVisible(t *testing.T) {
 	q := admission.NewQueue(admission.Config{Slots: 8, Depth: 80})
--- a/internal/daemon/evacuation.go
+++ b/internal/daemon/evacuation.go
@@ -15,8 +15,8 @@
 // silently broken connection keeps a change from being noticed.
 const evacuationWatchWait = 3 * time.Second
 
-// newEvacuations returns the syncer of evacuated data centres. Their keys are written by whoever
-// writes the declaration.
+// newEvacuations returns the syncer of evacuated data centres. The writer of the declaration
+// writes their keys, too.
 func (d *daemon) newEvacuations() *evacuationsync.Syncer {
 	return evacuationsync.New(evacuationsync.Config{
 		Store:    d.config.Store,
--- a/internal/floor/group_test.go
+++ b/internal/floor/group_test.go
@@ -172,9 +172,8 @@
 	return count
 }
 
-// TestGroupsKeepTheFloor guards against groups that together eject more backend servers of a large
-// service than its floor permits, while sidecars restart, lose messages and differ about how many
-// backend servers and therefore groups there are. It also guards against groups that permit none.
+// TestGroupsKeepTheFloor guards against ejections below the floor of a large service whose sidecars
+// know different backend servers, lose messages and restart.
 func TestGroupsKeepTheFloor(t *testing.T) {
 	for seed := range uint64(4) {
 		f := newGroupedFleet(seed)
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -145,9 +145,8 @@
 	}
 }
 
-// TestExchangeCostsLittleInLargeFleets guards against an exchange whose size grows as fast as the
-// fleet: daemons exchange whenever their tables differ, and in a large fleet they differ nearly
-// always.
+// TestExchangeCostsLittleInLargeFleets guards against an exchange of a few differing records whose size
+// grows with the fleet.
 func TestExchangeCostsLittleInLargeFleets(t *testing.T) {
 	const differing = 2
 	cost := make(map[int]int)
--- a/internal/membership/apply_test.go
+++ b/internal/membership/apply_test.go
@@ -14,9 +14,8 @@
 	"github.com/tideliftd/tidelift/internal/member"
 )
 
-// TestLearnedRecordsAreAppliedTogether guards against a declaration that is put in force again for
-// each record of each other host, which at the start of a fleet is as many times as there are hosts,
-// at a cost that grows with the hosts.
+// TestLearnedRecordsAreAppliedTogether guards against a declaration that is put in force again for each
+// record of another host, at a cost that grows with the hosts.
 func TestLearnedRecordsAreAppliedTogether(t *testing.T) {
 	var applied atomic.Int64
 	hosts := 0
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -9,7 +9,7 @@
 
 // SumIfDue returns a hash over all known hosts, by which a daemon in that data centre finds out whether
 // its own differ. It returns 0, which requests no comparison, if hosts are declared or if no exchange
-// is due. An empty data centre stands for any.
+// is due. An empty name means any data centre.
 func (m *Membership) SumIfDue(dataCentre string) uint64 {
 	if !m.config.Registers {
 		return 0
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -8,8 +8,8 @@
 // updates arrive later. A host that does not answer is considered gone once its
 // record in the store is gone, too.
 //
-// The hosts learned from others are applied together, at most a few times per second; the local host's own
-// backend servers at once.
+// The hosts learned from others are applied together, at most a few times per second; changes of the
+// local host's own backend servers are applied immediately.
 //
 // If hosts are declared, none of this is active: only the local host is known, and a
 // declaration is complete.
--- a/internal/quarantinesync/follow.go
+++ b/internal/quarantinesync/follow.go
@@ -16,7 +16,7 @@
 	// waits, which save calls, do not delay a quarantine.
 	maxWatchDuration = 40 * time.Second
 	// startDelay is how long after the start of a daemon it may follow the store because no other daemon has answered
-	// it. In a large fleet that starts at once, the first answers take a second or two.
+	// it. In a large fleet whose daemons start simultaneously, the first answers take a second or two.
 	startDelay = 2500 * time.Millisecond
 	// watchCheckInterval is the interval at which Config.Watches is checked.
 	watchCheckInterval = time.Second
--- a/internal/sidecar/suspicion_test.go
+++ b/internal/sidecar/suspicion_test.go
@@ -61,9 +61,8 @@
 	}
 }
 
-// TestProbeThatIsNotSentIsFollowedByAnother guards against a suspicion that does not end because its
-// probes go to requests that received a slot and were not sent: a retry whose calls have no retry
-// budget, or a reservation that is not used.
+// TestProbeThatIsNotSentIsFollowedByAnother guards against a suspicion that lasts because requests that
+// were granted a slot but never sent count as probes.
 func TestProbeThatIsNotSentIsFollowedByAnother(t *testing.T) {
 	task := newTestTask()
 	now := time.Now()
--- a/internal/suspicion/pace_test.go
+++ b/internal/suspicion/pace_test.go
@@ -46,9 +46,8 @@
 	return float64(failures) / spells, unused / spells
 }
 
-// TestProbesAreFewOfTheRequests guards against a backend server that is sent nearly all of its usual
-// requests as probes while it fails, because it gets few, and against one that stays unused for long
-// after it has recovered.
+// TestProbesAreFewOfTheRequests guards against a failing backend server that gets most of its usual
+// requests as probes, and against one that stays unused long after it has recovered.
 func TestProbesAreFewOfTheRequests(t *testing.T) {
 	for _, perSecond := range []float64{1, 1.3, 2, 4, 8, 20} {
 		failed, unused := sickSpells(perSecond)
--- a/test/registered/cold_test.go
+++ b/test/registered/cold_test.go
@@ -43,9 +43,8 @@
 	return len(a.at)
 }
 
-// TestColdBackendServersGetFewRequests guards against backend servers that are sent more requests
-// than they bear while they are cold: a whole data centre comes back under load, and the rest has to
-// serve what it does not take.
+// TestColdBackendServersGetFewRequests guards against more requests than backend servers bear while they are
+// cold, and against failures while the warm ones have room.
 func TestColdBackendServersGetFewRequests(t *testing.T) {
 	f := newStore(t)
 	f.dataCentres = 2
@@ -71,7 +70,7 @@
 		t.Errorf("%d requests failed although warm backend servers had room", failed)
 	}
 	for i := range arrivals {
-		// Beside the rate itself, a quarter of a second's worth may be sent at once.
+		// Beside the rate itself, a quarter of a second's worth may be sent together.
 		if most := arrivals[i].most(); f.hosts[i].cold > 0 && most > coldRate+coldRate/4+1 {
 			t.Errorf("cold backend server of %s got %d requests in a second, want at most %d and a quarter more", f.hosts[i].daemonName(), most, coldRate)
 		}
--- a/test/registered/evacuation_test.go
+++ b/test/registered/evacuation_test.go
@@ -72,9 +72,8 @@
 	}
 }
 
-// TestEvacuatedDataCentreGetsNoRequests guards against requests to the backend servers of an
-// evacuated data centre, also from daemons that the store turns away, and against callers that get
-// failures when an evacuation begins or ends.
+// TestEvacuatedDataCentreGetsNoRequests guards against requests to an evacuated data centre, also from daemons
+// that the store turns away, and against failures when an evacuation begins or ends.
 func TestEvacuatedDataCentreGetsNoRequests(t *testing.T) {
 	f := newSpreadFleet(t, 6, 3)
 	f.store.Write(platform.EvacuationPrefix+"dc1", []byte("{}"))
--- a/test/registered/start_test.go
+++ b/test/registered/start_test.go
@@ -6,8 +6,7 @@
 )
 
 // TestStartCallsTheStoreAFewTimes guards against daemons that call the store more often, the more of them
-// start at once: while they do not know each other yet, each may read the declaration, watch it and
-// list all hosts by itself.
+// start simultaneously.
 func TestStartCallsTheStoreAFewTimes(t *testing.T) {
 	const (
 		daemons = 40
