refactor(test): fleets of the registered tests start in one place

Found when the change was read again: newSpreadFleet repeated the start of newFleet. What either waits for and checks is the same.

--- a/test/registered/evacuation_test.go
+++ b/test/registered/evacuation_test.go
@@ -14,16 +14,7 @@
 	t.Helper()
 	f := newStore(t)
 	f.dataCentres = dataCentres
-	f.writeDesired(1, "/twice/")
-	for range count {
-		f.add("lookup").start()
-	}
-	for _, h := range f.hosts {
-		h.startIncarnation("first")
-	}
-	for _, h := range f.hosts {
-		h.waitReady()
-	}
+	f.startHosts(count)
 	for _, h := range f.hosts {
 		f.waitUntil(h.daemonName()+" to know every backend server", func() bool { return h.known() == count })
 	}
--- a/test/registered/fleet_test.go
+++ b/test/registered/fleet_test.go
@@ -104,6 +104,15 @@
 func newFleet(t testing.TB, count int) *fleet {
 	t.Helper()
 	f := newStore(t)
+	f.startHosts(count)
+	for _, h := range f.hosts {
+		f.waitUntil("every backend server to be reachable from "+h.daemonName(), func() bool { return h.reachable() == count })
+	}
+	return f
+}
+
+// startHosts starts daemons with a backend server each and waits until every daemon is ready.
+func (f *fleet) startHosts(count int) {
 	f.writeDesired(1, "/twice/")
 	for range count {
 		f.add("lookup").start()
@@ -113,9 +122,7 @@
 	}
 	for _, h := range f.hosts {
 		h.waitReady()
-		f.waitUntil("every backend server to be reachable from "+h.daemonName(), func() bool { return h.reachable() == count })
 	}
-	return f
 }
 
 // stopConcurrently makes the daemons stop concurrently at the end of the test.
