fix(quarantine): a refutation is an epoch of its own, and bounded against wrong clocks

Change: a refutation is a new epoch, in which the ends that the answer clears do not count, and is marked as once quarantined. An answer refutes ends of the three seconds before it only. A clear by an answer carries no time; an operator's lift does, at most three seconds ahead, so that it holds where the request was cleared more often. Remembered answers keep their digest, and count with all their bytes.

--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -4,7 +4,7 @@
 
 const (
 	// answerTTL is the minimum time for which an answer is remembered, unless more than maxAnswers/2 requests are
-	// answered within it. An end that another daemon reports arrives within this time.
+	// answered within it. Without a partition, an end that another daemon reports arrives within it.
 	answerTTL = 10 * time.Second
 	// maxAnswers is the maximum number of answered requests that are remembered. They take some 400 KB.
 	maxAnswers = 4096
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -9,10 +9,9 @@
 //
 //	table := quarantine.New()
 //	changed, ok := table.RecordEnd(now, quarantine.Request{ID: id, HeadHash: head, Service: "lookup"}, quarantine.End{Server: "i-7f3a", At: millis})
-//	updates := table.Merge(records)                       // from other daemons or from the store
+//	updates := table.Merge(records)                       // from other daemons or from the store; see Refutes
 //	changed, ok = table.RecordAnswer(now, id)             // a backend server answered the request
 //	table.RememberAnswer(at, id)                          // it did earlier, when the request was not suspected
-//	if table.Refutes(record) { ... }                      // another daemon's quarantine predates an answer here
 //	changed, ok = table.ProposeTrial(now, id, "csepel-1") // may this daemon send it once more?
 //	changed, ok = table.Lift(now, id)                     // an operator lifts the quarantine
 //	view := table.View()                                  // immutable snapshot for lookups
@@ -25,9 +24,11 @@
 //     an end that several runs or daemons report counts once.
 //   - An answer or an operator starts a new epoch without ends. The later of two epochs wins, so a late report
 //     of an end of an earlier epoch has no effect.
-//   - An answer also clears the ends before it that its daemon did not know yet. Each daemon remembers its recent
-//     answers for that, and a record carries the time of the last one with it (Record.ClearedUntil). The time is that of
-//     the daemon's clock: a request that is never answered is quarantined whatever the clocks say.
+//   - An answer also clears the ends before it that its daemon did not know yet: each daemon remembers its recent answers,
+//     and refutes a quarantine that one of them contradicts, by an epoch in which these ends do not count
+//     (Record.ClearedUntil). Answers and ends are ordered by the clocks of different hosts, so only ends of the last
+//     RefutableFor before the answer are cleared, which bounds the effect of a clock that is wrong. A request that is
+//     never answered is quarantined whatever the clocks say.
 //   - A quarantined request gets one trial: a single daemon of the fleet sends it once more, TrialDelay after its
 //     last end, since many backend servers may have ended together for an unrelated reason. After the trial, only an
 //     operator, or the answer of a run that began earlier, lifts the quarantine.
@@ -45,6 +46,9 @@
 	// request that was running there, and two still coincide with unrelated ends of backend servers; see
 	// docs/design/0014-quarantine.md.
 	Limit = 3
+	// RefutableFor is how long after an end of a backend server an answer at a daemon that did not know of the end still
+	// clears it.
+	RefutableFor = 3 * time.Second
 	// SuspectTTL is how long after its last change a suspected request is kept. The store keeps its record
 	// twice as long.
 	SuspectTTL = 5 * time.Minute
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -49,8 +49,8 @@
 	Epoch int64 `json:"epoch"`
 	// Ends holds the last ends in this epoch, earliest first, at most Limit.
 	Ends []End `json:"ends,omitempty"`
-	// ClearedUntil is the time before which ends do not count towards Limit, in Unix milliseconds; zero if there was no
-	// answer. It holds across epochs, so that an answer also clears ends that its daemon did not know.
+	// ClearedUntil is the time before which ends do not count towards Limit, in Unix milliseconds; zero if none was
+	// cleared. It holds across epochs, so that a report that arrives after they were cleared does not count them again.
 	ClearedUntil int64 `json:"cleared_until,omitempty"`
 	// TrialHost is the host that claimed the trial in this epoch; empty if the trial is not claimed.
 	TrialHost string `json:"tried,omitempty"`
@@ -129,10 +129,29 @@
 // WasQuarantined reports whether the request is quarantined or was in an earlier epoch.
 func (r Record) WasQuarantined() bool { return r.EverQuarantined || r.Quarantined() }
 
-// answered returns the record with an answer at the time, in Unix milliseconds.
-func (r Record) answered(at int64) Record {
-	r.ClearedUntil = max(r.ClearedUntil, at)
-	return r
+// refuted returns the record in the next epoch if an answer at the time, in Unix milliseconds, ends its quarantine. The
+// ends that the answer clears do not count there.
+func (r Record) refuted(answeredAt int64) Record {
+	next := r.normalized()
+	for _, end := range r.Ends {
+		if end.At < answeredAt && answeredAt-end.At <= RefutableFor.Milliseconds() {
+			next.ClearedUntil = max(next.ClearedUntil, end.At+1)
+		}
+	}
+	if !r.Quarantined() || next.Quarantined() {
+		return r
+	}
+	next.Epoch++
+	next.TrialHost = ""
+	next.Cleared = ClearedByAnswer
+	next.Changed = max(r.Changed, answeredAt)
+	return next
+}
+
+// Refutes reports whether the record, which a daemon has after a merge, refutes the received one, so that the daemon has
+// to distribute it. before is what the daemon had.
+func (r Record) Refutes(received, before Record) bool {
+	return r.Epoch > received.Epoch && r.Epoch > before.Epoch
 }
 
 // Merge combines two records of the same request. It is commutative, associative and idempotent.
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -350,12 +350,13 @@
 	}
 }
 
-// receive merges a record of another host or of the store. If the host remembers an answer that refutes the
-// quarantine, it distributes that.
+// receive merges a record of another host or of the store, and distributes the result if it refutes the record.
 func (s *simulation) receive(h *simulatedHost, record quarantine.Record) {
-	h.table.Merge([]quarantine.Record{record})
-	if known, ok := h.table.Find(record.ID); ok && h.table.Refutes(record) {
-		s.distribute(h, known)
+	before, _ := h.table.Find(record.ID)
+	for _, after := range h.table.Merge([]quarantine.Record{record}) {
+		if after.Refutes(record, before) {
+			s.distribute(h, after)
+		}
 	}
 }
 
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -26,7 +26,7 @@
 	update := known
 	update.Ends = []End{end}
 	update.Changed = now.UnixMilli()
-	return t.put(t.withAnswer(Merge(known, update)))
+	return t.put(t.refute(Merge(known, update)))
 }
 
 // RecordAnswer records that a backend server answered the request, which clears it. It returns the changed record,
@@ -52,13 +52,16 @@
 	if !ok || !r.Suspected() {
 		return Record{}, false
 	}
-	r.ClearedUntil = max(r.ClearedUntil, r.Ends[len(r.Ends)-1].At+1)
+	if by == ClearedByOperator { // other daemons may have cleared the request more often, in a later epoch
+		latest := now.Add(RefutableFor).UnixMilli() // the clock of the last end's host may be ahead
+		r.ClearedUntil = max(r.ClearedUntil, min(r.Ends[len(r.Ends)-1].At+1, latest))
+	}
 	r.Epoch++
 	r.Ends = nil
 	r.TrialHost = ""
 	r.Cleared = by
 	r.Changed = now.UnixMilli()
-	return t.put(t.withAnswer(r))
+	return t.put(r)
 }
 
 // ProposeTrial reports whether the host may claim the trial of a quarantined request, judging by local state, and
@@ -81,25 +84,17 @@
 		if known, ok := t.records[r.ID]; ok {
 			r = Merge(known, r)
 		}
-		if r.Quarantined() {
-			r = t.withAnswer(r)
-		}
-		if merged, ok := t.put(r); ok {
+		if merged, ok := t.put(t.refute(r)); ok {
 			updates = append(updates, merged)
 		}
 	}
 	return updates
 }
 
-// Refutes reports whether the record of another daemon is quarantined only because that daemon does not know of an
-// answer that this one remembers. The caller distributes this daemon's record.
-func (t *Table) Refutes(r Record) bool { return r.Quarantined() && !t.withAnswer(r).Quarantined() }
-
-// withAnswer returns the record with the last answer that the daemon remembers, which may be later than ends that are
-// reported only now.
-func (t *Table) withAnswer(r Record) Record {
+// refute returns the record, refuted if it is quarantined and the daemon remembers an answer that contradicts it.
+func (t *Table) refute(r Record) Record {
 	if at, ok := t.answers.last(r.ID); ok {
-		return r.answered(at)
+		return r.refuted(at)
 	}
 	return r
 }
--- a/internal/quarantinesync/answers.go
+++ b/internal/quarantinesync/answers.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxAnswers, maxAnswerBytes and answerTTL bound the answers that are remembered: their number, the bytes of their
-	// requests' bodies and their age. An end that another daemon reports arrives within answerTTL.
+	// requests and their age. Without a partition, an end that another daemon reports arrives within answerTTL.
 	maxAnswers     = 1024
 	maxAnswerBytes = 1 << 20
 	answerTTL      = 10 * time.Second
@@ -23,6 +23,13 @@
 	at      time.Time
 	head    uint64
 	hashed  bool
+	digest  string // empty until it is computed
+}
+
+// size returns how many bytes of the request are kept.
+func (a *answer) size() int {
+	r := a.request
+	return len(r.Method) + len(r.Host) + len(r.Path) + len(r.Query) + len(r.Customer) + len(a.body)
 }
 
 // recentAnswers remembers requests that were answered while they were not suspected. It is safe for concurrent use.
@@ -42,18 +49,19 @@
 	if a.ring == nil {
 		a.ring = make([]answer, maxAnswers)
 	}
-	a.bytes += len(body)
+	added := answer{request: r, body: body, at: now}
+	a.bytes += added.size()
 	for a.count > 0 && (a.count == maxAnswers || a.bytes > maxAnswerBytes || now.Sub(a.ring[a.oldest].at) > answerTTL) {
 		a.dropOldest()
 	}
-	a.ring[a.index(a.count)] = answer{request: r, body: body, at: now}
+	a.ring[a.index(a.count)] = added
 	a.count++
 }
 
 func (a *recentAnswers) dropOldest() {
 	dropped := &a.ring[a.oldest]
-	a.bytes -= len(dropped.body)
-	dropped.body = nil
+	a.bytes -= dropped.size()
+	*dropped = answer{}
 	a.oldest = a.index(1)
 	a.count--
 }
@@ -82,8 +90,10 @@
 	if a.head != head {
 		return false
 	}
-	r := a.request
-	r.Body = func(limit int) ([]byte, error) { return a.body[:min(len(a.body), limit)], nil }
-	digest, err := r.Digest()
-	return err == nil && digest == id
+	if a.digest == "" {
+		r := a.request
+		r.Body = func(limit int) ([]byte, error) { return a.body[:min(len(a.body), limit)], nil }
+		a.digest, _ = r.Digest() // fails only if the body cannot be read
+	}
+	return a.digest == id
 }
--- a/internal/quarantinesync/quarantinesync.go
+++ b/internal/quarantinesync/quarantinesync.go
@@ -28,8 +28,8 @@
 //
 // An end of a backend server costs a call to each daemon of its service and one write, or three store calls if the
 // store already has a record of the request. A first end costs no write if the request is answered soon. A quarantine
-// costs six calls per daemon. While no request is suspected or quarantined, the only calls are those of the daemons
-// that watch the store.
+// costs six calls per daemon. A daemon that refutes it makes as many calls as at an end, and six more. While no request
+// is suspected or quarantined, the only calls are those of the daemons that watch the store.
 package quarantinesync
 
 import (
--- a/internal/quarantinesync/task.go
+++ b/internal/quarantinesync/task.go
@@ -1,7 +1,6 @@
 package quarantinesync
 
 import (
-	"cmp"
 	"context"
 	"time"
 
@@ -119,7 +118,7 @@
 			"host", after.Host, "path", after.Path, "epoch", after.Epoch, "ended", after.Servers(), "last_end", after.LastEnd())
 	case before.Quarantined() && !after.Quarantined():
 		event.Log(log, event.QuarantineEnded, "fingerprint", after.ID, "service", after.Service, "path", after.Path,
-			"epoch", after.Epoch, "why", cmp.Or(after.Cleared, quarantine.ClearedByAnswer)) // only answers clear without a new epoch
+			"epoch", after.Epoch, "why", after.Cleared)
 	}
 }
 
@@ -134,19 +133,19 @@
 // merge merges records from other daemons or from the store.
 func (t *task) merge(now time.Time, m mergeMessage) {
 	for _, record := range m.records {
-		if record.Quarantined() {
+		before, _ := t.table.Find(record.ID)
+		if quarantine.Merge(before, record).Quarantined() {
 			t.recallAnswer(record.HeadHash, record.ID)
 		}
-		before, _ := t.table.Find(record.ID)
 		for _, after := range t.table.Merge([]quarantine.Record{record}) {
 			t.apply(before, after)
+			if after.Refutes(record, before) {
+				t.distributeRefutation(now, after)
+			}
 		}
 		if m.stored {
 			t.writeIfDifferent(record)
 		}
-		if t.table.Refutes(record) {
-			t.refute(now, record.ID)
-		}
 	}
 }
 
@@ -157,16 +156,12 @@
 	}
 }
 
-// refute distributes the local record of a request that another daemon has in quarantine, since it did not know of an
-// answer.
-func (t *task) refute(now time.Time, id string) {
-	known, ok := t.table.Find(id)
-	if !ok {
-		return
-	}
-	t.due[id] = dueWrite{notBefore: now}
-	t.updates = append(t.updates, known)
-	t.gossip = append(t.gossip, known)
+// distributeRefutation writes and distributes the record of a request that other daemons have in quarantine, since they
+// did not know of an answer.
+func (t *task) distributeRefutation(now time.Time, record quarantine.Record) {
+	t.due[record.ID] = dueWrite{notBefore: now}
+	t.updates = append(t.updates, record)
+	t.gossip = append(t.gossip, record)
 }
 
 // writeIfDifferent schedules a write if the local record differs from the stored one, for example because the request
