fix(accept): a slow daemon resets no connection in its accept queue

Cause: a listener that refuses took a deadline that had passed for an empty queue. An accept that starts after its deadline fails without a look at the queue. A process that got no processor for the rest of the 500 ms that bounded the whole, or for 50 ms between the deadline and the accept, closed the socket with connections in its queue, and the kernel reset them.

Ruled out: a kernel without the option (it was set at every close), a full queue (ListenOverflows, ListenDrops and SYN cookies stayed 0), connections made after Refuse (as many were queued then as were accepted and reset), requests that were accepted and dropped.

Change: after a deadline has passed the kernel is asked whether a connection is queued, and the socket is closed only if none is. The queue is finite once the kernel refuses, so that the 500 ms bound the fallback alone, where new connections may keep it filled; the stop's own limit bounds the rest.

Measured: TestRefuseKeepsConnectionsOfStalledProgram fails before (3 of 3, none of 100 connections accepted) and passes (3 of 3).

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -4,8 +4,9 @@
 //
 // After Refuse, the listener is bound to an interface that does not exist (SO_BINDTOIFINDEX), so that the kernel
 // refuses new connections immediately. Accept continues to return connections that were established before, and
-// closes the socket once none has arrived for a short time. Where the kernel does not support the option, Accept does
-// the same without it; connections established between the last accept and the close are then reset.
+// closes the socket once none has arrived for a short time and the accept queue is empty, however long a slow program
+// takes. Where the kernel does not support the option, Accept does the same without it, for a limited time;
+// connections established between the last accept and the close are then reset.
 //
 // The package owns the sockets. It relies on its user to call Accept until it fails with net.ErrClosed.
 //
@@ -37,9 +38,9 @@
 	// fallbackIdleTimeout replaces drainIdleTimeout where the kernel cannot refuse new connections. Each connection that
 	// arrives within it is accepted.
 	fallbackIdleTimeout = time.Millisecond
-	// drainTimeout bounds the time from Refuse to the close if connections keep arriving. It must be well below the
-	// second for which a planned stop serves existing connections.
-	drainTimeout = 500 * time.Millisecond
+	// fallbackTimeout bounds the time from Refuse to the close where the kernel cannot refuse new connections. It must be
+	// well below the second for which a planned stop serves existing connections.
+	fallbackTimeout = 500 * time.Millisecond
 	// invalidInterface is an interface index that no host uses.
 	invalidInterface = math.MaxInt32
 )
@@ -51,7 +52,7 @@
 	mu          sync.Mutex
 	refusing    bool
 	idleTimeout time.Duration // a refusing listener is closed after this time without a connection
-	closeAt     time.Time     // deadline for closing a refusing listener
+	closeAt     time.Time     // deadline for closing a refusing listener that still gets new connections, else zero
 
 	closing  sync.Once
 	closed   chan struct{}
@@ -75,7 +76,8 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return socket, err
 		}
-		if refusing {
+		// An accept that starts after its deadline fails without a look at the queue.
+		if refusing && (l.expired() || !l.hasQueued()) {
 			_ = l.Close() // the user's own call of Close returns the same error
 			return nil, net.ErrClosed
 		}
@@ -90,13 +92,35 @@
 		return false
 	}
 	deadline := time.Now().Add(l.idleTimeout)
-	if deadline.After(l.closeAt) {
+	if !l.closeAt.IsZero() && deadline.After(l.closeAt) {
 		deadline = l.closeAt
 	}
 	_ = l.SetDeadline(deadline) // fails only on a closed socket, as does Accept
 	return true
 }
 
+// expired reports whether the listener must close although connections may be queued.
+func (l *Listener) expired() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.closeAt.IsZero() && !time.Now().Before(l.closeAt)
+}
+
+// hasQueued reports whether a connection is in the accept queue.
+func (l *Listener) hasQueued() bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false // the socket is closed
+	}
+	queued := false
+	err = raw.Control(func(fd uintptr) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}} //nolint:gosec // a descriptor fits
+		n, pollErr := unix.Poll(polled, 0)
+		queued = n > 0 || errors.Is(pollErr, unix.EINTR) // looks again after the next accept
+	})
+	return err == nil && queued
+}
+
 // Refuse makes the kernel refuse new connections, and Accept close the listener after the queued ones. It does not
 // wait for the close.
 func (l *Listener) Refuse() {
@@ -105,8 +129,8 @@
 	l.idleTimeout = drainIdleTimeout
 	if err := l.bindInvalidInterface(); err != nil {
 		l.idleTimeout = fallbackIdleTimeout
+		l.closeAt = time.Now().Add(fallbackTimeout)
 	}
-	l.closeAt = time.Now().Add(drainTimeout)
 	l.refusing = true
 	_ = l.SetDeadline(time.Now()) // wakes Accept; fails only on a closed socket
 }
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -80,6 +80,35 @@
 	}
 }
 
+// TestRefuseKeepsConnectionsOfStalledProgram guards against closing the listener with connections in its queue when the
+// program gets no processor for so long that its deadline passes before it accepts.
+func TestRefuseKeepsConnectionsOfStalledProgram(t *testing.T) {
+	const (
+		waiting = 100
+		stall   = time.Second
+	)
+	listener := listen(t)
+	for range waiting {
+		client, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = client.Close() }()
+	}
+	listener.Refuse()
+	time.Sleep(stall)
+	for n := range waiting {
+		socket, err := listener.Accept()
+		if err != nil {
+			t.Fatalf("accepted %d of %d connections: %v", n, waiting, err)
+		}
+		defer func() { _ = socket.Close() }()
+	}
+	if _, err := listener.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Fatalf("Accept after the last connection returned %v, want net.ErrClosed", err)
+	}
+}
+
 func listen(t *testing.T) *accept.Listener {
 	t.Helper()
 	listener, err := accept.Listen("127.0.0.1:0")
