test(soak): a run says why its requests were not served

Change: the line that counts outcomes adds the counts by result code, or by connection error. No check changes.

--- a/test/soak/evidence_test.go
+++ b/test/soak/evidence_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/tideliftd/tidelift/internal/event"
@@ -49,13 +51,25 @@
 			t.Errorf("%s ran %d times", s.key, n)
 		}
 	}
-	t.Logf("%d requests: %v", len(samples), counts)
+	t.Logf("%d requests: %v, for %v", len(samples), counts, reasons(samples))
 	connected := len(samples) - counts[outcomeRefused]
 	if counts[outcomeOK] <= connected/2 {
 		t.Errorf("%d of %d requests on a connection succeeded: too few to show anything", counts[outcomeOK], connected)
 	}
 }
 
+// reasons counts the requests that did not succeed by result code, or by the innermost connection error.
+func reasons(samples []sample) map[string]int {
+	counts := make(map[string]int)
+	for _, s := range samples {
+		if s.outcome != outcomeOK {
+			parts := strings.Split(s.err, ": ")
+			counts[cmp.Or(parts[len(parts)-1], string(s.outcome))]++
+		}
+	}
+	return counts
+}
+
 // checkFloor fails the test if, at any moment, the whole fleet had fewer backend servers of the service in service
 // than its floor. It returns the number of ejections.
 func checkFloor(t *testing.T, f *harness.Fleet, s harness.Service) int {
