fix(suspicion): a probe that fails like the others is followed by another

Callers then get the service's other backend servers alone, which refuse once their queues are full.

Cause: a failure that all share weighs nothing, so that the suspicion was not told of a probe that failed so. The probe counted as still running and kept the next one away for a second (probeExclusion), as one that was never sent did before.

Change: RecordSharedFailure ends the probe. It counts neither for nor against the backend server, and the next one is due after the current pause.

A pause that a shared failure doubles would end at the same second.

--- a/internal/sidecar/suspicion.go
+++ b/internal/sidecar/suspicion.go
@@ -30,9 +30,12 @@
 	case detect.ConnectionRefused, detect.ConnectionLost:
 		begins = t.suspicion.RecordFailure(now, suspicion.BrokenConnectionWeight)
 	case detect.Error:
-		if weight := suspicion.ScaledErrorWeight(others.Failure); weight > 0 { // zero if the others fail as often
-			begins = t.suspicion.RecordFailure(now, weight)
+		weight := suspicion.ScaledErrorWeight(others.Failure)
+		if weight == 0 {
+			t.suspicion.RecordSharedFailure(now)
+			return
 		}
+		begins = t.suspicion.RecordFailure(now, weight)
 	case detect.TimedOut, detect.Overdue:
 		begins = t.suspicion.RecordSlowness(now, suspicion.OverdueWeight)
 	}
