test(registered): a late hedge is counted for its own request

Cause: the test cleared its counts at the beginning of each subtest and took all that ran until its end for that subtest's. A hedge may reach its backend server after its request has been answered, and so in the next subtest.

The old count was wrong since it did not count what the test guards against, runs of a refused request, but runs while requests were refused. The new one is by request id and as strict: a refused request must not have run, one that is served must have run, for its customer alone, and no more often than once and its own hedges, where the old one allowed any hedges of the fleet. All is checked again at the end, and no request may run that was not sent. Keys, statuses, requests and subtests are the same.

Where the daemon runs such a request and refuses it all the same, this test fails. TestLateHedgeIsCountedForItsRequest is the small one.

--- a/test/registered/cost_test.go
+++ b/test/registered/cost_test.go
@@ -42,7 +42,7 @@
 	var requests sync.WaitGroup
 	for n := range b.N {
 		at := n % daemons
-		requests.Go(func() { f.hosts[at].getWithKey(clients[at], "/twice/x", keyOfCounty) })
+		requests.Go(func() { f.hosts[at].getWithKey(clients[at], "/twice/x", keyOfCounty, newID()) })
 		time.Sleep(time.Duration(rand.Float64() * 2 * float64(time.Second) / (perSecond * daemons)))
 	}
 	requests.Wait()
--- a/test/registered/customers_test.go
+++ b/test/registered/customers_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -36,8 +38,8 @@
 
 // getWithKey sends a request with the key, unless it is empty, and a forged customer header. It
 // returns the response's status and Retry-After header.
-func (h *host) getWithKey(client *http.Client, path, key string) (int, string) {
-	r := h.newRequest(context.Background(), http.MethodGet, path, newID(), "")
+func (h *host) getWithKey(client *http.Client, path, key, id string) (int, string) {
+	r := h.newRequest(context.Background(), http.MethodGet, path, id, "")
 	r.Header.Set("Tenant", "forged")
 	if key != "" {
 		r.Header.Set("Authorization", "Bearer "+key)
@@ -56,13 +58,21 @@
 type receivedCustomers struct {
 	mu    sync.Mutex
 	names map[string]int
+	byID  map[string][]string // the customer header of each run, by request id
 	keys  int
 }
 
+func newReceivedCustomers() *receivedCustomers {
+	return &receivedCustomers{names: make(map[string]int), byID: make(map[string][]string)}
+}
+
 func (s *receivedCustomers) handle(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.names[strings.Join(r.Header.Values("Tenant"), ",")]++
+	customer := strings.Join(r.Header.Values("Tenant"), ",")
+	s.names[customer]++
+	id := r.Header.Get("Request-Id")
+	s.byID[id] = append(s.byID[id], customer)
 	if len(r.Header.Values("Authorization")) > 0 {
 		s.keys++
 	}
@@ -73,7 +83,7 @@
 func newCustomerFleet(t *testing.T, count int, rate, burst float64) (*fleet, *receivedCustomers) {
 	t.Helper()
 	f := newFleet(t, count)
-	seen := &receivedCustomers{names: make(map[string]int)}
+	seen := newReceivedCustomers()
 	for _, h := range f.hosts {
 		h.setHandler(seen.handle)
 	}
@@ -90,21 +100,60 @@
 	f.t.Helper()
 	for _, h := range f.hosts {
 		f.waitUntil(fmt.Sprintf("%d from %s", status, h.daemonName()), func() bool {
-			got, _ := h.getWithKey(http.DefaultClient, "/twice/x", key)
+			got, _ := h.getWithKey(http.DefaultClient, "/twice/x", key, newID())
 			return got == status
 		})
 	}
 }
 
-// hedged returns how many hedges the fleet's daemons have sent. Each hedge adds a run of its request.
-func (f *fleet) hedged() int {
+// hedged returns how many hedges of the request the fleet's daemons have sent. Each hedge adds a run of its
+// request, which may begin after the request has been answered.
+func (f *fleet) hedged(id string) int {
 	count := 0
 	for _, h := range f.hosts {
-		count += h.log.count(`"msg":"late request hedged"`)
+		count += h.log.count(fmt.Sprintf(`"msg":"late request hedged","event":504,"request":%q`, id))
 	}
 	return count
 }
 
+// checkRuns returns an error unless the request has run for the customer once, and once more for each hedge
+// at most. A request that is refused must not have run.
+func (s *receivedCustomers) checkRuns(id string, refused bool, customer string, hedged func(id string) int) error {
+	s.mu.Lock()
+	ran := slices.Clone(s.byID[id])
+	s.mu.Unlock()
+	if refused {
+		if len(ran) > 0 {
+			return fmt.Errorf("refused request %s ran for customers %q", id, ran)
+		}
+		return nil
+	}
+	if len(ran) == 0 {
+		return fmt.Errorf("request %s was answered and did not run", id)
+	}
+	for _, got := range ran {
+		if got != customer {
+			return fmt.Errorf("request %s ran for customers %q, want %q", id, ran, customer)
+		}
+	}
+	if hedges := hedged(id); len(ran) > 1+hedges {
+		return fmt.Errorf("request %s ran %d times with %d hedges", id, len(ran), hedges)
+	}
+	return nil
+}
+
+// checkIDs returns an error if a request has run that no caller sent.
+func (s *receivedCustomers) checkIDs(sent map[string]bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, ran := range s.byID {
+		if !sent[id] && !strings.HasPrefix(id, idPrefix) {
+			return fmt.Errorf("request %q, which was not sent, ran for customers %q", id, ran)
+		}
+	}
+	return nil
+}
+
 // TestCustomerIsDerivedFromKeyAlone guards against customers that are derived from anything but a valid key, for each
 // kind of route, at a host that sends most requests to others.
 func TestCustomerIsDerivedFromKeyAlone(t *testing.T) {
@@ -122,29 +171,78 @@
 		{"a key on a public route", "/open/x", keyOfCounty, http.StatusOK, "county"},
 		{"an unknown key on a public route", "/open/x", unknownKey, http.StatusUnauthorized, ""},
 	}
-	for _, test := range tests {
+	const sentEach = 12
+	id := func(test, request int) string { return fmt.Sprintf("customer-%d-%d", test, request) }
+	sent := make(map[string]bool)
+	check := func(t *testing.T, number int) {
+		t.Helper()
+		test := tests[number]
+		for request := range sentEach {
+			if !sent[id(number, request)] {
+				continue
+			}
+			if err := seen.checkRuns(id(number, request), test.status != http.StatusOK, test.customer, f.hedged); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := seen.checkIDs(sent); err != nil {
+			t.Fatal(err)
+		}
+		seen.mu.Lock()
+		defer seen.mu.Unlock()
+		if seen.keys > 0 {
+			t.Fatalf("%d keys were forwarded to backend servers", seen.keys)
+		}
+	}
+	for number, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			seen.mu.Lock()
-			clear(seen.names)
-			seen.mu.Unlock()
-			const sent = 12
-			hedged := f.hedged()
-			for range sent {
-				if status, _ := f.hosts[0].getWithKey(http.DefaultClient, test.path, test.key); status != test.status {
+			for request := range sentEach {
+				sent[id(number, request)] = true
+				if status, _ := f.hosts[0].getWithKey(http.DefaultClient, test.path, test.key, id(number, request)); status != test.status {
 					t.Fatalf("got status %d, want %d", status, test.status)
 				}
 			}
-			seen.mu.Lock()
-			defer seen.mu.Unlock()
-			hedged = f.hedged() - hedged
-			if ran := seen.names[test.customer]; test.status == http.StatusOK && (len(seen.names) != 1 || ran < sent || ran > sent+hedged) {
-				t.Fatalf("backend servers received customers %v for %d requests, %d of them hedged", seen.names, sent, hedged)
-			}
-			if test.status != http.StatusOK && len(seen.names) != 0 {
-				t.Fatalf("refused request ran for customers %v", seen.names)
-			}
-			if seen.keys > 0 {
-				t.Fatalf("%d keys were forwarded to backend servers", seen.keys)
+			check(t, number)
+		})
+	}
+	for number := range tests { // runs that began after their subtest had ended
+		check(t, number)
+	}
+}
+
+// TestLateHedgeIsCountedForItsRequest guards against a hedge that is held against another request because it
+// reaches its backend server after that request was sent.
+func TestLateHedgeIsCountedForItsRequest(t *testing.T) {
+	seen := newReceivedCustomers()
+	run := func(id, customer string) {
+		r := httptest.NewRequest(http.MethodGet, "/open/x", nil)
+		r.Header.Set("Request-Id", id)
+		r.Header.Set("Tenant", customer)
+		seen.handle(httptest.NewRecorder(), r)
+	}
+	hedged := func(id string) int { return map[string]int{"hedged": 1}[id] }
+	run("hedged", "county")
+	run("hedged", "county") // the hedge, after the request "refused" was sent
+	run("twice", "county")
+	run("twice", "county")
+	run("mixed", "county")
+	run("mixed", "school")
+	tests := []struct {
+		name, id string
+		refused  bool
+		wantErr  bool
+	}{
+		{"a hedge that is late", "hedged", false, false},
+		{"a refused request beside it", "refused", true, false},
+		{"a refused request that ran", "hedged", true, true},
+		{"a request that ran twice without a hedge", "twice", false, true},
+		{"a request that ran for another customer", "mixed", false, true},
+		{"a request that was answered and did not run", "missing", false, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if err := seen.checkRuns(test.id, test.refused, "county", hedged); (err != nil) != test.wantErr {
+				t.Fatalf("got error %v, want an error: %t", err, test.wantErr)
 			}
 		})
 	}
@@ -155,7 +253,7 @@
 func TestRevokedKeyStaysRefused(t *testing.T) {
 	f, _ := newCustomerFleet(t, 3, 0, 0)
 	kept := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
-	if status, _ := f.hosts[1].getWithKey(kept, "/twice/x", keyOfCounty); status != http.StatusOK {
+	if status, _ := f.hosts[1].getWithKey(kept, "/twice/x", keyOfCounty, newID()); status != http.StatusOK {
 		t.Fatalf("got status %d, want 200", status)
 	}
 	f.writeDesiredWithCustomers(3, `"another-key"`, 0, 0)
@@ -167,7 +265,7 @@
 	restarted.checkIn("ready")
 	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		for _, h := range f.hosts {
-			if status, _ := h.getWithKey(kept, "/twice/x", keyOfCounty); status == http.StatusOK {
+			if status, _ := h.getWithKey(kept, "/twice/x", keyOfCounty, newID()); status == http.StatusOK {
 				t.Fatalf("%s accepted the revoked key", h.daemonName())
 			}
 		}
@@ -180,7 +278,7 @@
 	f, _ := newCustomerFleet(t, 2, 1, 1)
 	for range 20 {
 		for _, key := range []string{keyOfCounty, keyOfSchool, unknownKey} {
-			f.hosts[0].getWithKey(http.DefaultClient, "/twice/x", key)
+			f.hosts[0].getWithKey(http.DefaultClient, "/twice/x", key, newID())
 		}
 	}
 	for _, h := range f.hosts {
@@ -234,7 +332,7 @@
 	began := time.Now()
 	for time.Since(began) < seconds*time.Second {
 		for _, h := range f.hosts {
-			status, after := h.getWithKey(http.DefaultClient, "/twice/x", keyOfCounty)
+			status, after := h.getWithKey(http.DefaultClient, "/twice/x", keyOfCounty, newID())
 			if status == http.StatusTooManyRequests {
 				refused++
 				if after != "" {
@@ -242,7 +340,7 @@
 				}
 			}
 		}
-		if status, _ := f.hosts[0].getWithKey(http.DefaultClient, "/twice/x", keyOfSchool); status != http.StatusOK {
+		if status, _ := f.hosts[0].getWithKey(http.DefaultClient, "/twice/x", keyOfSchool, newID()); status != http.StatusOK {
 			othersRefused++
 		}
 	}
--- a/test/registered/fleet_test.go
+++ b/test/registered/fleet_test.go
@@ -304,8 +304,11 @@
 
 var nextID atomic.Int64
 
+// idPrefix begins the request ids that newID returns.
+const idPrefix = "id-"
+
 // newID returns a unique request id.
-func newID() string { return fmt.Sprintf("id-%d", nextID.Add(1)) }
+func newID() string { return fmt.Sprintf("%s%d", idPrefix, nextID.Add(1)) }
 
 // newRequest returns a request with that id to the host's daemon.
 func (h *host) newRequest(ctx context.Context, method, path, id, body string) *http.Request {
