fix(membership): a daemon that waited for a processor learns hosts on

Seen while TestSharedFailuresSuspectFew was traced, beside load: daemons that were ready sent all requests to their own backend server for seconds, and could not compare its failures with any other's.

Cause: the pause after an application of other hosts' records is 20 times as long as it took by the clock, so that it takes a twentieth of the time. An application that waits for a processor counts as one that costs as much: of 1,448, with a median of 0.1 ms, 29 took more than 0.25 s and one 4.0 s, which makes a pause of 79 s. Evidence: a daemon that paused for 14.3 s learned of ten hosts meanwhile (event 403) and kept three backend servers in force.

Change: the pause is at most 0.5 s. 4,600 hosts need 0.26 s (13 ms each, see CAPACITY.md); only applications of more than 25 ms of computing, some 9,000 hosts, take more than a twentieth now.

Ruled out: processor time in place of the clock's, which Go does not tell of a goroutine. Not traced: why an application waits for seconds.

Measured: TestWaitingApplicationDelaysNextBriefly fails without it ("2 hosts are applied a second later, want 3").

--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -14,6 +14,9 @@
 	// application is as many times as long as it took. Its cost grows with the fleet, and in a large
 	// fleet some host changes at any time.
 	applyDivisor = 20
+	// maxApplyPause is the maximum pause after an application. On a busy machine an application mostly
+	// waits, and the time that it took does not show its cost.
+	maxApplyPause = 500 * time.Millisecond
 )
 
 // scheduleApply applies the known hosts soon. It does not block.
@@ -35,6 +38,11 @@
 		began := time.Now()
 		m.config.Reapply()
 		m.learnLog.summarize()
-		wait.For(ctx, max(minApplyPause, applyDivisor*time.Since(began)))
+		wait.For(ctx, applyPause(time.Since(began)))
 	}
 }
+
+// applyPause returns the pause after an application that took the given time.
+func applyPause(took time.Duration) time.Duration {
+	return min(max(minApplyPause, applyDivisor*took), maxApplyPause)
+}
--- a/internal/membership/apply_test.go
+++ b/internal/membership/apply_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/gossip"
@@ -52,6 +53,42 @@
 	}
 }
 
+// TestWaitingApplicationDelaysNextBriefly guards against a daemon that sends all requests to its own backend server
+// for seconds, since it applies no other hosts after an application that had to wait for a processor.
+func TestWaitingApplicationDelaysNextBriefly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const waited = 200 * time.Millisecond
+		var m *Membership
+		hosts := 0
+		m = New(Config{
+			Self:      member.Host{Name: "host-0"},
+			Registers: true,
+			Logger:    slog.New(slog.DiscardHandler),
+			Plan:      func() *gossip.Plan { return nil },
+			Reapply: func() {
+				hosts = len(m.Hosts())
+				time.Sleep(waited)
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			m.applyScheduled(ctx)
+		}()
+		m.Learn("host-1", []member.Host{{Name: "host-1", Start: "a", Incarnation: 1, Version: 1}})
+		time.Sleep(waited / 2)
+		m.Learn("host-1", []member.Host{{Name: "host-2", Start: "a", Incarnation: 1, Version: 1}})
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if hosts != 3 {
+			t.Errorf("%d hosts are applied a second later, want 3", hosts)
+		}
+		cancel()
+		<-ended
+	})
+}
+
 // TestLearnedHostsTakeFewLogLines guards against a log line for each other host of a large fleet when it
 // starts, which is as many at all hosts as the square of their number.
 func TestLearnedHostsTakeFewLogLines(t *testing.T) {
