fix(quarantine): a clear replaces a quarantine in the store that its daemon did not know

A daemon that had cleared the request meanwhile merged it into its later epoch, which then did not say so either, and was written under the key of suspected requests again, which nobody follows: the others refused the request until their trial.

Change: a received record is normalized before it is merged. Merge itself stays as it is, since its laws forbid to derive that.

--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -72,7 +72,7 @@
 
 func truncate(text string) string { return text[:min(len(text), maxTextBytes)] }
 
-// Quarantined reports whether the request is quarantined.
+// Quarantined reports whether the request is quarantined, which it is if its last Limit ends all count.
 func (r Record) Quarantined() bool { return len(r.Ends) >= Limit && r.Ends[0].At >= r.ClearedUntil }
 
 // Suspected reports whether a backend server ended while running the request in this epoch. It is also true for a
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -81,6 +81,7 @@
 func (t *Table) Merge(records []Record) []Record {
 	var updates []Record
 	for _, r := range records {
+		r = r.normalized() // a daemon with a later epoch learns that there was a quarantine
 		if known, ok := t.records[r.ID]; ok {
 			r = Merge(known, r)
 		}
--- a/internal/quarantinesync/quarantinesync_test.go
+++ b/internal/quarantinesync/quarantinesync_test.go
@@ -291,6 +291,29 @@
 	}
 }
 
+// TestClearReplacesQuarantineInStore guards against a quarantine that stays in the store because the daemon that cleared
+// the request had not known of the quarantine.
+func TestClearReplacesQuarantineInStore(t *testing.T) {
+	g := newGroup(t, 1)
+	syncer := g.syncers[0]
+	id, err := request("innocent").Digest()
+	if err != nil {
+		t.Fatal(err)
+	}
+	syncer.RecordEnd(request("innocent"), "lookup", quarantine.End{Server: "own", At: time.Now().UnixMilli()})
+	syncer.RecordAnswer(request("innocent"))
+	after := time.Now().Add(time.Minute).UnixMilli() // the answer itself does not refute these ends
+	g.standin.Write(prefix+"/held/"+id, fmt.Appendf(nil, `{"id":%q,"head":%d,"ends":[{"server":"a","at":%d},{"server":"b","at":%d},{"server":"c","at":%d}]}`,
+		id, request("").HeadHash(), after, after, after))
+	g.await("the clear is in the store", func() bool {
+		value, _ := g.standin.Value(prefix + "/held/" + id)
+		return strings.Contains(value, `"epoch":1`)
+	})
+	if got := status(syncer, "innocent"); got == quarantine.Quarantined {
+		t.Fatalf("the request is %s at the daemon that cleared it", got)
+	}
+}
+
 // TestOneThatDoesNotWatchAsksOthers guards against a daemon that is not notified and does not watch the store, and that
 // does not receive quarantines by comparing its state with another daemon.
 func TestOneThatDoesNotWatchAsksOthers(t *testing.T) {
