--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -53,25 +53,9 @@
 func TestRefuseKeepsQueuedConnections(t *testing.T) {
 	const waiting = 10
 	listener := listen(t)
-	for range waiting {
-		client, err := net.Dial("tcp", listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = client.Close() }()
-	}
+	connect(t, listener, waiting)
 	listener.Refuse()
-	for n := range waiting {
-		socket, err := listener.Accept()
-		if err != nil {
-			t.Fatalf("accepted %d of %d connections: %v", n, waiting, err)
-		}
-		defer func() { _ = socket.Close() }()
-		time.Sleep(20 * time.Millisecond)
-	}
-	if _, err := listener.Accept(); !errors.Is(err, net.ErrClosed) {
-		t.Fatalf("Accept after the last connection returned %v, want net.ErrClosed", err)
-	}
+	acceptAll(t, listener, waiting, 20*time.Millisecond)
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	listener.Wait(ctx)
@@ -88,21 +72,34 @@
 		stall   = time.Second
 	)
 	listener := listen(t)
-	for range waiting {
+	connect(t, listener, waiting)
+	listener.Refuse()
+	time.Sleep(stall)
+	acceptAll(t, listener, waiting, 0)
+}
+
+// connect makes connections that wait in the listener's accept queue.
+func connect(t *testing.T, listener *accept.Listener, count int) {
+	t.Helper()
+	for range count {
 		client, err := net.Dial("tcp", listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer func() { _ = client.Close() }()
+		t.Cleanup(func() { _ = client.Close() })
 	}
-	listener.Refuse()
-	time.Sleep(stall)
-	for n := range waiting {
+}
+
+// acceptAll accepts the connections with a pause after each, and fails the test unless the listener is closed after them.
+func acceptAll(t *testing.T, listener *accept.Listener, count int, pause time.Duration) {
+	t.Helper()
+	for n := range count {
 		socket, err := listener.Accept()
 		if err != nil {
-			t.Fatalf("accepted %d of %d connections: %v", n, waiting, err)
+			t.Fatalf("accepted %d of %d connections: %v", n, count, err)
 		}
-		defer func() { _ = socket.Close() }()
+		t.Cleanup(func() { _ = socket.Close() })
+		time.Sleep(pause)
 	}
 	if _, err := listener.Accept(); !errors.Is(err, net.ErrClosed) {
 		t.Fatalf("Accept after the last connection returned %v, want net.ErrClosed", err)
--- a/internal/attempts/choose.go
+++ b/internal/attempts/choose.go
@@ -9,8 +9,7 @@
 
 const (
 	// maxSlotQueries is the number of backend servers queried for a free slot before the request
-	// waits at one. At 80% load each has a free slot with a probability of a half, so that four
-	// leave one request in sixteen to wait.
+	// waits at one. At 80% load half of them have a free slot, so that one request in sixteen waits.
 	maxSlotQueries = 4
 	// highBusyShare is the share of busy answers above which fewer backend servers are queried,
 	// since another round trip is unlikely to find a free slot.
--- a/internal/limits/order.go
+++ b/internal/limits/order.go
@@ -11,8 +11,7 @@
 
 const (
 	// maxOffered bounds the number of daemons that a report is offered to before it is counted
-	// locally. Even if half of the hosts are unreachable, one of eight is reachable in 255 of 256
-	// cases.
+	// locally. If half of the hosts are unreachable, one of eight is reachable in 255 of 256 cases.
 	maxOffered = 8
 	// hostsPerCollector is the number of hosts of a data centre that share a collector.
 	hostsPerCollector = 32
--- a/internal/quarantinesync/task.go
+++ b/internal/quarantinesync/task.go
@@ -149,7 +149,7 @@
 	}
 }
 
-// recallAnswer tells the table when the request was answered while it was not suspected.
+// recallAnswer has the table remember the last answer of the request from when it was not suspected.
 func (t *task) recallAnswer(head uint64, id string) {
 	if at, ok := t.syncer.answers.last(head, id); ok {
 		t.table.RememberAnswer(at, id)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -65,8 +65,7 @@
 	// takes long only if the accept queue is full.
 	connectTimeout = 500 * time.Millisecond
 	// unacknowledgedTimeout is how long bytes to a backend server may stay unacknowledged before
-	// the connection counts as lost. Loopback acknowledges immediately, so that only a backend
-	// server that is stalled itself takes this long.
+	// the connection counts as lost. On loopback only a stalled backend server takes this long.
 	unacknowledgedTimeout = 5 * time.Second
 )
 
--- a/test/registered/customers_test.go
+++ b/test/registered/customers_test.go
@@ -210,7 +210,7 @@
 	}
 }
 
-// TestLateHedgeIsCountedForItsRequest guards against a hedge that is held against another request because it
+// TestLateHedgeIsCountedForItsRequest guards against a hedge that counts as a run of another request because it
 // reaches its backend server after that request was sent.
 func TestLateHedgeIsCountedForItsRequest(t *testing.T) {
 	seen := newReceivedCustomers()
