--- a/internal/sidecar/suspicion.go
+++ b/internal/sidecar/suspicion.go
@@ -30,12 +30,9 @@
 	case detect.ConnectionRefused, detect.ConnectionLost:
 		begins = t.suspicion.RecordFailure(now, suspicion.BrokenConnectionWeight)
 	case detect.Error:
-		weight := suspicion.ScaledErrorWeight(others.Failure)
-		if weight == 0 {
-			t.suspicion.RecordSharedFailure(now)
-			return
+		if weight := suspicion.ScaledErrorWeight(others.Failure); weight > 0 { // zero if the others fail as often
+			begins = t.suspicion.RecordFailure(now, weight)
 		}
-		begins = t.suspicion.RecordFailure(now, weight)
 	case detect.TimedOut, detect.Overdue:
 		begins = t.suspicion.RecordSlowness(now, suspicion.OverdueWeight)
 	}
--- a/internal/sidecar/suspicion_test.go
+++ b/internal/sidecar/suspicion_test.go
@@ -85,34 +85,3 @@
 		}
 	}
 }
-
-// TestProbeThatFailsLikeTheOthersIsFollowedByAnother guards against a suspicion that lasts for seconds because a
-// probe whose failure shows nothing delays the next one like a probe that still runs.
-func TestProbeThatFailsLikeTheOthersIsFollowedByAnother(t *testing.T) {
-	const tookEach = 10 * time.Millisecond
-	task := newTestTask()
-	began := time.Now()
-	now := began
-	observe := func(outcome detect.Outcome, others detect.Baseline) {
-		task.recordSuspicion(now, detect.Observation{Outcome: outcome, Latency: tookEach}, others)
-	}
-	unknown, failing := detect.Baseline{}, detect.Baseline{Failure: 0.3}
-	observe(detect.Error, unknown)
-	observe(detect.Error, unknown)
-	if !task.suspicion.Suspected() {
-		t.Fatal("not suspected after two failures")
-	}
-	outcomes := []detect.Outcome{detect.OK, detect.Error, detect.OK, detect.Error, detect.OK}
-	for id := uint64(1); task.suspicion.Suspected(); now = now.Add(tookEach) {
-		if now.Sub(began) > time.Second {
-			t.Fatalf("still suspected after a second and %d probes", id-1)
-		}
-		if offer(task, now, id, hop.Call{}).err != nil {
-			continue
-		}
-		now = now.Add(tookEach)
-		observe(outcomes[id-1], failing)
-		task.release(now, releaseMessage{took: tookEach, isEvidence: true})
-		id++
-	}
-}
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -31,8 +31,7 @@
 //     backend servers would be probes. A successful probe is followed by the next one without a
 //     pause. If no idempotent request arrives, any other request may probe after two seconds.
 //   - Three consecutive successful probes end the suspicion. After a broken connection a probe
-//     counts as successful once it has run for 40 ms. A probe that fails as requests to the other
-//     backend servers do shows nothing: it is repeated after the current pause.
+//     counts as successful once it has run for 40 ms.
 //   - The backend server is proven (proof.go) if a request that started recently has run for 40 ms,
 //     or if none has started for so long that the next one has to show it.
 //   - The backend server appears to hang (hanging.go) while a request is slow, or was recently, and
@@ -275,23 +274,6 @@
 	}
 }
 
-// RecordSharedFailure records a failure that is common among the other backend servers, so that it
-// shows nothing about this one. If the request was a probe, the next one is due after the current
-// pause.
-func (s *Suspicion) RecordSharedFailure(now time.Time) {
-	if s.survivedProbes > 0 {
-		s.survivedProbes-- // already counted by ProbeSurvived
-		return
-	}
-	if !s.suspected || s.pendingProbe.IsZero() {
-		return
-	}
-	s.pendingProbe = time.Time{}
-	if next := now.Add(s.pause); next.Before(s.nextProbe) {
-		s.nextProbe = next
-	}
-}
-
 // RetryAfter returns how long a caller that is refused because of the suspicion should wait.
 func (s *Suspicion) RetryAfter(now time.Time) time.Duration {
 	return max(minProbePause, s.nextProbe.Sub(now))
