feat(declaration): logs and a metric say who watches the store, and how old its last known answer is

Hypotheses 1 and 2 of docs/incidents/config-floor.md could not be told apart: no line said when a daemon begins to watch the store or what it believed before, and no figure said how old its knowledge was. Events 209 and 210 and the gauge store_answer_age_seconds say so.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -142,6 +142,7 @@
 		Seeds:       s.Seeds,
 		Registers:   d.registers(),
 		Logger:      d.config.Logger,
+		Scope:       d.metrics.Scope,
 		Health:      d.health,
 		Peers:       d.peers,
 		Unreachable: d.isUnreachable,
--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -34,6 +34,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/evacuationsync"
 	"github.com/tideliftd/tidelift/internal/fleet"
@@ -54,6 +56,8 @@
 	Registers bool
 	// Logger receives the declaration events.
 	Logger *slog.Logger
+	// Scope receives the metrics.
+	Scope tally.Scope
 	// Health tracks whether the platform answers.
 	Health *storehealth.Health
 	// Peers is the client for control calls to other daemons.
@@ -89,8 +93,12 @@
 	inForce      atomic.Pointer[InForce]
 	plan         atomic.Pointer[gossip.Plan]
 	peerAnswered atomic.Bool
-	fetching     sync.Mutex // held while an announced revision is fetched
+	// answerAgeGauge shows the age of the last known answer of the platform, in seconds.
+	answerAgeGauge tally.Gauge
+	fetching       sync.Mutex // held while an announced revision is fetched
 }
 
 // New returns a follower with no declaration in force.
-func New(config Config) *Follower { return &Follower{config: config} }
+func New(config Config) *Follower {
+	return &Follower{config: config, answerAgeGauge: config.Scope.Gauge("store_answer_age_seconds")}
+}
--- a/internal/declaration/notice_test.go
+++ b/internal/declaration/notice_test.go
@@ -30,6 +30,7 @@
 	return New(Config{
 		Host:   "csepel-1",
 		Logger: logger,
+		Scope:  tally.NoopScope,
 		Health: storehealth.New(storehealth.Config{}),
 		Peers:  peers,
 		Members: membership.New(membership.Config{
--- a/internal/declaration/poll.go
+++ b/internal/declaration/poll.go
@@ -26,6 +26,7 @@
 // another daemon is known.
 func (f *Follower) pollPeers(ctx context.Context) {
 	for ctx.Err() == nil {
+		f.answerAgeGauge.Update(f.answerAge().Seconds())
 		if from, ok := f.drawPeer(); ok {
 			f.fetch(ctx, from)
 		} else {
--- a/internal/declaration/watch.go
+++ b/internal/declaration/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/wait"
 )
 
@@ -45,6 +46,9 @@
 func (f *Follower) watch(ctx context.Context) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	permanent := f.isPermanentWatcher()
+	event.Log(f.config.Logger, event.StoreWatched, "permanent", permanent, "answer_age_ms", f.answerAge().Milliseconds())
+	defer event.Log(f.config.Logger, event.StoreUnwatched, "permanent", permanent)
 	f.config.Health.BeginWatch()
 	go f.config.Source.Follow(ctx, f.Revision(), f.apply)
 	if f.config.WhileWatching != nil {
@@ -66,3 +70,21 @@
 	}
 	return plan.Watches(seen, time.Now())
 }
+
+// isPermanentWatcher reports whether the daemon is one of the few that always watch the platform.
+func (f *Follower) isPermanentWatcher() bool {
+	plan := f.plan.Load()
+	return plan != nil && plan.IsWatcher()
+}
+
+// unknownAge is the age of an answer of the platform that is not known.
+const unknownAge = -time.Millisecond
+
+// answerAge returns how long ago the platform last answered, as far as this daemon knows.
+func (f *Follower) answerAge() time.Duration {
+	seen := f.config.Health.LastSeen()
+	if seen.IsZero() {
+		return unknownAge
+	}
+	return time.Since(seen)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -48,6 +48,8 @@
 	DeclarationAccepted  = Event{205, slog.LevelInfo, "declaration accepted", "This daemon wrote an operator's change to the platform."}
 	DeclarationFromPeers = Event{206, slog.LevelInfo, "declaration taken from peers", "The platform did not answer, and other daemons supplied the declaration."}
 	DataCentreEvacuated  = Event{207, slog.LevelWarn, "data centre evacuated", "An operator evacuated a data centre: its backend servers complete what they run and receive no new requests from this daemon."}
+	StoreWatched         = Event{209, slog.LevelInfo, "store watched", "This daemon began to watch the store for declarations: permanent=true if it is one of the few that always do, otherwise because no other daemon has reported a recent answer of the store. The line says how old the last known answer is; -1 means that none is known."}
+	StoreUnwatched       = Event{210, slog.LevelInfo, "store no longer watched", "This daemon leaves the watching of the store to others again."}
 	DataCentreInUse      = Event{208, slog.LevelInfo, "data centre in use again", "An operator ended the evacuation of a data centre; its backend servers receive requests again."}
 )
 
@@ -98,7 +100,7 @@
 func All() []Event {
 	return []Event{
 		DaemonStarted, DaemonStopping, DaemonStopped, StopCut, ServeFailed, SettingsTaken, SettingsRefused, KeysRefused,
-		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers, DataCentreEvacuated, DataCentreInUse,
+		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers, DataCentreEvacuated, DataCentreInUse, StoreWatched, StoreUnwatched,
 		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerDraining, ServerBack, ServerSuspected, ServerTrusted, ServerProbed, ServerEnded,
 		RequestFailed, AttemptFailed, RequestRefused, RequestHedged, RouteSubrequest, RequestQuarantined, QuarantineEnded, QuarantineTrial, QuarantineUntried, QuarantineDropped,
 		ServersRegistered, RegistrationRefused, HostLearned, RecordRefused, PeerSilent, HostUnreachable, HostBack, HostGone, UpdatesDropped, HostListRefused, MoreHostsLearned,
