--- a/test/harness/faults.go
+++ b/test/harness/faults.go
@@ -31,15 +31,18 @@
 	proxies map[string]*toxiproxy.Proxy
 }
 
-func newFaults() *Faults {
+// NewFaults returns Faults without proxies, and a function that stops those that were added.
+func NewFaults() (*Faults, func()) {
 	metrics := toxiproxy.NewMetricsContainer(prometheus.NewRegistry())
-	return &Faults{
+	x := &Faults{
 		server:  toxiproxy.NewServer(metrics, zerolog.Nop()),
 		proxies: make(map[string]*toxiproxy.Proxy),
 	}
+	return x, x.close
 }
 
-func (x *Faults) add(name, listen, upstream string) error {
+// Add starts the proxy of a link, which listens at one address and connects to the other.
+func (x *Faults) Add(name, listen, upstream string) error {
 	proxy := toxiproxy.NewProxy(x.server, name, listen, upstream)
 	if err := proxy.Start(); err != nil {
 		return errors.Wrapf(err, "start proxy %s", name)
@@ -139,7 +142,7 @@
 		return nil
 	}
 	for _, b := range f.Backends {
-		if err := f.Faults.add(BackendLink(b.Name), b.proxyAddress(), b.Address()); err != nil {
+		if err := f.Faults.Add(BackendLink(b.Name), b.proxyAddress(), b.Address()); err != nil {
 			return err
 		}
 	}
@@ -156,10 +159,10 @@
 		if dataCentre == d.DataCentre {
 			continue
 		}
-		if err := f.Faults.add(PeerLink(dataCentre, d.Name), d.peersFrom(i), d.PeersAddress()); err != nil {
+		if err := f.Faults.Add(PeerLink(dataCentre, d.Name), d.peersFrom(i), d.PeersAddress()); err != nil {
 			return err
 		}
-		if err := f.Faults.add(ControlLink(dataCentre, d.Name), d.controlFrom(i), d.ControlAddress()); err != nil {
+		if err := f.Faults.Add(ControlLink(dataCentre, d.Name), d.controlFrom(i), d.ControlAddress()); err != nil {
 			return err
 		}
 	}
--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -108,8 +108,9 @@
 // force. The returned function stops everything that was started.
 func Start(spec Spec) (*Fleet, func(), error) {
 	f := &Fleet{Spec: spec, Platform: standin.New()}
-	f.Faults = newFaults()
-	f.onCleanUp(f.Faults.close)
+	faults, stopProxies := NewFaults()
+	f.Faults = faults
+	f.onCleanUp(stopProxies)
 	if err := f.start(); err != nil {
 		f.cleanUp()
 		return nil, nil, err
--- a/test/registered/fleet_test.go
+++ b/test/registered/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/tideliftd/tidelift/internal/daemon"
 	"github.com/tideliftd/tidelift/internal/settings"
 	"github.com/tideliftd/tidelift/platform"
+	"github.com/tideliftd/tidelift/test/harness"
 	"github.com/tideliftd/tidelift/test/standin"
 )
 
@@ -58,6 +59,8 @@
 	// dataCentres is the number of data centres that the hosts are spread over. Within a single one, every
 	// backend server gets some of the requests, which shows the backend servers that a host knows.
 	dataCentres int
+	// storeLinks holds a link to the store for each host, by the name of its daemon; nil if daemons call it directly.
+	storeLinks *harness.Faults
 }
 
 // host is a daemon and its backend server.
@@ -73,9 +76,11 @@
 	unready  time.Duration // how long its daemon continues to serve during a planned stop
 	cold     float64       // how much longer its backend server is cold, in seconds
 	served   atomic.Int64
-	crashed  atomic.Bool // the backend server has crashed and not restarted yet
-	handler  atomic.Pointer[func(http.ResponseWriter, *http.Request)]
-	log      syncBuffer
+	// hasStoreLink reports whether the host's link to the store has been started.
+	hasStoreLink bool
+	crashed      atomic.Bool // the backend server has crashed and not restarted yet
+	handler      atomic.Pointer[func(http.ResponseWriter, *http.Request)]
+	log          syncBuffer
 }
 
 // syncBuffer is a log that is safe for concurrent use.
@@ -144,6 +149,37 @@
 	return f
 }
 
+// addStoreLinks lets each daemon call the store through a link of its own. Call it before daemons start.
+func (f *fleet) addStoreLinks() {
+	links, stopLinks := harness.NewFaults()
+	f.t.Cleanup(stopLinks)
+	f.storeLinks = links
+}
+
+// silenceStore lets no data pass between the host's daemon and the store. Connections stay open.
+func (h *host) silenceStore() {
+	for _, direction := range []harness.Direction{harness.Requests, harness.Responses} {
+		if err := h.fleet.storeLinks.Cut(h.daemonName(), direction); err != nil {
+			h.fleet.t.Fatal(err)
+		}
+	}
+}
+
+// storeURL returns the URL at which the host's daemon calls the store, and starts the link that is there.
+func (h *host) storeURL() string {
+	if h.fleet.storeLinks == nil {
+		return h.fleet.storeURL
+	}
+	address := h.ip() + ":1007"
+	if !h.hasStoreLink {
+		if err := h.fleet.storeLinks.Add(h.daemonName(), address, strings.TrimPrefix(h.fleet.storeURL, "http://")); err != nil {
+			h.fleet.t.Fatal(err)
+		}
+		h.hasStoreLink = true
+	}
+	return "http://" + address
+}
+
 // add adds a host with a backend server of the service. It does not start the daemon.
 func (f *fleet) add(service string) *host {
 	h := &host{fleet: f, number: len(f.hosts), service: service}
@@ -175,13 +211,14 @@
 // start starts the host's daemon.
 func (h *host) start() {
 	h.fleet.t.Helper()
-	text := fmt.Sprintf(settingsText, h.number, h.number%h.fleet.dataCentres, h.ip(), h.fleet.storeURL, h.unready, h.service, h.fleet.source)
+	storeURL := h.storeURL()
+	text := fmt.Sprintf(settingsText, h.number, h.number%h.fleet.dataCentres, h.ip(), storeURL, h.unready, h.service, h.fleet.source)
 	s, err := settings.Parse("settings.yaml", []byte(text))
 	if err != nil {
 		h.fleet.t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	kv, closeStore := platform.NewStore(platform.StoreConfig{Address: h.fleet.storeURL})
+	kv, closeStore := platform.NewStore(platform.StoreConfig{Address: storeURL})
 	config := cli.DaemonConfig(s, kv)
 	config.Logger = slog.New(slog.NewJSONHandler(&h.log, nil))
 	ended := make(chan struct{})
