fix(storehealth): only an answered watch of the declaration counts as an answer of the store

What callers saw: hosts that reach the store refuse a new route for more than the bound (CONFIG). Cause, one of two: daemons leave the watching to others while the store was seen recently, and 'seen' meant less than it said. A watcher counted its pending watch as an answer until now, though its connection may have been silent for 4 s, and recorded that as the last answer when the watch failed; a daemon that had just joined counted the list of hosts, having read no declaration; both told others, who then waited longer. Now only the answer of a watch (or list) of the declaration counts, at the time of the answer, and a poll records it after the revision that came with it is in force. Daemons without a declaration leave the first reads to others for 5 s after joining, as before. Watches() says who watches now, not who should. TestState's last case records the answer of a watch, which is what its name says; a success of any call no longer stands for one.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -116,7 +116,7 @@
 		Store:    d.config.Store,
 		Prefix:   d.config.Settings.Platform.Prefix,
 		OnError:  d.health.RecordFailure,
-		OnAnswer: d.health.RecordSuccess,
+		OnAnswer: d.health.RecordWatched,
 	})
 }
 
--- a/internal/declaration/ask.go
+++ b/internal/declaration/ask.go
@@ -42,10 +42,10 @@
 	if response.Evacuations != nil {
 		f.config.Evacuations.Merge(*response.Evacuations)
 	}
-	f.config.Health.RecordSeen(time.Now().Add(-time.Duration(response.SilentMs) * time.Millisecond))
 	if response.Revision.Number > query.Revision {
 		f.apply(revision.Revision(response.Revision))
 	}
+	f.config.Health.RecordSeen(time.Now().Add(-time.Duration(response.SilentMs) * time.Millisecond))
 	return true
 }
 
--- a/internal/declaration/source.go
+++ b/internal/declaration/source.go
@@ -66,7 +66,7 @@
 		Redact:    config.Stored.Redact,
 		OnInvalid: func(err error) { event.Log(config.Logger, event.DeclarationRefused, "error", err) },
 		OnError:   config.Health.RecordFailure,
-		OnAnswer:  config.Health.RecordSuccess,
+		OnAnswer:  config.Health.RecordWatched,
 	}
 	return Source{
 		Follow: func(ctx context.Context, above int64, apply func(revision.Revision)) {
--- a/internal/declaration/watch.go
+++ b/internal/declaration/watch.go
@@ -14,8 +14,8 @@
 	// joinTimeout is how long a daemon that registers itself waits to join the others before it
 	// may read the declaration from the platform.
 	joinTimeout = 2 * time.Second
-	// bootstrapGrace is how long after the platform was last seen a daemon without a declaration
-	// leaves the watching to others.
+	// bootstrapGrace is how long after it has joined, or after the platform was last seen, a daemon without
+	// a declaration leaves the watching to others.
 	bootstrapGrace = 5 * time.Second
 )
 
@@ -24,12 +24,13 @@
 func (f *Follower) Run(ctx context.Context) {
 	go f.pollPeers(ctx)
 	f.awaitJoin(ctx)
+	joinedAt := time.Now()
 	for ctx.Err() == nil {
-		if !f.Watches() {
+		if !f.mustWatch(joinedAt) {
 			wait.For(ctx, watchCheckEvery)
 			continue
 		}
-		f.watch(ctx)
+		f.watch(ctx, joinedAt)
 	}
 }
 
@@ -43,31 +44,42 @@
 }
 
 // watch watches the platform while this daemon is one of the watchers.
-func (f *Follower) watch(ctx context.Context) {
+func (f *Follower) watch(ctx context.Context, joinedAt time.Time) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	permanent := f.isPermanentWatcher()
 	event.Log(f.config.Logger, event.StoreWatched, "permanent", permanent, "answer_age_ms", f.answerAge().Milliseconds())
 	defer event.Log(f.config.Logger, event.StoreUnwatched, "permanent", permanent)
+	f.watching.Store(true)
+	defer f.watching.Store(false)
 	f.config.Health.BeginWatch()
 	go f.config.Source.Follow(ctx, f.Revision(), f.apply)
 	if f.config.WhileWatching != nil {
 		go f.config.WhileWatching(ctx)
 	}
-	for ctx.Err() == nil && f.Watches() {
+	for ctx.Err() == nil && f.mustWatch(joinedAt) {
 		wait.For(ctx, watchCheckEvery)
 	}
 	f.config.Health.EndWatch()
 }
 
-// Watches reports whether this daemon watches the platform: because the plan selects it, because
-// there is no plan yet, or because it has no declaration and no watcher was seen recently.
-func (f *Follower) Watches() bool {
+// Watches reports whether this daemon watches the platform now.
+func (f *Follower) Watches() bool { return f.watching.Load() }
+
+// mustWatch reports whether this daemon has to watch the platform: it is one of the
+// watchers, or none of them has been heard from recently.
+func (f *Follower) mustWatch(joinedAt time.Time) bool {
 	plan := f.plan.Load()
-	seen := f.config.Health.LastSeen()
-	if plan == nil || f.inForce.Load() == nil && time.Since(seen) > bootstrapGrace {
+	if plan == nil {
 		return true
 	}
+	seen := f.config.Health.LastSeen()
+	if f.inForce.Load() == nil {
+		if joinedAt.After(seen) {
+			seen = joinedAt
+		}
+		return plan.IsWatcher() || time.Since(seen) > bootstrapGrace
+	}
 	return plan.Watches(seen, time.Now())
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -127,7 +127,6 @@
 	go m.applyScheduled(ctx)
 	lease := m.record.Write(ctx)
 	complete := m.record.Discover(ctx)
-	m.config.Record.Health.RecordSeen(time.Now())
 	if !m.syncWithAny(ctx) && !complete {
 		m.record.ReadAll(ctx) // the whole data centre may have lost power
 		m.syncWithAny(ctx)
--- a/internal/storehealth/storehealth.go
+++ b/internal/storehealth/storehealth.go
@@ -9,7 +9,8 @@
 //
 //	health := storehealth.New(storehealth.Config{Logger: logger})
 //	health.UntilAnswered(ctx, func() error { return kv.Renew(ctx, lease) })
-//	health.RecordSeen(at) // another daemon reported that the store answered then
+//	health.RecordWatched() // a watch of the declaration was answered
+//	health.RecordSeen(at)  // another daemon reported that its watch was answered then
 //	switch health.State() { ... }
 package storehealth
 
@@ -48,8 +49,8 @@
 	config   Config
 	local    atomic.Pointer[State] // result of this daemon's last call
 	watching atomic.Bool           // whether this daemon watches the store
-	// lastSeen is when the store was last known to answer. It keeps its monotonic reading, since the
-	// wall clock may step.
+	// lastSeen is when the store last answered a watch of the declaration, here or at another daemon. It
+	// keeps its monotonic reading, since the wall clock may step.
 	lastSeen atomic.Pointer[time.Time]
 }
 
@@ -72,12 +73,17 @@
 
 // RecordFailure records that a call failed.
 func (h *Health) RecordFailure(err error) {
-	h.RecordSeen(h.LastSeen())
 	if h.set(Down) != Down {
 		event.Log(h.config.Logger, event.PlatformUnreachable, "error", err)
 	}
 }
 
+// RecordWatched records that a watch of the declaration was answered, so that all changes up to now are known.
+func (h *Health) RecordWatched() {
+	h.RecordSuccess()
+	h.RecordSeen(time.Now())
+}
+
 // RecordSuccess records that a call was answered.
 func (h *Health) RecordSuccess() {
 	if h.set(Up) == Down {
@@ -85,7 +91,7 @@
 	}
 }
 
-// RecordSeen records that the store answered this daemon or another one at that time.
+// RecordSeen records that the store answered a watch of the declaration at that time, here or at another daemon.
 func (h *Health) RecordSeen(at time.Time) {
 	for {
 		known := h.lastSeen.Load()
@@ -95,23 +101,15 @@
 	}
 }
 
-// LastSeen returns when the store last answered this daemon or another one. That is now
-// while a watch is pending and the last call was answered.
-func (h *Health) LastSeen() time.Time {
-	if h.watching.Load() && h.Answers() {
-		return time.Now()
-	}
-	return *h.lastSeen.Load()
-}
+// LastSeen returns when the store last answered a watch of the declaration, here or at another daemon;
+// changes until then are known. A pending watch is no answer, since its connection may be broken silently.
+func (h *Health) LastSeen() time.Time { return *h.lastSeen.Load() }
 
 // BeginWatch records that this daemon begins to watch the store.
 func (h *Health) BeginWatch() { h.watching.Store(true) }
 
 // EndWatch records that this daemon no longer watches the store.
-func (h *Health) EndWatch() {
-	h.RecordSeen(h.LastSeen())
-	h.watching.Store(false)
-}
+func (h *Health) EndWatch() { h.watching.Store(false) }
 
 // Answers reports whether this daemon's last call was answered.
 func (h *Health) Answers() bool { return *h.local.Load() == Up }
--- a/internal/storehealth/storehealth_test.go
+++ b/internal/storehealth/storehealth_test.go
@@ -65,7 +65,7 @@
 		"another daemon saw one long ago":     {func(h *storehealth.Health) { h.RecordSeen(time.Now().Add(-time.Hour)) }, storehealth.Unknown},
 		"its watch was answered":              {func(h *storehealth.Health) { h.BeginWatch(); h.RecordSuccess() }, storehealth.Up},
 		"its watch fails, others see answers": {func(h *storehealth.Health) { h.BeginWatch(); h.RecordFailure(errUnreachable); h.RecordSeen(time.Now()) }, storehealth.Down},
-		"its watch has just ended":            {func(h *storehealth.Health) { h.BeginWatch(); h.RecordSuccess(); h.EndWatch() }, storehealth.Up},
+		"its watch has just ended":            {func(h *storehealth.Health) { h.BeginWatch(); h.RecordWatched(); h.EndWatch() }, storehealth.Up},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -78,6 +78,30 @@
 	}
 }
 
+// TestPendingWatchIsNoAnswer guards against a silently broken watch that counts as an answer of the store.
+func TestPendingWatchIsNoAnswer(t *testing.T) {
+	health := newHealth()
+	health.BeginWatch()
+	health.RecordWatched()
+	answered := health.LastSeen()
+	time.Sleep(10 * time.Millisecond)
+	steps := []struct {
+		name string
+		do   func()
+	}{
+		{"the watch is pending", func() {}},
+		{"another call was answered", health.RecordSuccess},
+		{"the watch has failed", func() { health.RecordFailure(errUnreachable) }},
+		{"the watch has ended", health.EndWatch},
+	}
+	for _, step := range steps {
+		step.do()
+		if got := health.LastSeen(); !got.Equal(answered) {
+			t.Errorf("%s: last seen %s after the answer", step.name, got.Sub(answered))
+		}
+	}
+}
+
 // TestRecordSeenKeepsLatest guards against an older report that replaces a newer one.
 func TestRecordSeenKeepsLatest(t *testing.T) {
 	health := newHealth()
