fix(declaration): daemons whose watchers fall silent watch the store within 1.6 s

What callers saw: a route that had been added was refused with 404 on hosts that reach the store, up to 8 s after the change was confirmed, where 2 s are promised (CONFIG). Change: a watch is answered at least once a second, also without a change. Watchers tell each answer to three daemons near, who tell it on; a daemon that hears of none for 1.3 to 1.6 s watches the store for ten seconds and tells others, which keeps their number small. One that finds no answer pauses, for longer in a larger fleet. A confirmation of a revision that is not known yet counts only once it is fetched, and a poll counts from when it was sent. A daemon that has just joined gives the watchers the same time.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -111,6 +111,9 @@
 	// Host is the host that has the revision.
 	Host     string `json:"host"`
 	Revision int64  `json:"revision"`
+	// SilentMs is the time since the host last knew the platform to respond, in milliseconds; it is nil if the
+	// notice announces only the revision.
+	SilentMs *int64 `json:"silent_ms,omitempty"`
 }
 
 // RevisionQuery is the parameter of MethodRevision.
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -116,7 +116,7 @@
 		Store:    d.config.Store,
 		Prefix:   d.config.Settings.Platform.Prefix,
 		OnError:  d.health.RecordFailure,
-		OnAnswer: d.health.RecordWatched,
+		OnAnswer: d.recordWatchAnswer,
 	})
 }
 
@@ -169,11 +169,15 @@
 		Stored:   d.config.StoredDeclaration,
 		Settings: func() settings.Source { return d.live.Load().Source },
 		OnBatch:  d.evacuations.ApplyBatch,
-		Health:   d.health,
+		OnError:  d.health.RecordFailure,
+		OnAnswer: d.recordWatchAnswer,
 		Logger:   d.config.Logger,
 	})
 }
 
+// recordWatchAnswer records that the store answered a watch of the declaration.
+func (d *daemon) recordWatchAnswer() { d.declarations.RecordAnswer() }
+
 // apply passes the declaration in force to the parts that depend on it.
 func (d *daemon) apply(index *fleet.Index) {
 	d.sidecar.Reconfigure(index)
--- a/internal/declaration/ask.go
+++ b/internal/declaration/ask.go
@@ -13,6 +13,9 @@
 // missed a change can query several others within two seconds.
 const syncTimeout = 400 * time.Millisecond
 
+// maxSilence is the age from which an answer of the platform counts as unknown.
+const maxSilence = time.Hour
+
 // fetch polls the daemon and reports whether that raised the revision in force.
 func (f *Follower) fetch(ctx context.Context, from peer) bool {
 	before := f.Revision()
@@ -33,6 +36,7 @@
 		Revision: f.Revision(), Hosts: f.config.Members.SumIfDue(from.dataCentre),
 		Quarantines: f.config.Quarantines.Sum(), Evacuations: f.config.Evacuations.Sum(),
 	}
+	askedAt := time.Now()
 	var response control.RevisionResponse
 	if err := f.config.Peers.Call(ctx, from.address, control.MethodRevision, query, &response); err != nil {
 		return false
@@ -45,10 +49,18 @@
 	if response.Revision.Number > query.Revision {
 		f.apply(revision.Revision(response.Revision))
 	}
-	f.config.Health.RecordSeen(time.Now().Add(-time.Duration(response.SilentMs) * time.Millisecond))
+	f.recordSilence(askedAt, response.SilentMs)
 	return true
 }
 
+// recordSilence records what another daemon said when it was asked: the platform answered it so many milliseconds
+// before. A daemon that knows of no answer reports centuries.
+func (f *Follower) recordSilence(askedAt time.Time, ms int64) {
+	if ms < maxSilence.Milliseconds() {
+		f.config.Health.RecordSeen(askedAt.Add(-time.Duration(ms) * time.Millisecond))
+	}
+}
+
 // recordQuarantines merges the quarantines of another daemon's answer. The answer holds none if
 // both daemons have the same.
 func (f *Follower) recordQuarantines(response control.RevisionResponse) {
--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -97,6 +97,8 @@
 	// answerAgeGauge shows the age of the last known answer of the platform, in seconds.
 	answerAgeGauge tally.Gauge
 	fetching       sync.Mutex // held while an announced revision is fetched
+	// announcedFetches counts the fetches of announced revisions that run or wait.
+	announcedFetches atomic.Int64
 }
 
 // New returns a follower with no declaration in force.
--- a/internal/declaration/notice.go
+++ b/internal/declaration/notice.go
@@ -3,16 +3,24 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/gossip"
 	"github.com/tideliftd/tidelift/internal/revision"
 )
 
-// receiveNotice fetches the revision that another daemon announces, if it is higher than the
-// current one.
+// maxAnnouncedFetches is the maximum number of announced fetches that run or wait. Fetches wait for each other, and
+// one from a daemon that does not answer takes syncTimeout; announcements are repeated.
+const maxAnnouncedFetches = 3
+
+// receiveNotice fetches the revision that another daemon announces if it is higher than the
+// current one, and otherwise records when the platform answered that daemon.
 func (f *Follower) receiveNotice(notice control.Notice) {
 	if notice.Revision <= f.Revision() {
+		if notice.SilentMs != nil {
+			f.receiveConfirmation(time.Now().Add(-time.Duration(*notice.SilentMs) * time.Millisecond))
+		}
 		return
 	}
 	if from, ok := f.peerOf(notice.Host); ok {
@@ -20,6 +28,33 @@
 	}
 }
 
+// RecordAnswer records that the platform answered a watch of this daemon, and tells others that the declaration in
+// force was the latest then.
+func (f *Follower) RecordAnswer() {
+	f.config.Health.RecordWatched()
+	f.sendConfirmation(time.Now())
+}
+
+// receiveConfirmation records that the declaration in force was the latest when the platform answered another
+// daemon, and passes it on if that is clearly later than what was known.
+func (f *Follower) receiveConfirmation(answeredAt time.Time) {
+	passOn := answeredAt.Sub(f.config.Health.LastSeen()) >= gossip.ConfirmStep
+	f.config.Health.RecordSeen(answeredAt)
+	if passOn {
+		f.sendConfirmation(answeredAt)
+	}
+}
+
+func (f *Follower) sendConfirmation(answeredAt time.Time) {
+	plan := f.plan.Load()
+	if plan == nil {
+		return // hosts that join later poll others
+	}
+	silentMs := time.Since(answeredAt).Milliseconds()
+	notice := control.Notice{Host: f.config.Host, Revision: f.Revision(), SilentMs: &silentMs}
+	f.config.Peers.Notify(plan.ConfirmTargets(), control.MethodNotice, notice)
+}
+
 // peerOf returns the daemon of a host. Without a declaration, the host is looked up among the
 // registered ones.
 func (f *Follower) peerOf(name string) (peer, bool) {
@@ -34,6 +69,10 @@
 // fetchAnnounced fetches a revision that the daemon has announced. Several daemons announce it at the
 // same time: it is fetched from one after the other, until one has sent it.
 func (f *Follower) fetchAnnounced(revision int64, from peer) {
+	defer f.announcedFetches.Add(-1)
+	if f.announcedFetches.Add(1) > maxAnnouncedFetches {
+		return
+	}
 	f.fetching.Lock()
 	defer f.fetching.Unlock()
 	if revision > f.Revision() {
--- a/internal/declaration/notice_test.go
+++ b/internal/declaration/notice_test.go
@@ -106,3 +106,18 @@
 		t.Fatalf("the revision was fetched %d times", count)
 	}
 }
+
+// TestConfirmationOfUnknownRevisionIsNotRecorded guards against a daemon that counts its declaration as the latest before
+// it has fetched a later one that is announced.
+func TestConfirmationOfUnknownRevisionIsNotRecorded(t *testing.T) {
+	f := newFollower(t)
+	silentMs := int64(0)
+	f.receiveNotice(control.Notice{Host: "csepel-2", Revision: 7, SilentMs: &silentMs})
+	if seen := f.config.Health.LastSeen(); !seen.IsZero() {
+		t.Errorf("revision 7 is unknown, and the platform counts as seen %s ago", time.Since(seen))
+	}
+	f.receiveNotice(control.Notice{Host: "csepel-2", Revision: 0, SilentMs: &silentMs})
+	if age := time.Since(f.config.Health.LastSeen()); age > time.Second {
+		t.Errorf("a confirmation of the revision in force was not recorded: seen %s ago", age)
+	}
+}
--- a/internal/declaration/source.go
+++ b/internal/declaration/source.go
@@ -9,7 +9,6 @@
 	"github.com/tideliftd/tidelift/internal/revision"
 	"github.com/tideliftd/tidelift/internal/settings"
 	"github.com/tideliftd/tidelift/internal/store"
-	"github.com/tideliftd/tidelift/internal/storehealth"
 )
 
 // Stored describes a declaration that another system keeps in the store.
@@ -50,8 +49,10 @@
 	Settings func() settings.Source
 	// OnBatch receives every batch of keys that is read from the store.
 	OnBatch func(store.Batch)
-	// Health records the outcome of each call. Logger receives an event for each invalid declaration.
-	Health *storehealth.Health
+	// OnError is called for each failed call, OnAnswer for each answered one.
+	OnError  func(error)
+	OnAnswer func()
+	// Logger receives an event for each invalid declaration.
 	Logger *slog.Logger
 }
 
@@ -65,8 +66,8 @@
 		Number:    config.Stored.Number,
 		Redact:    config.Stored.Redact,
 		OnInvalid: func(err error) { event.Log(config.Logger, event.DeclarationRefused, "error", err) },
-		OnError:   config.Health.RecordFailure,
-		OnAnswer:  config.Health.RecordWatched,
+		OnError:   config.OnError,
+		OnAnswer:  config.OnAnswer,
 	}
 	return Source{
 		Follow: func(ctx context.Context, above int64, apply func(revision.Revision)) {
--- a/internal/declaration/watch.go
+++ b/internal/declaration/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/event"
@@ -9,8 +10,19 @@
 )
 
 const (
-	// watchCheckEvery is the interval between checks whether to watch the platform.
+	// watchCheckEvery is the maximum interval between checks whether to watch the platform.
 	watchCheckEvery = time.Second
+	// minWatchCheck is the minimum interval between these checks.
+	minWatchCheck = 20 * time.Millisecond
+	// substituteFor is how long a daemon watches the platform in place of watchers that it has not heard from.
+	substituteFor = 10 * time.Second
+	// substituteAttempt is how long such a daemon waits for the platform to answer. It exceeds the
+	// timeout of a call.
+	substituteAttempt = 1500 * time.Millisecond
+	// minSubstitutePause is the mean pause before the next attempt. In a large fleet it is substitutePausePerHost
+	// for each host, so that the attempts of all daemons do not overload a platform that comes back.
+	minSubstitutePause     = time.Second
+	substitutePausePerHost = 2 * time.Millisecond
 	// joinTimeout is how long a daemon that registers itself waits to join the others before it
 	// may read the declaration from the platform.
 	joinTimeout = 2 * time.Second
@@ -20,17 +32,19 @@
 )
 
 // Run obtains revisions until ctx is done: it polls other daemons, and watches the
-// platform while this daemon is one of the watchers.
+// platform while this daemon is one of the watchers or hears of no answer to them.
 func (f *Follower) Run(ctx context.Context) {
 	go f.pollPeers(ctx)
 	f.awaitJoin(ctx)
 	joinedAt := time.Now()
 	for ctx.Err() == nil {
 		if !f.mustWatch(joinedAt) {
-			wait.For(ctx, watchCheckEvery)
+			wait.For(ctx, f.untilWatchCheck())
 			continue
 		}
-		f.watch(ctx, joinedAt)
+		if !f.watch(ctx) {
+			wait.For(ctx, f.substitutePause())
+		}
 	}
 }
 
@@ -43,8 +57,9 @@
 	}
 }
 
-// watch watches the platform while this daemon is one of the watchers.
-func (f *Follower) watch(ctx context.Context, joinedAt time.Time) {
+// watch watches the platform while this daemon is one of the watchers, or for a while in place of
+// watchers that it has not heard from. It returns false if it gave up because the platform does not answer.
+func (f *Follower) watch(ctx context.Context) bool {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	permanent := f.isPermanentWatcher()
@@ -53,40 +68,72 @@
 	f.watching.Store(true)
 	defer f.watching.Store(false)
 	f.config.Health.BeginWatch()
+	defer f.config.Health.EndWatch()
 	go f.config.Source.Follow(ctx, f.Revision(), f.apply)
 	if f.config.WhileWatching != nil {
 		go f.config.WhileWatching(ctx)
 	}
-	for ctx.Err() == nil && f.mustWatch(joinedAt) {
+	began := time.Now()
+	for ctx.Err() == nil && f.keepsWatching(permanent, began) {
 		wait.For(ctx, watchCheckEvery)
+		if f.isUnanswered(began) {
+			return false
+		}
 	}
-	f.config.Health.EndWatch()
+	return true
+}
+
+// keepsWatching reports whether a daemon that began to watch the platform then, as one of the watchers or in
+// place of them, goes on.
+func (f *Follower) keepsWatching(permanent bool, began time.Time) bool {
+	return f.isPermanentWatcher() || !permanent && time.Since(began) < substituteFor
+}
+
+// isUnanswered reports whether a daemon that began to watch the platform then in place of others gives up.
+func (f *Follower) isUnanswered(began time.Time) bool {
+	return !f.isPermanentWatcher() && time.Since(began) > substituteAttempt && f.config.Health.LastSeen().Before(began)
 }
 
 // Watches reports whether this daemon watches the platform now.
 func (f *Follower) Watches() bool { return f.watching.Load() }
 
 // mustWatch reports whether this daemon has to watch the platform: it is one of the
-// watchers, or none of them has been heard from recently.
+// watchers, or none of them has been heard from recently. A daemon that has just joined gives them time.
 func (f *Follower) mustWatch(joinedAt time.Time) bool {
-	plan := f.plan.Load()
-	if plan == nil {
+	if f.isPermanentWatcher() {
 		return true
 	}
 	seen := f.config.Health.LastSeen()
+	if joinedAt.After(seen) {
+		seen = joinedAt
+	}
 	if f.inForce.Load() == nil {
-		if joinedAt.After(seen) {
-			seen = joinedAt
-		}
-		return plan.IsWatcher() || time.Since(seen) > bootstrapGrace
+		return time.Since(seen) > bootstrapGrace
+	}
+	return f.plan.Load().Watches(seen, time.Now())
+}
+
+// untilWatchCheck returns how long to wait before checking again whether to watch the platform.
+func (f *Follower) untilWatchCheck() time.Duration {
+	plan := f.plan.Load()
+	if plan == nil {
+		return minWatchCheck
 	}
-	return plan.Watches(seen, time.Now())
+	staleIn := plan.StaleIn(f.config.Health.LastSeen(), time.Now())
+	return min(max(staleIn+time.Millisecond, minWatchCheck), watchCheckEvery)
+}
+
+// substitutePause returns how long to wait before the next attempt to watch a platform that does not answer.
+func (f *Follower) substitutePause() time.Duration {
+	hosts, _ := f.Hosts()
+	mean := max(minSubstitutePause, time.Duration(len(hosts))*substitutePausePerHost)
+	return mean/2 + rand.N(mean)
 }
 
-// isPermanentWatcher reports whether the daemon is one of the few that always watch the platform.
+// isPermanentWatcher reports whether the daemon is one of the few that always watch the platform, or does not know.
 func (f *Follower) isPermanentWatcher() bool {
 	plan := f.plan.Load()
-	return plan != nil && plan.IsWatcher()
+	return plan == nil || plan.IsWatcher()
 }
 
 // unknownAge is the age of an answer of the platform that is not known.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -10,6 +10,7 @@
 //	plan := gossip.NewPlan(gossip.Config{Host: "csepel-1", DataCentre: "csepel", Random: rand.Uint64}, hosts)
 //	if plan.Watches(freshAt, now) { ... }                   // watch the platform
 //	for _, host := range plan.NotifyTargets() { ... }       // notify of a new revision
+//	for _, host := range plan.ConfirmTargets() { ... }      // notify of an answer of the platform
 //	for _, host := range plan.UpdateTargets() { ... }       // send updates of hosts
 //	for _, host := range plan.RemoteUpdateTargets() { ... } // send updates of the local host
 //	host, ok := plan.PollTarget()                           // poll about every PollInterval
@@ -31,9 +32,12 @@
 //     includes the time since the other daemon knew the platform to answer.
 //   - In each data centre, a few daemons, the relays, regularly compare all hosts with
 //     other data centres. What they learn spreads within theirs.
+//   - A watcher notifies a few daemons of its data centre of each answer of the
+//     platform, even if nothing has changed. Each passes it on if it is later than
+//     the last known one by at least ConfirmStep.
 //   - A daemon that has not learned of an answer of the platform for StaleAfter,
-//     plus a random time of up to the same length, watches the platform itself,
-//     since the watchers may be gone.
+//     plus a short random time, watches the platform itself, since the watchers
+//     may be gone or cut off.
 package gossip
 
 import (
@@ -58,9 +62,17 @@
 	RemoteFanout = 2
 	// PollInterval is how often a daemon polls another one for its revision.
 	PollInterval = 500 * time.Millisecond
-	// StaleAfter is how long a daemon relies on the watchers. They may all be lost
-	// together, and a change must still be in force within seconds.
-	StaleAfter = 5 * time.Second
+	// ConfirmFanout is how many daemons of its own data centre a daemon notifies of an answer of the platform.
+	ConfirmFanout = 3
+	// ConfirmStep is how much later than the last known one an answer of the platform must be to be passed on.
+	ConfirmStep = 400 * time.Millisecond
+	// StaleAfter is how long after the last known answer of the platform a daemon relies on the watchers. They
+	// may all be lost together, and a change must still be in force within two seconds. Watchers are
+	// answered at least once a second.
+	StaleAfter = 1300 * time.Millisecond
+	// staleJitter is the maximum random time that is added to StaleAfter, so that the first daemons that watch
+	// the platform instead spare the others.
+	staleJitter = 300 * time.Millisecond
 	// updateFanout is how many daemons of its own data centre a daemon sends updates of
 	// hosts. Each record reaches a daemon about as many times; polls make up for losses.
 	updateFanout = 2
@@ -121,14 +133,20 @@
 	p.relay = ahead < RelaysPerDataCentre
 	p.remoteNeighbours = p.drawRemoteNeighbours()
 	p.localNeighbours = p.sample(p.local, maxNeighbours-len(p.remoteNeighbours))
-	p.staleAfter = StaleAfter + time.Duration(config.Random()%uint64(StaleAfter))
+	p.staleAfter = StaleAfter + time.Duration(config.Random()%uint64(staleJitter))
 	return p
 }
 
 // Watches reports whether the daemon has to watch the platform, given when the
 // platform was last known to answer.
 func (p *Plan) Watches(answered, now time.Time) bool {
-	return p.watcher || now.Sub(answered) > p.staleAfter
+	return p.watcher || p.StaleIn(answered, now) < 0
+}
+
+// StaleIn returns for how much longer the daemon relies on the watchers without another answer; negative if it no
+// longer does.
+func (p *Plan) StaleIn(answered, now time.Time) time.Duration {
+	return p.staleAfter - now.Sub(answered)
 }
 
 // IsWatcher reports whether the daemon is one of the permanent watchers.
@@ -150,6 +168,9 @@
 	return append(p.sample(p.local, LocalFanout), p.sample(p.remote, RemoteFanout)...)
 }
 
+// ConfirmTargets returns random hosts of the same data centre to notify of an answer of the platform.
+func (p *Plan) ConfirmTargets() []fleet.Host { return p.sample(p.local, ConfirmFanout) }
+
 // UpdateTargets returns random hosts of the same data centre to send updates of hosts to.
 func (p *Plan) UpdateTargets() []fleet.Host { return p.sample(p.local, updateFanout) }
 
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -87,6 +87,43 @@
 	}
 }
 
+// TestConfirmationsReachNearlyAll guards against daemons that do not hear of the answers to the only watcher left, and
+// watch the platform themselves.
+func TestConfirmationsReachNearlyAll(t *testing.T) {
+	const answers = 200
+	for _, each := range []int{8, 30, 200, 1000} {
+		all := hosts(1, each)
+		made := plans(all, 1)
+		missed := make(map[string]int) // consecutive answers that a daemon did not hear of
+		stale := 0
+		for range answers {
+			heard := map[string]bool{"dc0-0": true}
+			for frontier := []string{"dc0-0"}; len(frontier) > 0; {
+				name := frontier[0]
+				frontier = frontier[1:]
+				for _, other := range made[name].ConfirmTargets() {
+					if !heard[other.Name] {
+						heard[other.Name] = true
+						frontier = append(frontier, other.Name)
+					}
+				}
+			}
+			for _, h := range all {
+				missed[h.Name]++
+				if heard[h.Name] {
+					missed[h.Name] = 0
+				}
+				if missed[h.Name] == 2 {
+					stale++
+				}
+			}
+		}
+		if share := float64(stale) / float64(answers*each); share > 0.01 {
+			t.Errorf("%d hosts: two answers in a row are missed at %.3f of the answers", each, share)
+		}
+	}
+}
+
 func TestSingleHostHasNoTargets(t *testing.T) {
 	plan := plans(hosts(1, 1), 1)["dc0-0"]
 	if _, ok := plan.PollTarget(); ok || len(plan.NotifyTargets()) != 0 || !plan.Watches(epoch, epoch) {
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -29,9 +29,9 @@
 const (
 	// maxChanges is the number of most recent changes that the root lists.
 	maxChanges = 64
-	// watchWait is the maximum wait of one watch. It bounds how long a silently broken
-	// connection, or a watch that the store lost, keeps a change from being noticed.
-	watchWait = 3 * time.Second
+	// watchWait is the maximum wait of one watch. It bounds how old the last answer of a watch is, and how long
+	// a silently broken connection goes unnoticed. Other daemons rely on an answer each second.
+	watchWait = time.Second
 	// maxLookups is the number of attempts to look up a change whose answer was lost.
 	maxLookups = 4
 )
