fix(sidecar): a backend server that names a limit gets no more requests than that

Cause: nothing read what they say; each got what its slots and load allow. Class: something that the platform says is neither read nor counted as unknown. The sidecar reads it from every answer, whatever its status, and its queue grants no more than that rate, as for cold backend servers; a request that is not to wait, or would miss its latency target, is refused at once with 2028 and goes to another backend server, and the ingress skips this one until the next grant. Answers carry the limit to ingresses, whose requests bring it back after a restart of the sidecar's daemon. A limit that cannot be read is counted (sidecar_invalid_limits, event 314) and changes nothing; below 0.2 a second it counts as 0.2. A change of the rate no longer fills the bucket again. Ruled out: keeping parts of the limit at ingresses; one request at a time after each start.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -30,10 +30,12 @@
 //  4. It appears to hang or is not proven to run requests, and the request is to be refused in that case: refused.
 //  5. The request is a retry, and the retry budgets of the calls that it will make have
 //     nothing left and cannot borrow: refused.
-//  6. No slot is free, and the request is not to wait: refused.
-//  7. A slot is free: granted.
-//  8. It would start too late, or the queue or its customer's share of it is full: refused.
-//  9. Otherwise it waits.
+//  6. The backend server names a limit that is used up, and the request is not to wait or would miss its latency
+//     target: refused.
+//  7. No slot is free, and the request is not to wait: refused.
+//  8. A slot is free: granted.
+//  9. It would start too late, or the queue or its customer's share of it is full: refused.
+//  10. Otherwise it waits.
 //
 // # Rules of the queue
 //
@@ -97,6 +99,8 @@
 	// RefusedRetry means that the retry budget of a service that the request would call is
 	// exhausted.
 	RefusedRetry Verdict = "refused-retry"
+	// RefusedLimited means that the rate of requests that the backend server names is used up.
+	RefusedLimited Verdict = "refused-limited"
 	// RefusedBusy means that no slot is free and the request is not to wait.
 	RefusedBusy Verdict = "refused-busy"
 )
@@ -232,6 +236,13 @@
 	return !r.LatencyTargetAt.IsZero() && from.Add(typical).After(r.LatencyTargetAt)
 }
 
+// startsLate reports whether a request that waits now is answered after its latency target, or without one
+// after its deadline.
+func (q *Queue) startsLate(now time.Time, r Request) bool {
+	start := now.Add(q.estimatedWait(q.countAhead(r.Priority) + 1))
+	return start.After(r.Deadline) || q.missesLatencyTarget(start, r)
+}
+
 // countAhead returns the number of waiting requests that are served before a new one of the
 // priority.
 func (q *Queue) countAhead(priority int) int {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -168,7 +168,7 @@
 					waiting[nextID] = customer
 				case admission.RefusedFull, admission.RefusedTooSlow, admission.RefusedShare:
 				case admission.RefusedDraining, admission.RefusedEvacuated, admission.RefusedSuspected, admission.RefusedEjected,
-					admission.RefusedHanging, admission.RefusedRetry, admission.RefusedBusy:
+					admission.RefusedHanging, admission.RefusedRetry, admission.RefusedLimited, admission.RefusedBusy:
 					t.Fatalf("Offer returned %s, want a verdict of the queue", decision.Verdict)
 				}
 			},
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -27,6 +27,8 @@
 	// RetryLeft means that the retry budgets of the calls that a retry will make have enough
 	// left or can borrow.
 	RetryLeft bool
+	// NamesLimit means that the rate of grants is a limit that the backend server names.
+	NamesLimit bool
 	// Size is its current capacity.
 	Size Config
 }
@@ -78,6 +80,9 @@
 		return Decision{Verdict: RefusedRetry}
 	}
 	q.Resize(s.Size)
+	if s.NamesLimit && !q.rate.allows() && (a.RefuseIfBusy || q.startsLate(now, r)) {
+		return Decision{Verdict: RefusedLimited, RetryAfter: q.rate.wait(q.waiting + 1)}
+	}
 	if a.RefuseIfBusy && !q.HasSlot() {
 		return Decision{Verdict: RefusedBusy, RetryAfter: q.RetryAfter()}
 	}
--- a/internal/admission/many_test.go
+++ b/internal/admission/many_test.go
@@ -85,7 +85,7 @@
 		case admission.RefusedFull, admission.RefusedTooSlow:
 			result.refused++
 		case admission.RefusedDraining, admission.RefusedEvacuated, admission.RefusedSuspected, admission.RefusedEjected,
-			admission.RefusedHanging, admission.RefusedRetry, admission.RefusedBusy:
+			admission.RefusedHanging, admission.RefusedRetry, admission.RefusedLimited, admission.RefusedBusy:
 			panic("Offer returned " + decision.Verdict)
 		}
 	}
--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -26,6 +26,19 @@
 	}
 }
 
+// change changes the limit. Grants that were available remain so, up to what the new limit lets accumulate.
+func (l *rateLimit) change(now time.Time, perSecond float64) {
+	if l.perSecond == perSecond {
+		return
+	}
+	available := 1.0
+	if l.perSecond > 0 {
+		available = l.available
+	}
+	*l = rateLimit{perSecond: perSecond, at: now}
+	l.available = math.Min(available, l.burst())
+}
+
 // allows reports whether a grant is available, as of the last refill.
 func (l *rateLimit) allows() bool { return l.perSecond == 0 || l.available >= 1 }
 
@@ -45,10 +58,8 @@
 // requests may be granted a slot now.
 func (q *Queue) SetRate(now time.Time, perSecond float64) bool {
 	limited := q.rate.perSecond > 0
-	if q.rate.perSecond != perSecond {
-		q.rate = rateLimit{perSecond: perSecond, available: 1, at: now}
-	}
 	q.rate.refill(now)
+	q.rate.change(now, perSecond)
 	return limited && q.waiting > 0
 }
 
--- a/internal/admission/rate_test.go
+++ b/internal/admission/rate_test.go
@@ -90,3 +90,46 @@
 		t.Fatalf("granted %v, load %g after the end of the limit", granted, q.Load())
 	}
 }
+
+// TestChangingLimitGrantsNoMore guards against a limit that each change of its value fills again.
+func TestChangingLimitGrantsNoMore(t *testing.T) {
+	q := admission.NewQueue(admission.Config{Slots: 50, Depth: 80})
+	now := start
+	granted := 0
+	for i := range 400 {
+		q.SetRate(now, []float64{1, 1.1}[i%2])
+		if q.Offer(now, admission.Request{ID: uint64(i), Deadline: now}).Verdict == admission.Granted {
+			granted++
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	if granted > 6 {
+		t.Fatalf("%d grants in 4 s at about 1 a second", granted)
+	}
+}
+
+// TestNamedLimitRefusesWhatWouldBeLate guards against requests that wait for a grant in vain.
+func TestNamedLimitRefusesWhatWouldBeLate(t *testing.T) {
+	limited := admission.Server{NamesLimit: true, Size: admission.Config{Slots: 8, Depth: 80}}
+	inTime := admission.Request{ID: 2, LatencyTargetAt: start.Add(time.Second), Deadline: start.Add(2 * time.Second)}
+	late := admission.Request{ID: 3, LatencyTargetAt: start.Add(200 * time.Millisecond), Deadline: start.Add(2 * time.Second)}
+	tests := []struct {
+		name    string
+		attempt admission.Attempt
+		request admission.Request
+		want    admission.Verdict
+	}{
+		{"not to wait", admission.Attempt{RefuseIfBusy: true}, inTime, admission.RefusedLimited},
+		{"in time", admission.Attempt{}, inTime, admission.Queued},
+		{"late", admission.Attempt{}, late, admission.RefusedLimited},
+	}
+	for _, test := range tests {
+		q := admission.NewQueue(limited.Size)
+		q.SetRate(start, 2)
+		q.Admit(start, &limited, admission.Attempt{}, admission.Request{ID: 1, Deadline: start.Add(time.Second)})
+		got := q.Admit(start, &limited, test.attempt, test.request)
+		if got.Verdict != test.want || got.Verdict == admission.RefusedLimited && got.RetryAfter != 500*time.Millisecond {
+			t.Errorf("%s: %s after %s, want %s", test.name, got.Verdict, got.RetryAfter, test.want)
+		}
+	}
+}
--- a/internal/attempts/history.go
+++ b/internal/attempts/history.go
@@ -24,6 +24,8 @@
 	Sent int
 	// FullQueues is the number of refusals because of a full queue.
 	FullQueues int
+	// LimitRefusals is the number of refusals because of a limit that a backend server names.
+	LimitRefusals int
 	// RetryRefusals is the number of refusals because the retry budget has no room for the calls of
 	// a retry.
 	RetryRefusals int
@@ -73,6 +75,8 @@
 		}
 	case failures.QueueFull:
 		h.FullQueues++
+	case failures.Limited:
+		h.LimitRefusals++
 	case failures.NoRetryBudget:
 		h.RetryRefusals++
 	case failures.Unchanged, failures.NotAccepting, failures.HostUnreachable, failures.HostUnresponsive, failures.Unreachable:
--- a/internal/attempts/retry.go
+++ b/internal/attempts/retry.go
@@ -14,6 +14,9 @@
 	// considered full. The less loaded of two backend servers drawn at random is tried first, so
 	// that after three the others are unlikely to have room.
 	MaxFullQueues = 3
+	// minLimitRefusals is the number of refusals because of limits that backend servers name before the search for
+	// one with room may end. In a large service that names limits everywhere, a request would ask hundreds.
+	minLimitRefusals = 4
 	// maxRetryRefusals is the number of refusals for lack of retry budget after which the failure
 	// is final. Each sidecar answers for the services that its backend server would call; if three
 	// have no budget left for those, most have none.
@@ -31,6 +34,8 @@
 		return false // the other queues are as full, and the latency target has passed
 	case class.Target == failures.QueueFull:
 		return h.FullQueues < MaxFullQueues || r.Subrequest
+	case class.Target == failures.Limited:
+		return h.LimitRefusals < minLimitRefusals || r.hasTimeToReselect(now)
 	case !class.Reached:
 		return true // the refusal cost the backend servers nothing
 	case h.Sent >= r.MaxSent || h.RetryRefusals >= maxRetryRefusals:
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -26,6 +26,7 @@
 	probation        atomic.Uint32
 	baseline         atomic.Pointer[baseline]  // nil if that of the pool applies
 	poolBaseline     *atomic.Pointer[baseline] // of targets without one of their own
+	limitBits        atomic.Uint64             // limit that the backend server names; zero if none
 	requests         atomic.Int64
 	failures         atomic.Int64
 }
@@ -57,6 +58,12 @@
 // Load returns the last reported load.
 func (t *Target) Load() float64 { return math.Float64frombits(t.loadBits.Load()) }
 
+// RecordServerLimit records the limit that the backend server named last, in requests a second; zero if none.
+func (t *Target) RecordServerLimit(perSecond float64) { t.limitBits.Store(math.Float64bits(perSecond)) }
+
+// ServerLimit returns the limit that the backend server named last.
+func (t *Target) ServerLimit() float64 { return math.Float64frombits(t.limitBits.Load()) }
+
 // SetShare sets the share of its part of the requests that the target gets, up to FullShare.
 func (t *Target) SetShare(share uint32) { t.share.Store(share) }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -64,6 +64,9 @@
 	ServerProbed    = Event{310, slog.LevelInfo, "backend server probed", "A suspected backend server was sent a request that shows whether it has recovered."}
 	ServerTrusted   = Event{309, slog.LevelInfo, "backend server trusted again", "Repeatable requests succeeded, so the backend server is no longer chosen last."}
 	ServerEnded     = Event{311, slog.LevelWarn, "backend server ended", "A backend server of this host ended while it ran the request: the connection was lost, and its address refuses new connections. One line is logged for each request that it was running."}
+	ServerLimited   = Event{312, slog.LevelInfo, "backend server limited", "The backend server names in its answers how many requests a second it takes; it is sent no more, and the others are preferred meanwhile."}
+	LimitEnded      = Event{313, slog.LevelInfo, "backend server no longer limited", "The backend server no longer names a limit on its requests."}
+	LimitRefused    = Event{314, slog.LevelWarn, "limit refused", "The backend server names a limit that cannot be read; the limit that was in force stays in force. Further ones are only counted."}
 	ServerBack      = Event{307, slog.LevelInfo, "backend server no longer leaving", "The backend server accepts new work again."}
 )
 
@@ -101,7 +104,7 @@
 	return []Event{
 		DaemonStarted, DaemonStopping, DaemonStopped, StopCut, ServeFailed, SettingsTaken, SettingsRefused, KeysRefused,
 		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers, DataCentreEvacuated, DataCentreInUse, StoreWatched, StoreUnwatched,
-		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerDraining, ServerBack, ServerSuspected, ServerTrusted, ServerProbed, ServerEnded,
+		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerDraining, ServerBack, ServerSuspected, ServerTrusted, ServerProbed, ServerEnded, ServerLimited, LimitEnded, LimitRefused,
 		RequestFailed, AttemptFailed, RequestRefused, RequestHedged, RouteSubrequest, RequestQuarantined, QuarantineEnded, QuarantineTrial, QuarantineUntried, QuarantineDropped,
 		ServersRegistered, RegistrationRefused, HostLearned, RecordRefused, PeerSilent, HostUnreachable, HostBack, HostGone, UpdatesDropped, HostListRefused, MoreHostsLearned,
 	}
--- a/internal/failures/failures.go
+++ b/internal/failures/failures.go
@@ -35,6 +35,8 @@
 	// QueueFull: it has no free slot and no place in its queue from which the request would run in
 	// time.
 	QueueFull TargetState = "queue-full"
+	// Limited: it names a limit on its requests, which is used up for the moment.
+	Limited TargetState = "limited"
 	// Suspected: its sidecar suspects it, so others are preferred for a short time.
 	Suspected TargetState = "suspected"
 	// Hanging: it appears to hang, and the request was to be refused in that case.
@@ -88,7 +90,7 @@
 // and a line for each would be three quarters of the log.
 func (m Classification) PassedOver() bool {
 	switch m.Target {
-	case NoSlot, QueueFull, Suspected, Hanging, NoRetryBudget:
+	case NoSlot, QueueFull, Limited, Suspected, Hanging, NoRetryBudget:
 		return true
 	case Unchanged, NotAccepting, HostUnreachable, HostUnresponsive, Unreachable:
 	}
--- a/internal/failures/table.go
+++ b/internal/failures/table.go
@@ -40,6 +40,7 @@
 
 	// The backend server does not accept this request now.
 	result.Busy.Number:         {Target: NoSlot, NeedsRetryAfter: true},
+	result.Limited.Number:      {Target: Limited, NeedsRetryAfter: true},
 	result.QueueFull.Number:    {Target: QueueFull, NeedsRetryAfter: true},
 	result.QueueTooSlow.Number: {Target: QueueFull, NeedsRetryAfter: true},
 	result.Suspected.Number:    {Target: Suspected, NeedsRetryAfter: true},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -180,6 +180,7 @@
 	RetrySlack     float64             `yaml:"retry-slack" json:"retry-slack,omitempty" jsonschema:"description=Retries that the whole fleet may make in a retry-window beyond the share. Default 40."`
 	RetryWindow    time.Duration       `yaml:"retry-window" json:"retry-window,omitempty" jsonschema:"type=string,description=The time that retries are counted over. Default 10s."`
 	RetryShare     float64             `yaml:"retry-share" json:"retry-share,omitempty" jsonschema:"description=Retries as a share of the service's requests. Default 0.1."`
+	LimitHeader    string              `yaml:"limit-header" json:"limit-header,omitempty" jsonschema:"description=The header of an answer by which a backend server names how many requests a second it takes from all hosts together. Default none."`
 	DrainingHeader string              `yaml:"leaving-header" json:"leaving-header,omitempty" jsonschema:"description=The header of an answer by which a backend server says that it is leaving. Default X-Leaving."`
 	ColdStart      time.Duration       `yaml:"cold-start" json:"cold-start,omitempty" jsonschema:"type=string,description=How long a backend server counts as cold after its start unless it says otherwise."`
 	ColdRate       float64             `yaml:"cold-rate" json:"cold-rate,omitempty" jsonschema:"description=Requests a second that a cold backend server is sent at most. Default 0 for no limit."`
--- a/internal/hop/call.go
+++ b/internal/hop/call.go
@@ -52,4 +52,7 @@
 	// Baseline describes the performance of the service's other backend servers, as detect.Baseline
 	// encodes it; it may be empty.
 	Baseline string
+	// ServerLimit is the limit that the backend server named in its last answer to this host, in
+	// requests a second; zero if none. It has a header of its own.
+	ServerLimit float64
 }
--- a/internal/hop/encode.go
+++ b/internal/hop/encode.go
@@ -62,6 +62,7 @@
 		return errors.Wrap(err, "encode call")
 	}
 	h[HeaderCall] = []string{callEncoding.EncodeToString(data)}
+	EncodeLimit(h, c.ServerLimit)
 	return nil
 }
 
@@ -96,7 +97,9 @@
 	if w.BackendServer == "" {
 		return Call{}, errors.New(HeaderCall + " names no backend server")
 	}
-	return w.call(), nil
+	call := w.call()
+	call.ServerLimit = DecodeLimit(h)
+	return call, nil
 }
 
 // call returns the decoded call.
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -20,6 +20,7 @@
 package hop
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -40,6 +41,9 @@
 	// HeaderFailing carries the share of the backend server's recent requests that failed; it is
 	// absent if none did.
 	HeaderFailing = "Tidelift-Failing"
+	// HeaderLimit carries the limit that the backend server names, in requests a second, both in a request and in
+	// an answer; it is absent if there is none.
+	HeaderLimit = "Tidelift-Limit"
 	// HeaderDetail and HeaderRetryAfter accompany the result code of a refusal.
 	HeaderDetail     = "Tidelift-Detail"
 	HeaderRetryAfter = "Tidelift-Retry-After-Ms"
@@ -80,6 +84,22 @@
 	return share
 }
 
+// EncodeLimit sets the header with the limit that the backend server names, if there is one.
+func EncodeLimit(h http.Header, perSecond float64) {
+	if perSecond > 0 {
+		h[HeaderLimit] = []string{strconv.FormatFloat(perSecond, 'g', -1, 64)}
+	}
+}
+
+// DecodeLimit reads the header set by EncodeLimit; it returns zero if the header is missing or not a limit.
+func DecodeLimit(h http.Header) float64 {
+	perSecond, err := strconv.ParseFloat(h.Get(HeaderLimit), 64)
+	if err != nil || !(perSecond > 0) || math.IsInf(perSecond, 0) {
+		return 0
+	}
+	return perSecond
+}
+
 // SuppressDate keeps net/http from adding a Date header to an answer to another daemon, which does
 // not use it.
 func SuppressDate(h http.Header) { h["Date"] = nil }
--- a/internal/ingress/failures_test.go
+++ b/internal/ingress/failures_test.go
@@ -22,6 +22,7 @@
 2010 tried paused
 2013 tried paused
 2027 tried paused
+2028 tried paused
 2017 tried sent
 2018 tried sent
 2019 suspected
--- a/internal/ingress/learn.go
+++ b/internal/ingress/learn.go
@@ -27,6 +27,7 @@
 func (a *attempt) learnFromAnswer(answer sidecar.Answer, took time.Duration) {
 	a.request.service.pool.RecordLoad(a.Target, answer.Load, time.Now())
 	a.request.service.pool.RecordFailureShare(a.Target, answer.Failing, time.Now())
+	a.Target.RecordServerLimit(answer.Limit)
 	if a.RefuseIfBusy {
 		a.request.service.pool.RecordSlotCheck(true)
 	}
@@ -53,6 +54,9 @@
 	case failures.NoSlot:
 		pool.RecordLoad(a.Target, 1, time.Now())
 		pool.RecordSlotCheck(false)
+	case failures.Limited:
+		pool.RecordLoad(a.Target, 1, time.Now())
+		pool.Pause(a.Target, time.Now().Add(limitPause(failure)))
 	case failures.Suspected:
 		pool.Suspect(a.Target, time.Now().Add(a.suspicionPause(failure)))
 	case failures.NotAccepting:
@@ -99,6 +103,12 @@
 	return failure.RetryAfter + rand.N(failure.RetryAfter+1)
 }
 
+// limitPause returns how long to skip a target whose limit is used up. The random part spreads the requests of all
+// ingresses.
+func limitPause(failure *result.Error) time.Duration {
+	return failure.RetryAfter + rand.N(failure.RetryAfter/4+1)
+}
+
 // pauseFor returns how long to skip a target that takes no requests.
 func pauseFor(failure *result.Error) time.Duration {
 	if failure.RetryAfter > 0 {
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -50,6 +50,7 @@
 		Origin:            a.in.config.Service,
 		Priority:          r.priority,
 		Baseline:          a.Target.Baseline(),
+		ServerLimit:       a.Target.ServerLimit(),
 	}
 }
 
@@ -77,7 +78,7 @@
 		return sidecar.Answer{}, hop.Classify(ctx, true, result.PeerUnreachable, err)
 	}
 	load, waited := hop.DecodeServed(response.Header)
-	return sidecar.Answer{Response: response, Load: load, Failing: hop.DecodeFailing(response.Header), Waited: waited}, nil
+	return sidecar.Answer{Response: response, Load: load, Failing: hop.DecodeFailing(response.Header), Limit: hop.DecodeLimit(response.Header), Waited: waited}, nil
 }
 
 // hop sends one request to another daemon. A refusal is returned as an error.
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -48,6 +48,7 @@
 	Quarantined           = Code{2025, "quarantined", http.StatusServiceUnavailable, RanNo, "The same request ended each backend server that ran it; none is sent it until it is known to be harmless, so that it is of no use to send it again."}
 	ConnectionUnused      = Code{2026, "connection-unused", http.StatusRequestTimeout, RanNo, "The daemon closed the connection on which it had not read a whole request; a request that was sent meanwhile is not read."}
 	Evacuated             = Code{2027, "evacuated", http.StatusServiceUnavailable, RanNo, "An operator evacuated the backend server's data centre; it takes no new work."}
+	Limited               = Code{2028, "limited", http.StatusServiceUnavailable, RanNo, "The backend server names a limit on its requests, which is used up for the moment."}
 	ReservationUnanswered = Code{2015, "reservation-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a reservation in time; the request was never sent."}
 )
 
@@ -87,7 +88,7 @@
 	return []Code{
 		MalformedRequest, NoRoute, AmbiguousFraming, HeadersTooLarge, BodyTooLarge, BadDeadline, UpgradeRefused, ProtocolVersion, KeyMissing, KeyUnknown,
 		NotReady, Stopping, NoneAble, QueueFull, QueueTooSlow, CustomerShare, Draining, Ejected, PeerUnreachable, ServerUnreachable,
-		ReservationExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, ReservationUnanswered, PlaceLost, NotTaken, Misdirected, Suspected, Busy, Unproven, MovedOn, RetryLimit, CustomerLimit, Quarantined, ConnectionUnused, Evacuated,
+		ReservationExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, ReservationUnanswered, PlaceLost, NotTaken, Misdirected, Suspected, Busy, Unproven, MovedOn, RetryLimit, CustomerLimit, Quarantined, ConnectionUnused, Evacuated, Limited,
 		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, StoppedWhileRunning, SpoiltAnswer, ServerFailed, ServerError,
 		BadDeclaration, RevisionChanged, PlatformDown, NotDeclared, ChangeUnknown, ValueTooLarge, MalformedCall, PeerSilent, ChangeIDReused, TokenRefused, RoleRefused, DeclaredElsewhere, NoneLeft,
 	}
--- a/internal/sidecar/acquire.go
+++ b/internal/sidecar/acquire.go
@@ -39,7 +39,7 @@
 	requestedAt := time.Now()
 	request := newRequest(id, call, requestedAt.Add(call.TimeLeft))
 	reply := make(chan grant, 1)
-	if !s.send(offerMessage{attempt: newAttempt(call), request: request, host: call.Host, reply: reply}) {
+	if !s.send(offerMessage{attempt: newAttempt(call), request: request, host: call.Host, serverLimit: call.ServerLimit, reply: reply}) {
 		return nil, result.New(result.Draining)
 	}
 	select {
--- a/internal/sidecar/admit.go
+++ b/internal/sidecar/admit.go
@@ -10,6 +10,7 @@
 
 // offer submits one request to admission control and applies the decision.
 func (t *task) offer(now time.Time, m *offerMessage) {
+	t.adoptLimit(now, m.serverLimit)
 	t.suspicion.RecordOffer(now)
 	serverState := t.serverState(now, m)
 	decision := t.queue.Admit(now, &serverState, m.attempt, m.request)
@@ -52,6 +53,7 @@
 	}
 	s.Hanging = m.attempt.RefuseIfHanging && (t.suspicion.Hanging(now) || !t.suspicion.Proven(now))
 	s.RetryLeft = m.attempt.Retry && t.config.Retries.MayRun(now, t.declared.Service.Name)
+	s.NamesLimit = t.limit.PerSecond() > 0
 	s.Size = t.size(now)
 	return s
 }
@@ -82,6 +84,8 @@
 		return result.Unproven
 	case admission.RefusedRetry:
 		return result.RetryLimit
+	case admission.RefusedLimited:
+		return result.Limited
 	case admission.RefusedBusy:
 		return result.Busy
 	case admission.RefusedTooSlow:
--- a/internal/sidecar/cold.go
+++ b/internal/sidecar/cold.go
@@ -21,12 +21,12 @@
 	}
 }
 
-// limitRate limits the rate of requests while the backend server is cold, and grants the slots that
-// the rate permits by now.
+// limitRate limits the rate of requests while the backend server is cold or names a limit, and grants the slots
+// that the rate permits by now.
 func (t *task) limitRate(now time.Time) {
-	rate := t.declared.Service.ColdRate
-	if !now.Before(t.coldUntil) {
-		rate = 0
+	rate := t.limit.PerSecond()
+	if cold := t.declared.Service.ColdRate; cold > 0 && now.Before(t.coldUntil) && (rate == 0 || cold < rate) {
+		rate = cold
 	}
 	if t.queue.SetRate(now, rate) {
 		granted, expired := t.queue.Grant(now)
--- a/internal/sidecar/do.go
+++ b/internal/sidecar/do.go
@@ -18,6 +18,8 @@
 	Load float64
 	// Failing is the share of the backend server's recent requests that failed.
 	Failing float64
+	// Limit is the limit that the backend server names, in requests a second; zero if none.
+	Limit float64
 	// Waited is how long the request waited for a slot.
 	Waited time.Duration
 }
@@ -63,7 +65,7 @@
 		slot.release()
 		end()
 	})
-	return Answer{Response: response, Load: server.load(), Failing: server.failureRate(), Waited: slot.waited}, nil
+	return Answer{Response: response, Load: server.load(), Failing: server.failureRate(), Limit: server.limit(), Waited: slot.waited}, nil
 }
 
 // reportAnswered calls Config.OnAnswer.
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -28,11 +28,13 @@
 	left := call.TimeLeft - time.Since(began)
 	out.Header.Set(names.DeadlineHeader, strconv.FormatInt(left.Milliseconds(), 10))
 	names.address(out.Header, call)
+	sentAt := time.Now()
 	response, err := server.pool.Do(ctx, out, func(r *http.Response) bool { return names.matches(r, in) })
 	if err != nil {
 		sent := !errors.Is(err, backend.ErrNotSent)
 		return nil, hop.Classify(ctx, sent, result.ServerUnreachable, err)
 	}
+	s.recordLimit(server, response.Header, sentAt)
 	if failure := names.check(response); failure != nil {
 		_ = response.Body.Close()
 		return nil, failure
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -57,6 +57,7 @@
 	defer func() { _ = answer.Response.Body.Close() }()
 	hop.EncodeServed(w.Header(), answer.Load, answer.Waited)
 	hop.EncodeFailing(w.Header(), answer.Failing)
+	hop.EncodeLimit(w.Header(), answer.Limit)
 	if err := hop.WriteAnswer(w, answer.Response); err != nil {
 		panic(http.ErrAbortHandler) // closes the connection, so that the answer does not look complete
 	}
--- a/internal/sidecar/messages.go
+++ b/internal/sidecar/messages.go
@@ -7,6 +7,7 @@
 	"github.com/tideliftd/tidelift/internal/detect"
 	"github.com/tideliftd/tidelift/internal/floor"
 	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/serverlimit"
 )
 
 // Messages to the task of a backend server.
@@ -15,7 +16,9 @@
 		attempt admission.Attempt
 		request admission.Request
 		host    string // of the ingress
-		reply   chan grant
+		// serverLimit is the limit that the backend server named to the ingress's host; zero if none.
+		serverLimit float64
+		reply       chan grant
 	}
 	observeMessage struct {
 		observation detect.Observation
@@ -41,6 +44,8 @@
 	drainMessage struct{ draining bool }
 	// coldMessage reports how long the backend server is cold.
 	coldMessage struct{ until time.Time }
+	// limitMessage reports what an answer says about the limit of the backend server.
+	limitMessage struct{ statement serverlimit.Statement }
 	// hostListMessage reports whether the platform's host list marks the host as draining.
 	hostListMessage struct{ draining bool }
 	// selfDrainMessage reports that an answer of the backend server says that it is draining.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -21,6 +21,9 @@
 	ended           chan struct{}
 	loadBits        atomic.Uint64
 	failureRateBits atomic.Uint64 // the share of recent requests that failed
+	limitBits       atomic.Uint64 // the limit that it names, in requests a second; zero if none
+	limitInvalid    atomic.Bool   // the last limit that it named could not be read
+	limitGauge      tally.Gauge
 	draining        atomic.Bool
 	endedAt         atomic.Int64 // when its end was detected, in Unix milliseconds; zero after the next answer
 	declared        atomic.Pointer[declared]
@@ -36,6 +39,7 @@
 		ended:        make(chan struct{}),
 		slotTime:     newSlotTime(config.Scope, d.Service.Name),
 		sentRequests: newSentRequests(config.Scope, d.Service.Name),
+		limitGauge:   config.Scope.Tagged(map[string]string{"service": d.Service.Name}).Gauge("sidecar_server_limit"),
 	}
 	s.declared.Store(d)
 	dialer := dial.New(dial.Config{ConnectTimeout: connectTimeout, UserTimeout: unacknowledgedTimeout})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 //	admit.go       decides on a request, by internal/admission
 //	slots.go       grants and queues slots
 //	cold.go        limits the rate of requests to a cold backend server
+//	limit.go       keeps the limit that a backend server names in its answers
 //	draining.go    refuses new work while the backend server is draining
 //	suspicion.go   refuses requests at the first sign of failure
 //	eject.go       takes an unhealthy backend server out of service if the floor permits it
@@ -103,6 +104,7 @@
 	refused      metric.Reasons
 	connects     tally.Counter
 	ends         tally.Counter // runs that ended with their backend server
+	badLimits    tally.Counter // limits of backend servers that could not be read
 	nextID       atomic.Uint64
 	stopping     atomic.Bool
 	reservations *reservations
@@ -127,6 +129,7 @@
 		refused:      metric.NewReasons(config.Scope, "sidecar_refusals"),
 		connects:     config.Scope.Counter("sidecar_connects"),
 		ends:         config.Scope.Counter("sidecar_runs_ended"),
+		badLimits:    config.Scope.Counter("sidecar_invalid_limits"),
 		reservations: newReservations(),
 		callers:      newCallers(),
 	}
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -10,6 +10,7 @@
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/floor"
+	"github.com/tideliftd/tidelift/internal/serverlimit"
 	"github.com/tideliftd/tidelift/internal/suspicion"
 )
 
@@ -32,6 +33,7 @@
 	selfDrainUntil    time.Time // end of the draining that its own answer reported
 	probationInFlight bool      // a probation request is running
 	coldUntil         time.Time // until when the rate of requests is limited
+	limit             serverlimit.Limit
 	suspicion         *suspicion.Suspicion
 	refusedHosts      map[string]bool // hosts whose requests were refused because of suspicion
 }
@@ -79,6 +81,7 @@
 	t.server.loadBits.Store(math.Float64bits(t.queue.Load()))
 	t.server.failureRateBits.Store(math.Float64bits(t.subject.FailureRate()))
 	t.server.draining.Store(t.isDraining(now))
+	t.server.publishLimit(t.limit.PerSecond())
 }
 
 // tick does the periodic work.
@@ -108,6 +111,8 @@
 		t.drain(m.draining)
 	case coldMessage:
 		t.coldUntil = m.until
+	case limitMessage:
+		t.recordLimit(now, m.statement)
 	case hostListMessage:
 		t.applyHostList(now, m.draining)
 	case selfDrainMessage:
