fix(sidecar): a backend server whose answer says that it leaves gets no more requests

Where backend servers register themselves it counts like a registration that says so: final for this start of theirs, and kept by other daemons and the store. Where hosts are declared it holds for ten seconds, as before.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -210,6 +210,10 @@
 func (d *daemon) isUnreachable(host string) bool { return d.ingress.Unreachable(host) }
 
 func (d *daemon) buildSidecar() {
+	var onLeaving func(string)
+	if d.registers() {
+		onLeaving = d.members.RecordLeaving
+	}
 	var cleanUp func()
 	d.sidecar, cleanUp = sidecar.New(sidecar.Config{
 		Host:        d.config.Settings.Name,
@@ -217,6 +221,7 @@
 		Logger:      d.config.Logger,
 		Scope:       d.metrics.Scope,
 		OnAnswer:    func(good bool) { d.ingress.ServerAnswered(good) },
+		OnLeaving:   onLeaving,
 		Peer:        d.sidecarPeer(),
 		Runs:        d.runs,
 		Retries:     d.budgets,
--- a/internal/membership/registrations.go
+++ b/internal/membership/registrations.go
@@ -34,15 +34,21 @@
 			}
 			return nil
 		},
-		Leave: func(name string) {
-			if m.known.leave(name) {
-				m.applyRegistration("leave", name, 0)
-			}
-		},
+		Leave:   func(name string) { m.recordLeft("leave", name) },
 		OnError: func(err error) { event.Log(m.config.Logger, event.RegistrationRefused, "error", err) },
 	}
 }
 
+// RecordLeaving records that an answer of a local backend server says that it is leaving, which is final for this
+// incarnation of it.
+func (m *Membership) RecordLeaving(name string) { m.recordLeft("answer", name) }
+
+func (m *Membership) recordLeft(why, name string) {
+	if m.known.leave(name) {
+		m.applyRegistration(why, name, 0)
+	}
+}
+
 // mayRegister reports whether the registration is accepted, which requires a declared
 // service. A registration for an undeclared service may come from any process
 // and must not take over another backend server's address. All registrations are
--- a/internal/sidecar/draining.go
+++ b/internal/sidecar/draining.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/event"
@@ -10,6 +11,18 @@
 // server gets a request again, and the next answer shows whether it still drains.
 const selfDrainDuration = 10 * time.Second
 
+// recordDraining records whether the head of an answer, whatever its status, says that the backend server is draining.
+func (s *Sidecar) recordDraining(server *server, answer http.Header) {
+	d := server.declared.Load()
+	if answer.Get(d.Service.DrainingHeader) == "" {
+		return
+	}
+	server.send(selfDrainMessage{})
+	if s.config.OnLeaving != nil && !server.leaving.Swap(true) {
+		go s.config.OnLeaving(d.BackendServer.Name)
+	}
+}
+
 // isDraining reports whether the backend server takes no new work because it is draining: set by an
 // operator, by its own answer or by the platform's host list.
 func (t *task) isDraining(now time.Time) bool {
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -35,6 +35,7 @@
 		return nil, hop.Classify(ctx, sent, result.ServerUnreachable, err)
 	}
 	s.recordLimit(server, response.Header, sentAt)
+	s.recordDraining(server, response.Header)
 	if failure := names.check(response); failure != nil {
 		_ = response.Body.Close()
 		return nil, failure
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -25,6 +25,7 @@
 	limitInvalid    atomic.Bool   // the last limit that it named could not be read
 	limitGauge      tally.Gauge
 	draining        atomic.Bool
+	leaving         atomic.Bool  // Config.OnLeaving has been called
 	endedAt         atomic.Int64 // when its end was detected, in Unix milliseconds; zero after the next answer
 	declared        atomic.Pointer[declared]
 	pool            *backend.Pool
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -83,6 +83,9 @@
 	// OnAnswer is called for each answer of a backend server of this host; good is false if the
 	// answer reports a failure. It may be nil.
 	OnAnswer func(good bool)
+	// OnLeaving is called once for each backend server of this host whose answer says that it is draining; nil if
+	// such draining ends by itself.
+	OnLeaving func(backendServer string)
 	// Runs records what the backend servers of this host run; nil creates a table private to the
 	// sidecar.
 	Runs *runs.Table
--- a/internal/sidecar/slot.go
+++ b/internal/sidecar/slot.go
@@ -52,9 +52,6 @@
 func (s *slot) answered(response *http.Response) {
 	s.observation.Outcome, s.isEvidence = detect.OutcomeFromResponse(response)
 	s.finish()
-	if response.Header.Get(s.server.declared.Load().Service.DrainingHeader) != "" {
-		s.server.send(selfDrainMessage{})
-	}
 }
 
 // failed records a failure.
