fix(sidecar): a limit that the backend server no longer names is not adopted after the first answer

The first answer without a limit after a start was not recorded while no limit was in force, so that an ingress that still remembered an old one could bring it back for the time of one answer. Found by reading the change; no test showed it in a running daemon (TestAdoptedLimitEndsWithTheFirstAnswer guards the decision).

--- a/internal/sidecar/limit.go
+++ b/internal/sidecar/limit.go
@@ -19,7 +19,7 @@
 	values := answer.Values(d.Service.LimitHeader)
 	if len(values) == 0 {
 		server.limitInvalid.Store(false)
-		if server.limit() > 0 {
+		if server.limit() > 0 || !server.answered.Swap(true) {
 			server.send(limitMessage{serverlimit.Statement{SentAt: sentAt}})
 		}
 		return
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -22,6 +22,7 @@
 	loadBits        atomic.Uint64
 	failureRateBits atomic.Uint64 // the share of recent requests that failed
 	limitBits       atomic.Uint64 // the limit that it names, in requests a second; zero if none
+	answered        atomic.Bool   // an answer without a limit has been recorded
 	limitInvalid    atomic.Bool   // the last limit that it named could not be read
 	limitGauge      tally.Gauge
 	draining        atomic.Bool
