--- a/internal/declaration/notice.go
+++ b/internal/declaration/notice.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// RecordAnswer records that the platform answered a watch of this daemon, and tells others that the declaration in
-// force was the latest then.
+// RecordAnswer records that the platform answered a watch of this daemon, and notifies others that the declaration
+// in force was the latest then.
 func (f *Follower) RecordAnswer() {
 	f.config.Health.RecordWatched()
 	f.sendConfirmation(time.Now())
--- a/internal/declaration/watch.go
+++ b/internal/declaration/watch.go
@@ -84,7 +84,7 @@
 }
 
 // keepsWatching reports whether a daemon that began to watch the platform then, as one of the watchers or in
-// place of them, goes on.
+// place of them, continues.
 func (f *Follower) keepsWatching(permanent bool, began time.Time) bool {
 	return f.isPermanentWatcher() || !permanent && time.Since(began) < substituteFor
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -66,9 +66,8 @@
 	ConfirmFanout = 3
 	// ConfirmStep is how much later than the last known one an answer of the platform must be to be passed on.
 	ConfirmStep = 400 * time.Millisecond
-	// StaleAfter is how long after the last known answer of the platform a daemon relies on the watchers. They
-	// may all be lost together, and a change must still be in force within two seconds. Watchers are
-	// answered at least once a second.
+	// StaleAfter is how long after the last known answer of the platform, of which watchers have one a second, a daemon
+	// relies on them. They may all be lost together, and a change must still be in force within two seconds.
 	StaleAfter = 1300 * time.Millisecond
 	// staleJitter is the maximum random time that is added to StaleAfter, so that the first daemons that watch
 	// the platform instead spare the others.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -84,7 +84,7 @@
 	// answer reports a failure. It may be nil.
 	OnAnswer func(good bool)
 	// OnLeaving is called once for each backend server of this host whose answer says that it is draining; nil if
-	// such draining ends by itself.
+	// such draining expires.
 	OnLeaving func(backendServer string)
 	// Runs records what the backend servers of this host run; nil creates a table private to the
 	// sidecar.
