fix(declaration): a daemon that joins does not watch the store before it knows who does

Now a daemon with a declaration leaves the watching to others for a second after it has joined, and a watch waits for 0.75 to 1 s, before 0.5 to 1 s.

--- a/internal/declaration/watch.go
+++ b/internal/declaration/watch.go
@@ -26,6 +26,8 @@
 	// joinTimeout is how long a daemon that registers itself waits to join the others before it
 	// may read the declaration from the platform.
 	joinTimeout = 2 * time.Second
+	// settleTime is how long after it has joined a daemon with a declaration leaves the watching to others.
+	settleTime = time.Second
 	// bootstrapGrace is how long after it has joined, or after the platform was last seen, a daemon without
 	// a declaration leaves the watching to others.
 	bootstrapGrace = 5 * time.Second
@@ -98,19 +100,24 @@
 func (f *Follower) Watches() bool { return f.watching.Load() }
 
 // mustWatch reports whether this daemon has to watch the platform: it is one of the
-// watchers, or none of them has been heard from recently. A daemon that has just joined gives them time.
+// watchers, or none of them has been heard from recently. A daemon that has just joined and has a declaration
+// gives the others time, since it does not know yet who the watchers are.
 func (f *Follower) mustWatch(joinedAt time.Time) bool {
-	if f.isPermanentWatcher() {
-		return true
-	}
+	plan := f.plan.Load()
 	seen := f.config.Health.LastSeen()
 	if joinedAt.After(seen) {
 		seen = joinedAt
 	}
-	if f.inForce.Load() == nil {
-		return time.Since(seen) > bootstrapGrace
+	switch {
+	case plan == nil:
+		return true
+	case f.inForce.Load() == nil:
+		return plan.IsWatcher() || time.Since(seen) > bootstrapGrace
+	case time.Since(joinedAt) < settleTime:
+		return false
+	default:
+		return plan.Watches(seen, time.Now())
 	}
-	return f.plan.Load().Watches(seen, time.Now())
 }
 
 // untilWatchCheck returns how long to wait before checking again whether to watch the platform.
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -23,7 +23,7 @@
 	Store Store
 	// Prefix selects the keys to follow.
 	Prefix string
-	// Wait is the maximum wait of one watch. Up to half of it is jitter, so that
+	// Wait is the maximum wait of one watch. Up to a quarter of it is jitter, so that
 	// watchers do not synchronise. A silently broken connection goes unnoticed for
 	// up to this long.
 	Wait time.Duration
@@ -72,7 +72,7 @@
 		batch, err = config.Store.List(ctx, config.Prefix)
 		batch.Complete = true
 	} else {
-		batch, err = config.Store.Watch(ctx, config.Prefix, after, config.Wait/2+rand.N(config.Wait/2))
+		batch, err = config.Store.Watch(ctx, config.Prefix, after, config.Wait-rand.N(config.Wait/4))
 	}
 	if err != nil {
 		return after, err
