fix(declaration): a few lost notices start no watch of the store

Seen: in four of six starts of 40 daemons, none of them with a fault, one daemon that is no watcher began to watch the store 1.3 to 1.6 s after the last answer that it knew of, for ten seconds.

Cause: notices of answers go to three random daemons each, so that some daemon misses two in a row, and the usual poll, every 250 to 750 ms, does not always come before the limit of 1.3 to 1.6 s.

Change: the next poll comes at the latest 300 ms before a daemon would watch, then every 100 ms until then. Once it watches, and while the watchers are lost, the usual pace holds.

Ruled out: a longer limit, which a change within two seconds doesn't allow; more notices, which cost each daemon calls all the time.

--- a/internal/declaration/poll.go
+++ b/internal/declaration/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/gossip"
@@ -12,6 +13,11 @@
 const (
 	// maxDraws is the maximum number of further draws if the drawn daemon is unreachable.
 	maxDraws = 4
+	// pollBeforeWatch is how long before a daemon would watch the platform itself it polls another one at the latest,
+	// since most often only some notices were lost.
+	pollBeforeWatch = 300 * time.Millisecond
+	// minPollPause is the minimum pause between two polls.
+	minPollPause = 100 * time.Millisecond
 	// anyHostPollRatio is the number of polls of which one, on average, goes to any host ever known.
 	anyHostPollRatio = 8
 )
@@ -32,10 +38,24 @@
 		} else {
 			f.pollSeeds(ctx)
 		}
-		wait.For(ctx, gossip.PollInterval/2+rand.N(gossip.PollInterval))
+		wait.For(ctx, f.untilPoll(gossip.PollInterval/2+rand.N(gossip.PollInterval)))
 	}
 }
 
+// untilPoll returns how long to wait before the next poll: the usual time, or less if this daemon would have to watch
+// the platform soon.
+func (f *Follower) untilPoll(usual time.Duration) time.Duration {
+	plan := f.plan.Load()
+	if plan == nil || plan.IsWatcher() {
+		return usual
+	}
+	staleIn := plan.StaleIn(f.config.Health.LastSeen(), time.Now())
+	if staleIn < 0 {
+		return usual
+	}
+	return min(usual, max(staleIn-pollBeforeWatch, minPollPause))
+}
+
 // drawPeer returns the daemon to poll next. Occasionally this is any host ever known, since a host
 // that was removed may be back and know no others.
 func (f *Follower) drawPeer() (peer, bool) {
