fix(floor): full backend servers refuse the leases of slow ones

Cause: an ejection for slowness goes by time alone, and the others renew its leases although they have to refuse requests themselves. The class: a decision that compares one backend server with the others, in force while all are short of room.

Change: a backend server that refused a request for want of slots in the last second refuses the lease of one whose only symptom is slowness. The holder asks all others at once, and returns 0.4 s later if too few of them have room. After a refused try the next comes after one to two seconds, so that a shortage doesn't add calls. A failed probation changes the cause of the ejection. Errors, hangs and lost connections eject as before, and the floor is never kept less: there are only more refusals, and leases that count for a shorter time.

--- a/internal/detect/detect.go
+++ b/internal/detect/detect.go
@@ -30,7 +30,8 @@
 //  5. Ejection (Subject.Eject). With leases from as many other servers as the floor requires
 //     (package floor), the server receives no work for Rules.EjectionTime, or longer if it was
 //     ejected recently. The leases are renewed; if too few remain, the server is reinstated
-//     immediately (Subject.Reinstate).
+//     immediately (Subject.Reinstate). A server that is merely slow gets none from servers that
+//     refuse requests for want of slots.
 //  6. Probation (Subject.ObserveProbation). After the ejection time the server receives one
 //     idempotent request at a time. A failed or slow one ejects it again;
 //     Rules.ProbationPasses consecutive good ones reinstate it.
--- a/internal/detect/ejection.go
+++ b/internal/detect/ejection.go
@@ -87,6 +87,9 @@
 		s.baseline = others
 	}
 	slow := s.baseline.TypicalLatency > 0 && o.Latency > s.rules.slowLimit(s.baseline.TypicalLatency)
+	if o.Outcome != OK {
+		s.ejection.cause = causeNames[causeIndex(o.Outcome)]
+	}
 	if o.Outcome != OK || slow {
 		s.Eject(now)
 		return false
@@ -99,6 +102,14 @@
 	return true
 }
 
+// Cause returns the main symptom of a subject that is ejected or unhealthy.
+func (s *Subject) Cause(now time.Time) Cause {
+	if s.ejection.ejected {
+		return s.ejection.cause
+	}
+	return s.Verdict(now).Cause
+}
+
 // Reinstate puts the subject back in service with a growing traffic share.
 func (s *Subject) Reinstate(now time.Time) {
 	s.ejection.ejected = false
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,7 +57,7 @@
 var (
 	ServerAvoided   = Event{301, slog.LevelWarn, "backend server avoided", "This daemon prefers other backend servers because of what it observes on the path to this one."}
 	ServerEjected   = Event{302, slog.LevelWarn, "backend server ejected", "The daemon of the backend server's host refuses work for it."}
-	ServerReturned  = Event{304, slog.LevelInfo, "backend server returned", "The backend server passed its probation and receives work again, with a share that grows gradually."}
+	ServerReturned  = Event{304, slog.LevelInfo, "backend server returned", "The backend server receives work again, with a share that grows gradually. The line says why: it passed its probation, the floor requires it, or it was merely slow and the others refuse requests for want of slots."}
 	FloorHeld       = Event{305, slog.LevelWarn, "floor held", "A backend server appears unhealthy but stays in service, because the floor permits no further ejection."}
 	ServerDraining  = Event{306, slog.LevelInfo, "backend server leaving", "The backend server is draining and accepts no new work."}
 	ServerSuspected = Event{308, slog.LevelInfo, "backend server suspected", "The backend server failed a request; other backend servers are preferred until repeatable requests to it succeed."}
--- a/internal/floor/floor.go
+++ b/internal/floor/floor.go
@@ -8,6 +8,10 @@
 // requests, whichever messages are lost, and whether or not the platform is available. The cost is
 // speed: a backend server that cannot collect leases stays in service.
 //
+// A backend server that has to refuse requests for want of slots grants no lease to one that is merely slow,
+// since a slow answer is better than none. An ejection for slowness therefore ends soon after too few others have
+// room.
+//
 // The backend servers of a large service are divided into groups (group.go). Each group keeps its part
 // of the floor, and leases are requested only within a group, so that the cost of an ejection does not
 // grow with the service.
@@ -23,6 +27,7 @@
 //	l.BeginRequesting(now, severity)                             // before an ejection
 //	request := l.NewRequest("obuda/lookup-3")                    // to be sent to that server
 //	l.RecordGrant(request.Number, "obuda/lookup-3", requestedAt) // if it granted the lease
+//	l.RecordRefusal(now, request.Number, "obuda/lookup-3", refusal) // if it did not
 //	if l.Eject(now, floor) { ... }                               // ejected
 //	if !l.MayStayEjected(now, floor) { ... }                     // checked at each use: back in service
 //
@@ -54,6 +59,9 @@
 	// DriftDivisor is the divisor for the part of a lease that the holder leaves unused to allow for
 	// clock drift: a twentieth, 100 ms. Clocks differ by far less over one lease.
 	DriftDivisor = 20
+	// ReplaceTime is how long a lease counts after its grantor refused to renew it with RefusedBusy. Within it, the
+	// holder requests leases from all others.
+	ReplaceTime = 400 * time.Millisecond
 )
 
 // Refusal is the result of a lease request: Granted, or the reason why the lease was refused.
@@ -69,6 +77,8 @@
 	RefusedUnable Refusal = "unable"
 	// RefusedMoreSevere means that it requests leases for its own ejection and has precedence.
 	RefusedMoreSevere Refusal = "worse"
+	// RefusedBusy means that it refuses requests for want of slots, and that the requester is merely slow.
+	RefusedBusy Refusal = "busy"
 )
 
 // Request requests a lease from a backend server.
@@ -81,6 +91,8 @@
 	Severity float64 `json:"severity"`
 	// SuspectedFor is how long the requester has been under suspicion, in milliseconds.
 	SuspectedFor int64 `json:"suspected_for_ms"`
+	// Slow means that the requester is slow and shows no other symptom.
+	Slow bool `json:"slow,omitempty"`
 }
 
 // Release returns a lease to its grantor.
@@ -106,11 +118,13 @@
 	config     Config
 	lastNumber uint64
 	unable     bool
+	busy       bool
 	ejected    bool
 	requesting bool
 	severity   float64
 	granted    map[string]granted   // by holder
 	held       map[string]time.Time // expiry by grantor
+	withdrawn  map[string]bool      // grantors of held leases that refused to renew them with RefusedBusy
 	requested  map[string]uint64    // number of the latest request by its recipient
 }
 
@@ -127,6 +141,7 @@
 		lastNumber: config.FirstNumber,
 		granted:    make(map[string]granted),
 		held:       make(map[string]time.Time),
+		withdrawn:  make(map[string]bool),
 		requested:  make(map[string]uint64),
 	}
 }
@@ -135,6 +150,10 @@
 // requests. Leases already granted remain binding.
 func (l *Ledger) SetUnable(unable bool) { l.unable = unable }
 
+// SetBusy sets whether the backend server refuses requests for want of slots, and therefore refuses
+// leases to those that are merely slow.
+func (l *Ledger) SetBusy(busy bool) { l.busy = busy }
+
 // Answer grants or refuses a lease to another backend server.
 func (l *Ledger) Answer(now time.Time, r Request) Refusal {
 	switch {
@@ -144,6 +163,8 @@
 		return RefusedUnable
 	case l.requesting && l.hasPrecedence(r):
 		return RefusedMoreSevere
+	case l.busy && r.Slow:
+		return RefusedBusy
 	}
 	l.granted[r.Requester] = granted{number: r.Number, until: now.Add(LeaseDuration)}
 	return Granted
@@ -204,15 +225,29 @@
 func (l *Ledger) RecordGrant(number uint64, grantor string, requested time.Time) {
 	if l.requested[grantor] == number {
 		l.held[grantor] = requested.Add(LeaseDuration - LeaseDuration/DriftDivisor)
+		delete(l.withdrawn, grantor)
 	}
 }
 
-// RecordRefusal records that the named backend server refused the numbered request. A lease that it
-// granted before counts until it expires, since it is binding until then.
-func (l *Ledger) RecordRefusal(number uint64, name string) {
-	if l.requested[name] == number && l.held[name].IsZero() {
+// RecordRefusal records that the named backend server refused the numbered request, and reports whether a
+// held lease has to be replaced. A lease that it granted before counts until it expires, since it is
+// binding until then, but after RefusedBusy for no longer than ReplaceTime.
+func (l *Ledger) RecordRefusal(now time.Time, number uint64, name string, refusal Refusal) bool {
+	if l.requested[name] != number {
+		return false
+	}
+	if l.held[name].IsZero() {
 		delete(l.requested, name)
+		return false
+	}
+	if refusal != RefusedBusy || l.withdrawn[name] {
+		return false
 	}
+	l.withdrawn[name] = true
+	if until := now.Add(ReplaceTime); until.Before(l.held[name]) {
+		l.held[name] = until
+	}
+	return true
 }
 
 // Eject ejects the backend server if it holds as many leases as the floor requires and no lease that
@@ -243,12 +278,18 @@
 func (l *Ledger) Restrict(names []string) {
 	for name := range l.requested {
 		if !slices.Contains(names, name) {
-			delete(l.requested, name)
-			delete(l.held, name)
+			l.drop(name)
 		}
 	}
 }
 
+// drop forgets the request to a backend server and the lease that it granted.
+func (l *Ledger) drop(name string) {
+	delete(l.requested, name)
+	delete(l.held, name)
+	delete(l.withdrawn, name)
+}
+
 // ReleaseSurplus keeps as many leases as the floor requires, preferred grantors first, and returns the releases
 // to send for the others, by the name of the grantor.
 func (l *Ledger) ReleaseSurplus(now time.Time, floor int, preferred func(name string) bool) map[string]Release {
@@ -257,7 +298,7 @@
 		return nil
 	}
 	slices.SortStableFunc(names, func(a, b string) int {
-		return preferenceRank(preferred(a)) - preferenceRank(preferred(b))
+		return l.preferenceRank(a, preferred) - l.preferenceRank(b, preferred)
 	})
 	surplus := make(map[string]uint64)
 	for _, name := range names[floor:] {
@@ -274,17 +315,21 @@
 		releases[name] = Release{Holder: l.config.Name, Number: number}
 	}
 	for name := range releases {
-		delete(l.held, name)
-		delete(l.requested, name)
+		l.drop(name)
 	}
 	return releases
 }
 
-func preferenceRank(preferred bool) int {
-	if preferred {
+// preferenceRank returns 0 for a preferred grantor, 1 for another, and 2 for one that withdrew its lease.
+func (l *Ledger) preferenceRank(name string, preferred func(name string) bool) int {
+	switch {
+	case l.withdrawn[name]:
+		return 2
+	case preferred(name):
 		return 0
+	default:
+		return 1
 	}
-	return 1
 }
 
 // Grantors returns the sorted names of the grantors of all current leases.
--- a/internal/floor/floor_test.go
+++ b/internal/floor/floor_test.go
@@ -33,6 +33,7 @@
 	ledgers   map[string]*floor.Ledger
 	names     []string
 	frozen    map[string]bool
+	slow      map[string]bool
 	asked     map[uint64]time.Time
 	inTransit []message
 	now       time.Time
@@ -45,6 +46,7 @@
 		floorSize: rapid.IntRange(1, count-1).Draw(t, "floor"),
 		ledgers:   make(map[string]*floor.Ledger),
 		frozen:    make(map[string]bool),
+		slow:      make(map[string]bool),
 		asked:     make(map[uint64]time.Time),
 		now:       epoch,
 	}
@@ -90,6 +92,7 @@
 			continue
 		}
 		r := l.NewRequest(other)
+		r.Slow = m.slow[name]
 		m.asked[r.Number] = m.now
 		m.inTransit = append(m.inTransit, message{to: other, from: name, request: &r})
 	}
@@ -164,7 +167,7 @@
 	case msg.reply != nil && msg.reply.refusal == floor.Granted:
 		l.RecordGrant(msg.reply.number, msg.from, msg.reply.asked)
 	case msg.reply != nil:
-		l.RecordRefusal(msg.reply.number, msg.from)
+		l.RecordRefusal(m.now, msg.reply.number, msg.from, msg.reply.refusal)
 	case msg.release != nil:
 		l.RecordRelease(*msg.release)
 	}
@@ -185,6 +188,12 @@
 func (m *model) freeze(t *rapid.T) { m.frozen[m.drawName(t)] = true }
 func (m *model) thaw(t *rapid.T)   { m.frozen[m.drawName(t)] = false }
 
+func (m *model) changeSlow(t *rapid.T) { m.slow[m.drawName(t)] = rapid.Bool().Draw(t, "slow") }
+
+func (m *model) changeBusy(t *rapid.T) {
+	m.ledgers[m.drawName(t)].SetBusy(rapid.Bool().Draw(t, "busy"))
+}
+
 // restart discards the state of one sidecar.
 func (m *model) restart(t *rapid.T) {
 	name := m.drawName(t)
@@ -225,6 +234,8 @@
 			"freeze":  m.freeze,
 			"thaw":    m.thaw,
 			"restart": m.restart,
+			"slow":    m.changeSlow,
+			"busy":    m.changeBusy,
 			"":        m.check,
 		})
 	})
@@ -238,10 +249,10 @@
 			continue
 		}
 		r := l.NewRequest(other)
-		if peer.Answer(now, r) == floor.Granted {
+		if refusal := peer.Answer(now, r); refusal == floor.Granted {
 			l.RecordGrant(r.Number, other, now)
 		} else {
-			l.RecordRefusal(r.Number, other)
+			l.RecordRefusal(now, r.Number, other, refusal)
 		}
 	}
 }
@@ -321,3 +332,56 @@
 		t.Fatal("b is bound by an expired lease")
 	}
 }
+
+// TestSlowBackendServerServesWhileOthersAreBusy guards against an ejection for slowness that goes on while the others
+// refuse requests for want of slots, and against one that ends although enough of them have room.
+func TestSlowBackendServerServesWhileOthersAreBusy(t *testing.T) {
+	const floorSize = 2
+	for _, c := range []struct {
+		name string
+		slow bool
+		busy []string
+		want bool // whether it stays ejected
+	}{
+		{"all have room", true, nil, true},
+		{"one is busy, and another takes its place", true, []string{"b"}, true},
+		{"too few have room", true, []string{"b", "c"}, false},
+		{"it fails requests", false, []string{"b", "c", "d"}, true},
+	} {
+		ledgers := make(map[string]*floor.Ledger)
+		for _, name := range []string{"a", "b", "c", "d"} {
+			ledgers[name] = floor.NewLedger(floor.Config{Name: name, Start: epoch})
+		}
+		now := epoch.Add(floor.LeaseDuration)
+		a := ledgers["a"]
+		request := func(names ...string) {
+			for _, name := range names {
+				r := a.NewRequest(name)
+				r.Slow = c.slow
+				if refusal := ledgers[name].Answer(now, r); refusal == floor.Granted {
+					a.RecordGrant(r.Number, name, now)
+				} else {
+					a.RecordRefusal(now, r.Number, name, refusal)
+				}
+			}
+			for to, r := range a.ReleaseSurplus(now, floorSize, func(string) bool { return true }) {
+				ledgers[to].RecordRelease(r)
+			}
+		}
+		a.BeginRequesting(now, 1)
+		request("b", "c", "d")
+		if !a.Eject(now, floorSize) {
+			t.Fatalf("%s: not ejected", c.name)
+		}
+		for _, name := range c.busy {
+			ledgers[name].SetBusy(true)
+		}
+		now = now.Add(floor.RenewInterval)
+		request("b", "c")
+		request("b", "c", "d")
+		now = now.Add(floor.ReplaceTime)
+		if got := a.MayStayEjected(now, floorSize); got != c.want {
+			t.Errorf("%s: ejected %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/floor/group_test.go
+++ b/internal/floor/group_test.go
@@ -107,7 +107,7 @@
 		case refusal == floor.Granted:
 			s.ledger.RecordGrant(r.Number, other.name, f.now)
 		default:
-			s.ledger.RecordRefusal(r.Number, other.name)
+			s.ledger.RecordRefusal(f.now, r.Number, other.name, refusal)
 		}
 	}
 	return len(s.group)
--- a/internal/sidecar/admit.go
+++ b/internal/sidecar/admit.go
@@ -30,6 +30,9 @@
 	if decision.Verdict == admission.RefusedSuspected {
 		t.refusedHosts[m.host] = true
 	}
+	if decision.Verdict == admission.RefusedTooSlow || decision.Verdict == admission.RefusedFull {
+		t.refusedAt = now
+	}
 	m.reply <- refused(refusalCode(decision.Verdict), decision.RetryAfter)
 }
 
--- a/internal/sidecar/eject.go
+++ b/internal/sidecar/eject.go
@@ -33,7 +33,11 @@
 		return true
 	}
 	t.subject.Reinstate(now)
-	t.returnToService("the floor requires it")
+	why := "the floor requires it"
+	if t.ejection.othersBusy {
+		why = "the others refuse requests for want of slots"
+	}
+	t.returnToService(why)
 	return false
 }
 
@@ -135,8 +139,11 @@
 		return
 	}
 	pause := ejectRetryPause
-	if t.suspicion.Suspected() {
+	switch {
+	case t.suspicion.Suspected():
 		pause = suspectedEjectRetryPause
+	case t.ejection.othersBusy:
+		pause = busyFor
 	}
 	t.ejection.notBefore = now.Add(pause + rand.N(pause))
 	reason := fmt.Sprintf("%d leases to keep serving, floor %d", len(t.ledger.Grantors(now)), t.declared.floor)
--- a/internal/sidecar/lease.go
+++ b/internal/sidecar/lease.go
@@ -33,6 +33,9 @@
 // before the next one is made.
 const leaseTimeout = 400 * time.Millisecond
 
+// busyFor is how long after it refused a request for want of slots a backend server counts as busy.
+const busyFor = time.Second
+
 // ejection is the state of the lease requests to the other backend servers of the floor group, first
 // to be ejected and then to stay ejected.
 type ejection struct {
@@ -49,6 +52,8 @@
 	// requestAll is set after a lease was refused, so that the next renewal goes to all backend
 	// servers of the group.
 	requestAll bool
+	// othersBusy is set if one of the last lease requests was refused with floor.RefusedBusy.
+	othersBusy bool
 	// floorHeldReason is why the floor keeps an unhealthy backend server in service; empty if it
 	// does not.
 	floorHeldReason string
@@ -61,9 +66,12 @@
 // requestLeases requests leases from the given backend servers of the group.
 func (t *task) requestLeases(now time.Time, others []*fleet.Placement) {
 	t.ejection.requestedAt = now
+	t.ejection.othersBusy = false
 	clear(t.ejection.pending)
+	slow := t.subject.Cause(now) == detect.CauseSlow
 	for _, other := range others {
 		request := t.ledger.NewRequest(other.BackendServer.Name)
+		request.Slow = slow
 		request.SuspectedFor = now.Sub(t.subject.SuspectedSince()).Milliseconds()
 		t.ejection.pending[request.Number] = true
 		go t.requestLease(other, request, now)
@@ -94,8 +102,7 @@
 	if m.lease.Refusal == floor.Granted {
 		t.ledger.RecordGrant(m.number, m.from, m.requestedAt)
 	} else {
-		t.ledger.RecordRefusal(m.number, m.from)
-		t.ejection.requestAll = true
+		t.recordRefusal(now, m)
 	}
 	if t.ejection.inProgress {
 		t.ejectIfAllowed(now)
@@ -104,6 +111,15 @@
 	t.trimLeases(now)
 }
 
+// recordRefusal records the refusal of a lease. A lease that was withdrawn is replaced at the next tick.
+func (t *task) recordRefusal(now time.Time, m leaseAnswerMessage) {
+	t.ejection.requestAll = true
+	t.ejection.othersBusy = t.ejection.othersBusy || m.lease.Refusal == floor.RefusedBusy
+	if t.ledger.RecordRefusal(now, m.number, m.from, m.lease.Refusal) {
+		t.ejection.requestedAt = time.Time{}
+	}
+}
+
 // trimLeases releases the leases beyond what the floor requires, those of suspected backend servers
 // first.
 func (t *task) trimLeases(now time.Time) {
@@ -133,6 +149,7 @@
 	refusesConnections := t.subject.Verdict(now).Cause == detect.CauseRefuses
 	rampingUp := t.subject.TrafficShare(now) < 1
 	t.ledger.SetUnable(t.isDraining(now) || t.declared.evacuated || refusesConnections || rampingUp)
+	t.ledger.SetBusy(now.Sub(t.refusedAt) < busyFor)
 	since := now.Add(-time.Duration(r.SuspectedFor) * time.Millisecond)
 	return LeaseResponse{Refusal: t.ledger.Answer(now, r), Summary: t.subject.Summary(since)}
 }
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -58,6 +58,7 @@
 		t.reply(id, grant{})
 	}
 	for _, id := range expired {
+		t.refusedAt = now
 		t.reply(id, refused(result.DeadlineBeforeRun, 0))
 	}
 }
@@ -65,6 +66,7 @@
 // expire refuses the requests that have waited too long.
 func (t *task) expire(now time.Time) {
 	for _, id := range t.queue.Expire(now) {
+		t.refusedAt = now
 		t.reply(id, refused(result.QueueTooSlow, t.queue.RetryAfter()))
 	}
 }
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -33,6 +33,7 @@
 	selfDrainUntil    time.Time // end of the draining that its own answer reported
 	probationInFlight bool      // a probation request is running
 	coldUntil         time.Time // until when the rate of requests is limited
+	refusedAt         time.Time // when a request was last refused for want of slots
 	limit             serverlimit.Limit
 	suspicion         *suspicion.Suspicion
 	refusedHosts      map[string]bool // hosts whose requests were refused because of suspicion
