--- a/internal/declaration/poll_test.go
+++ b/internal/declaration/poll_test.go
@@ -23,19 +23,24 @@
 		t.Fatal("csepel-1 is a watcher; choose another name")
 	}
 	for _, c := range []struct {
-		age    time.Duration
-		within time.Duration
+		age  time.Duration // of the last known answer of the platform
+		soon bool          // the next poll has to end before the daemon would watch
 	}{
-		{0, usual},
-		{gossip.StaleAfter / 2, gossip.StaleAfter/2 - pollTime},
-		{gossip.StaleAfter - 2*pollTime, 2 * pollTime},
-		{10 * gossip.StaleAfter, usual}, // the watchers are lost: no reason for more polls
+		{0, false},
+		{gossip.StaleAfter - 600*time.Millisecond, true},
+		{gossip.StaleAfter - 200*time.Millisecond, true},
+		{10 * gossip.StaleAfter, false}, // the watchers are lost: no reason for more polls
 	} {
 		f := newFollower(t)
 		f.plan.Store(plan)
-		f.config.Health.RecordSeen(time.Now().Add(-c.age))
-		if got := f.untilPoll(usual); got > c.within || c.within == usual && got != usual {
-			t.Errorf("the last answer is %s old: the next poll is in %s, want it within %s", c.age, got, c.within)
+		seen := time.Now().Add(-c.age)
+		f.config.Health.RecordSeen(seen)
+		next := f.untilPoll(usual)
+		if staleIn := plan.StaleIn(seen, time.Now()); c.soon && next+pollTime > staleIn {
+			t.Errorf("the last answer is %s old: the next poll is in %s, and the daemon would watch in %s", c.age, next, staleIn)
+		}
+		if !c.soon && next != usual {
+			t.Errorf("the last answer is %s old: the next poll is in %s, want the usual %s", c.age, next, usual)
 		}
 	}
 }
