refactor(declaration): whether a daemon watches the store is kept once

The follower and storehealth.Health each kept it, set and cleared at the same places. The follower asks Health now. No change of behaviour; tests of declaration, storehealth and daemon pass.

--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -93,7 +93,6 @@
 	inForce      atomic.Pointer[InForce]
 	plan         atomic.Pointer[gossip.Plan]
 	peerAnswered atomic.Bool
-	watching     atomic.Bool // whether this daemon watches the platform now
 	// answerAgeGauge shows the age of the last known answer of the platform, in seconds.
 	answerAgeGauge tally.Gauge
 	fetching       sync.Mutex // held while an announced revision is fetched
--- a/internal/declaration/watch.go
+++ b/internal/declaration/watch.go
@@ -67,8 +67,6 @@
 	permanent := f.isPermanentWatcher()
 	event.Log(f.config.Logger, event.StoreWatched, "permanent", permanent, "answer_age_ms", f.answerAge().Milliseconds())
 	defer event.Log(f.config.Logger, event.StoreUnwatched, "permanent", permanent)
-	f.watching.Store(true)
-	defer f.watching.Store(false)
 	f.config.Health.BeginWatch()
 	defer f.config.Health.EndWatch()
 	go f.config.Source.Follow(ctx, f.Revision(), f.apply)
@@ -97,7 +95,7 @@
 }
 
 // Watches reports whether this daemon watches the platform now.
-func (f *Follower) Watches() bool { return f.watching.Load() }
+func (f *Follower) Watches() bool { return f.config.Health.Watching() }
 
 // mustWatch reports whether this daemon has to watch the platform: it is one of the
 // watchers, or none of them has been heard from recently. A daemon that has just joined and has a declaration
--- a/internal/storehealth/storehealth.go
+++ b/internal/storehealth/storehealth.go
@@ -111,13 +111,16 @@
 // EndWatch records that this daemon no longer watches the store.
 func (h *Health) EndWatch() { h.watching.Store(false) }
 
+// Watching reports whether this daemon watches the store now.
+func (h *Health) Watching() bool { return h.watching.Load() }
+
 // Answers reports whether this daemon's last call was answered.
 func (h *Health) Answers() bool { return *h.local.Load() == Up }
 
 // State returns the store's state for operators: the result of this daemon's last call if it
 // watches, and otherwise Up if the store was seen recently.
 func (h *Health) State() State {
-	if h.watching.Load() {
+	if h.Watching() {
 		return *h.local.Load()
 	}
 	if time.Since(h.LastSeen()) < seenTTL {
