--- a/internal/declaration/poll_test.go
+++ b/internal/declaration/poll_test.go
@@ -10,8 +10,7 @@
 	"github.com/tideliftd/tidelift/internal/gossip"
 )
 
-// TestFewLostNoticesStartNoWatch guards against daemons that watch the platform in place of healthy watchers because a
-// few notices did not reach them.
+// TestFewLostNoticesStartNoWatch guards against daemons that watch the platform beside healthy watchers.
 func TestFewLostNoticesStartNoWatch(t *testing.T) {
 	const usual, pollTime = 700 * time.Millisecond, 50 * time.Millisecond
 	hosts := []fleet.Host{{Name: "csepel-1"}}
--- a/internal/detect/ejection_test.go
+++ b/internal/detect/ejection_test.go
@@ -66,3 +66,24 @@
 		t.Fatalf("immediately after that ejected for %s, want %s", got, want)
 	}
 }
+
+// TestFailureInProbationIsNoSlowness guards against a backend server that counts as merely slow although it fails by now.
+func TestFailureInProbationIsNoSlowness(t *testing.T) {
+	rules := detect.Swift()
+	s := detect.NewSubject(rules)
+	others := detect.Baseline{TypicalLatency: 10 * time.Millisecond}
+	now := epoch
+	for !s.Verdict(now).Unhealthy {
+		now = now.Add(100 * time.Millisecond)
+		s.Observe(now, detect.Observation{Outcome: detect.OK, Latency: time.Second}, others)
+	}
+	s.Eject(now)
+	if got := s.Cause(now); got != detect.CauseSlow {
+		t.Fatalf("ejected for %q, want %q", got, detect.CauseSlow)
+	}
+	now = now.Add(rules.EjectionTime)
+	s.ObserveProbation(now, detect.Observation{Outcome: detect.TimedOut, Latency: deadline}, others)
+	if got := s.Cause(now); got != detect.CauseTimesOut {
+		t.Errorf("after a failed probation ejected for %q, want %q", got, detect.CauseTimesOut)
+	}
+}
--- a/internal/floor/floor_test.go
+++ b/internal/floor/floor_test.go
@@ -333,8 +333,7 @@
 	}
 }
 
-// TestSlowBackendServerServesWhileOthersAreBusy guards against an ejection for slowness that goes on while the others
-// refuse requests for want of slots, and against one that ends although enough of them have room.
+// TestSlowBackendServerServesWhileOthersAreBusy guards against an ejection for slowness while too few others have room.
 func TestSlowBackendServerServesWhileOthersAreBusy(t *testing.T) {
 	const floorSize = 2
 	for _, c := range []struct {
--- a/internal/sidecar/lease_test.go
+++ b/internal/sidecar/lease_test.go
@@ -9,8 +9,7 @@
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
-// TestFullBackendServerRefusesLeasesOfSlowOnes guards against a backend server that lets another, merely slow one stay
-// ejected while it refuses requests for want of slots itself.
+// TestFullBackendServerRefusesLeasesOfSlowOnes guards against a full backend server that lets a slow one stay ejected.
 func TestFullBackendServerRefusesLeasesOfSlowOnes(t *testing.T) {
 	now := time.Now()
 	task := newTestTask()
