revert(settings): no window for customers' limits

Cause: the window rested on the reading that requests refused with 429 lay below the customer's limit.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -102,7 +102,6 @@
 		c.Add("$.source.retry-slack", fmt.Sprintf("is %g", s.RetrySlack), "0 or more")
 	}
 	positive(c, "$.source.retry-window", s.RetryWindow)
-	notNegative(c, "$.source.customer-window", s.CustomerWindow)
 }
 
 func share(c *yamlfile.Checker, path string, value float64) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,12 +98,11 @@
 // Source holds the source of the declaration, and the values for all services that the
 // declaration does not define.
 type Source struct {
-	Declared       Declared      `yaml:"declared" json:"declared,omitempty" jsonschema:"enum=operators,enum=platform,description=Who writes the declaration: operators through a daemon or the platform to its store. Default operators."`
-	FloorShare     float64       `yaml:"floor-share" json:"floor-share,omitempty" jsonschema:"description=The floor of a service whose backend servers register themselves as a share of them. Default 0.7."`
-	RetryShare     float64       `yaml:"retry-share" json:"retry-share,omitempty" jsonschema:"description=Retries as a share of a service's requests. Default 0.1."`
-	RetrySlack     float64       `yaml:"retry-slack" json:"retry-slack,omitempty" jsonschema:"description=Retries that the whole fleet may make in a retry-window beyond the share. Default 40."`
-	RetryWindow    time.Duration `yaml:"retry-window" json:"retry-window,omitempty" jsonschema:"type=string,description=The time that retries are counted over. Default 10s."`
-	CustomerWindow time.Duration `yaml:"customer-window" json:"customer-window,omitempty" jsonschema:"type=string,description=The time over which a customer's limit holds: in any such time at most its rate times that and its burst. Default 0s: a token bucket of the burst\\, filled at the rate."`
+	Declared    Declared      `yaml:"declared" json:"declared,omitempty" jsonschema:"enum=operators,enum=platform,description=Who writes the declaration: operators through a daemon or the platform to its store. Default operators."`
+	FloorShare  float64       `yaml:"floor-share" json:"floor-share,omitempty" jsonschema:"description=The floor of a service whose backend servers register themselves as a share of them. Default 0.7."`
+	RetryShare  float64       `yaml:"retry-share" json:"retry-share,omitempty" jsonschema:"description=Retries as a share of a service's requests. Default 0.1."`
+	RetrySlack  float64       `yaml:"retry-slack" json:"retry-slack,omitempty" jsonschema:"description=Retries that the whole fleet may make in a retry-window beyond the share. Default 40."`
+	RetryWindow time.Duration `yaml:"retry-window" json:"retry-window,omitempty" jsonschema:"type=string,description=The time that retries are counted over. Default 10s."`
 }
 
 // Platform locates the platform's key-value store.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -43,7 +43,6 @@
 		{"a negative stop", "limits: {stop: -1s}", "limits.stop", "above zero"},
 		{"a negative latency target", "long-requests: {latency-target: -1s}", "long-requests.latency-target", "0s or more"},
 		{"a negative number of requests", "long-requests: {pipelined: -1}", "long-requests.pipelined", "0 or more"},
-		{"a negative window", "source: {customer-window: -1s}", "source.customer-window", "0s or more"},
 		{"negative memory", "limits: {memory-mb: -1}", "limits.memory-mb", "0 or more"},
 		{"small headers", "limits: {header-bytes: 10}", "limits.header-bytes", "1024 or more"},
 		{"no growth", "heap-growth: -5", "heap-growth", "1 or more"},
