fix(quota): gates admit a customer's share also where each has few requests

Cause: a gate accumulates a customer's share from zero once the share falls below one, and forgets the sum when the customer is below its limit again, so that it refuses the first request each time. Change: the sum begins with a value between 0 and 1 by a hash of host and customer.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -64,7 +64,7 @@
 	return &Limits{
 		config:        config,
 		verdictWanted: make(chan struct{}, 1),
-		gate:          quota.NewGate(),
+		gate:          quota.NewGate(config.Host),
 		collector:     quota.NewCollector(),
 		ledger:        quota.NewLedger(config.Host),
 		skippedUntil:  make(map[string]time.Time),
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -1,6 +1,11 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// urgentCount is the number of unreported requests of one customer that makes a report
@@ -44,6 +49,7 @@
 
 // Gate admits requests of one daemon's callers.
 type Gate struct {
+	host          string
 	limits        map[string]Limit
 	hosts         int            // number of hosts that share the limits
 	hasVerdict    bool           // a verdict was received
@@ -57,9 +63,9 @@
 	reportedAt    time.Time
 }
 
-// NewGate returns a gate without limits, which admits every request.
-func NewGate() *Gate {
-	return &Gate{unconfirmed: make(map[string]int), counts: make(map[string]Count), allowances: make(map[string]Allowance), credit: make(map[string]float64)}
+// NewGate returns the gate of the host, without limits, which admits every request.
+func NewGate(host string) *Gate {
+	return &Gate{host: host, unconfirmed: make(map[string]int), counts: make(map[string]Count), allowances: make(map[string]Allowance), credit: make(map[string]float64)}
 }
 
 // Reconfigure sets the limits by customer, and the number of hosts that share them. Requests of
@@ -119,7 +125,11 @@
 // whether the credit sufficed. The gate thus admits exactly the share, evenly spread, even of
 // few requests.
 func (g *Gate) spend(customer string, share float64) bool {
-	credit := g.credit[customer] + share
+	credit, known := g.credit[customer]
+	if !known {
+		credit = g.initialCredit(customer)
+	}
+	credit += share
 	if credit < 1 {
 		g.credit[customer] = credit
 		return false
@@ -128,6 +138,14 @@
 	return true
 }
 
+// initialCredit returns the credit of a customer whose share has just fallen below one, evenly drawn
+// from 0 to 1 by a hash. If it were zero, each gate would refuse the customer's first request: with a
+// hundred gates and a request at each, a share of 0.9 would admit none of them.
+func (g *Gate) initialCredit(customer string) float64 {
+	const mantissaBits = 53
+	return math.Ldexp(float64(xxhash.Sum64String(g.host+"\n"+customer)>>(64-mantissaBits)), -mantissaBits)
+}
+
 // retryAfter returns the time until the bucket holds a request again, plus the time to serve
 // those of one second that exceed the limit, plus the horizon, after which current requests no
 // longer count.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -12,7 +12,7 @@
 //
 // # Usage
 //
-//	gate := quota.NewGate()
+//	gate := quota.NewGate("csepel-1")
 //	gate.Reconfigure(limits, hosts)
 //	if decision := gate.Admit("county-7"); !decision.Admitted { ... }
 //	...
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -60,7 +61,7 @@
 }
 
 func newOneHost(rate, burst float64) *oneHost {
-	h := &oneHost{gate: quota.NewGate(), ledger: quota.NewLedger("csepel-1"), now: simStart}
+	h := &oneHost{gate: quota.NewGate("csepel-1"), ledger: quota.NewLedger("csepel-1"), now: simStart}
 	h.reconfigure(rate, burst)
 	h.advance(2 * time.Second)
 	return h
@@ -134,7 +135,7 @@
 // TestShareOfAFloodIsBounded guards against a large share in the first verdict of a flood that
 // admits more than the limit between two verdicts.
 func TestShareOfAFloodIsBounded(t *testing.T) {
-	gate := quota.NewGate()
+	gate := quota.NewGate("csepel-1")
 	gate.Reconfigure(limitsOf(40, 20), 3)
 	gate.SetVerdict(quota.Verdict{Known: true, Allowances: []quota.Allowance{{Customer: "a", Share: 0.43, Level: 7}}})
 	admitted := 0
@@ -249,7 +250,7 @@
 		names[i] = customerName(i)
 		limits[names[i]] = quota.Limit{Rate: 5, Burst: 5}
 	}
-	gate := quota.NewGate()
+	gate := quota.NewGate("csepel-1")
 	gate.Reconfigure(limits, 4600)
 	gate.SetVerdict(quota.Verdict{Known: true})
 	b.ReportAllocs()
@@ -262,3 +263,21 @@
 		}
 	}
 }
+
+// TestShareHoldsWhereEachGateHasOneRequest guards against gates that each refuse a customer's first
+// request once its share is below one, which together refuse a customer within its limit.
+func TestShareHoldsWhereEachGateHasOneRequest(t *testing.T) {
+	const hosts, share = 200, 0.9
+	admitted := 0
+	for host := range hosts {
+		gate := quota.NewGate(customerName(host))
+		gate.Reconfigure(limitsOf(100, 100), hosts)
+		gate.SetVerdict(quota.Verdict{Known: true, Allowances: []quota.Allowance{{Customer: "a", Share: share}}})
+		if gate.Admit("a").Admitted {
+			admitted++
+		}
+	}
+	if want := hosts * share; math.Abs(float64(admitted)-want) > 0.05*hosts {
+		t.Fatalf("%d of %d requests admitted at a share of %.1f", admitted, hosts, share)
+	}
+}
--- a/internal/quota/ways_test.go
+++ b/internal/quota/ways_test.go
@@ -15,7 +15,7 @@
 	collectors := make([]*quota.Collector, simHosts)
 	ledgers := make([]*quota.Ledger, simHosts)
 	start := func(host int) {
-		gates[host], collectors[host], ledgers[host] = quota.NewGate(), quota.NewCollector(), quota.NewLedger(customerName(host))
+		gates[host], collectors[host], ledgers[host] = quota.NewGate(customerName(host)), quota.NewCollector(), quota.NewLedger(customerName(host))
 		gates[host].Reconfigure(limits, simHosts)
 		ledgers[host].Reconfigure(limits, simHosts)
 	}
