feat(sidecar): one quick failure of a long request begins suspicion

Cause: a third of the backend servers fail 85% of their requests for 6 to 10 s at a time, within 2 ms, and each gets five requests a second. Suspicion began with the second failure in a row, and probes came as often as for any other failure.

Change: an error answer to a long request within a tenth of its latency target is a quick failure. It weighs as much as a broken connection, less if the others fail as well. The first probe of such a suspicion waits 300 ms, each failed one triples the pause up to 3 s, and a probe that has run for 40 ms counts as successful. A success of a request that started before the failure counts, but does not bring the next probe forward. Event 308 has the field quick; new counter sidecar_quick_failures. Nothing changes for other requests and without the setting, see short_test.go.

--- a/internal/detect/detect.go
+++ b/internal/detect/detect.go
@@ -106,6 +106,8 @@
 	WasOverdue bool
 	// PastTarget reports that the response took longer than the route's latency target.
 	PastTarget bool
+	// Quick reports that the request was long and failed within a small part of its latency target.
+	Quick bool
 }
 
 // failed reports whether the observation is a failure that has not been counted yet.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync/atomic"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -31,17 +32,22 @@
 	declared        atomic.Pointer[declared]
 	pool            *backend.Pool
 	slotTime        slotTime
-	sentRequests    sentRequests
-	closePool       func()
+	// longLatencyTarget is the latency target from which a request is long; zero if none is.
+	longLatencyTarget time.Duration
+	quickFailures     tally.Counter
+	sentRequests      sentRequests
+	closePool         func()
 }
 
 func newServer(config Config, d *declared, connects tally.Counter) *server {
 	s := &server{
-		mailbox:      make(chan any, mailboxSize),
-		ended:        make(chan struct{}),
-		slotTime:     newSlotTime(config.Scope, d.Service.Name),
-		sentRequests: newSentRequests(config.Scope, d.Service.Name),
-		limitGauge:   config.Scope.Tagged(map[string]string{"service": d.Service.Name}).Gauge("sidecar_server_limit"),
+		mailbox:           make(chan any, mailboxSize),
+		ended:             make(chan struct{}),
+		slotTime:          newSlotTime(config.Scope, d.Service.Name),
+		longLatencyTarget: config.LongLatencyTarget,
+		quickFailures:     config.Scope.Counter("sidecar_quick_failures"),
+		sentRequests:      newSentRequests(config.Scope, d.Service.Name),
+		limitGauge:        config.Scope.Tagged(map[string]string{"service": d.Service.Name}).Gauge("sidecar_server_limit"),
 	}
 	s.declared.Store(d)
 	dialer := dial.New(dial.Config{ConnectTimeout: connectTimeout, UserTimeout: unacknowledgedTimeout})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 //	acquire.go     waits for a slot
 //	slot.go        observes the request that holds a slot
 //	slow.go        reports slow requests to the task
+//	quick.go       recognises long requests that failed quickly
 //	messages.go    defines the messages to the task
 //	task.go        handles the messages
 //	admit.go       decides on a request, by internal/admission
--- a/internal/sidecar/slot.go
+++ b/internal/sidecar/slot.go
@@ -74,6 +74,7 @@
 	s.watch.end()
 	s.observation.WasOverdue = s.wasOverdue.Load()
 	s.observation.PastTarget = s.latencyTarget > 0 && s.observation.Latency > s.latencyTarget
+	s.recordQuick()
 	if s.isEvidence && !s.probation {
 		s.server.send(observeMessage{observation: s.observation, others: s.others})
 	}
--- a/internal/sidecar/suspicion.go
+++ b/internal/sidecar/suspicion.go
@@ -30,19 +30,31 @@
 	case detect.ConnectionRefused, detect.ConnectionLost:
 		begins = t.suspicion.RecordFailure(now, suspicion.BrokenConnectionWeight)
 	case detect.Error:
-		if weight := suspicion.ScaledErrorWeight(others.Failure); weight > 0 { // zero if the others fail as often
-			begins = t.suspicion.RecordFailure(now, weight)
-		}
+		begins = t.recordError(now, observed.Quick, others.Failure)
 	case detect.TimedOut, detect.Overdue:
 		begins = t.suspicion.RecordSlowness(now, suspicion.OverdueWeight)
 	}
 	if begins {
-		t.log(event.ServerSuspected, "outcome", observed.Outcome, "mostly_late", t.suspicion.MostlySlow(),
+		t.log(event.ServerSuspected, "outcome", observed.Outcome, "quick", observed.Quick, "mostly_late", t.suspicion.MostlySlow(),
 			"others_failing", others.Failure, "others_known", others.TypicalLatency > 0)
 		t.refuseWaiting(now)
 	}
 }
 
+// recordError records an error answer and reports whether suspicion begins with it. It weighs nothing if the
+// others fail as often.
+func (t *task) recordError(now time.Time, quick bool, othersFailing float64) bool {
+	weight, record := suspicion.ScaledErrorWeight(othersFailing), t.suspicion.RecordFailure
+	if quick {
+		weight, record = suspicion.ScaledQuickWeight(othersFailing), t.suspicion.RecordQuickFailure
+	}
+	if weight == 0 {
+		t.suspicion.RecordSharedFailure()
+		return false
+	}
+	return record(now, weight)
+}
+
 // refuseWaiting refuses every waiting request, so that the ingresses send them to other backend
 // servers.
 func (t *task) refuseWaiting(now time.Time) {
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -32,6 +32,10 @@
 //     pause. If no idempotent request arrives, any other request may probe after two seconds.
 //   - Three consecutive successful probes end the suspicion. After a broken connection a probe
 //     counts as successful once it has run for 40 ms.
+//   - A quick failure (quick.go) begins suspicion by itself. While the suspicion began with one, or the
+//     last bad outcome is one, the first probe follows after 300 ms, each failed probe triples the
+//     pause, up to 3 s, and a probe counts as successful once it has run for 40 ms. A success of a
+//     request that started before the last quick failure counts, but does not end the pause.
 //   - The backend server is proven (proof.go) if a request that started recently has run for 40 ms,
 //     or if none has started for so long that the next one has to show it.
 //   - The backend server appears to hang (hanging.go) while a request is slow, or was recently, and
@@ -106,8 +110,13 @@
 // requests or by a service that they all call; suspecting every backend server would leave none to
 // serve.
 func ScaledErrorWeight(othersFailureRate float64) float64 {
+	return ErrorWeight * unsharedShare(othersFailureRate)
+}
+
+// unsharedShare returns the share of the weight that a failure keeps, given the failure rate of the others.
+func unsharedShare(othersFailureRate float64) float64 {
 	factor := (sharedFailureRate - othersFailureRate) / (sharedFailureRate - normalFailureRate)
-	return ErrorWeight * max(0, min(1, factor))
+	return max(0, min(1, factor))
 }
 
 // Suspicion is the suspicion state of one backend server.
@@ -115,6 +124,7 @@
 	sum             float64
 	slowSum         float64 // part of the sum from slow outcomes
 	connectionBroke bool    // the last bad outcome was a broken connection
+	quick           quick
 	suspected       bool
 	successes       int // consecutive successful probes
 	pause           time.Duration
@@ -140,19 +150,26 @@
 // RecordFailure records a bad outcome with the given weight and reports whether suspicion begins
 // with it.
 func (s *Suspicion) RecordFailure(now time.Time, weight float64) bool {
-	s.sum += weight
 	s.connectionBroke = weight >= BrokenConnectionWeight
+	s.quick.last = false
+	return s.recordFailure(now, weight)
+}
+
+// recordFailure adds the weight of a bad outcome, whose kind has been recorded.
+func (s *Suspicion) recordFailure(now time.Time, weight float64) bool {
+	s.sum += weight
 	s.pendingProbe = time.Time{}
 	s.survivedProbes = 0
 	s.proof.discard()
 	if s.suspected {
-		s.pauseProbes(now, min(2*s.pause, s.longestPause(now)))
+		s.pauseProbes(now, s.nextPause(now))
 		return false
 	}
 	if s.sum < suspectedFrom {
 		return false
 	}
 	s.suspected = true
+	s.quick.began = s.quick.last
 	s.interval = s.traffic.interval(now)
 	s.pauseProbes(now, s.shortestPause(now))
 	return true
@@ -160,9 +177,20 @@
 
 // shortestPause returns the pause before the first probe.
 func (s *Suspicion) shortestPause(now time.Time) time.Duration {
+	if s.quick.decides() {
+		return quickFirstPause
+	}
 	return min(max(minProbePause, minProbeIntervals*s.usualInterval(now)), minProbePauseLimit)
 }
 
+// nextPause returns the pause after a failed probe.
+func (s *Suspicion) nextPause(now time.Time) time.Duration {
+	if s.quick.decides() {
+		return min(quickPauseFactor*s.pause, quickLongestPause)
+	}
+	return min(2*s.pause, s.longestPause(now))
+}
+
 // longestPause returns the maximum pause between two probes.
 func (s *Suspicion) longestPause(now time.Time) time.Duration {
 	return min(max(maxProbePause, maxProbeIntervals*s.usualInterval(now)), maxProbePauseLimit)
@@ -203,6 +231,9 @@
 	if !s.suspected {
 		return false
 	}
+	if s.quick.decides() && startedAt.Before(s.quick.lastAt) {
+		return s.addSuccess() // it shows little about now, so that the pause before the next probe stays
+	}
 	if s.survivedProbes > 0 {
 		s.survivedProbes-- // already counted by ProbeSurvived
 		return false
@@ -210,10 +241,12 @@
 	return s.countSuccess(now)
 }
 
-// ProbeSurvived counts the current probe as successful if it has run for long enough and the last bad
-// outcome was a broken connection. It reports whether suspicion ends with it.
+// ProbeSurvived counts the current probe as successful if it has run for long enough and the backend
+// server fails within milliseconds: the last bad outcome was a broken connection, or quick failures
+// decide. It reports whether suspicion ends with it.
 func (s *Suspicion) ProbeSurvived(now time.Time) bool {
-	if !s.suspected || !s.connectionBroke || s.pendingProbe.IsZero() || now.Sub(s.pendingProbe) < minProbeRun {
+	failsAtOnce := s.connectionBroke || s.quick.decides()
+	if !s.suspected || !failsAtOnce || s.pendingProbe.IsZero() || now.Sub(s.pendingProbe) < minProbeRun {
 		return false
 	}
 	s.survivedProbes++
@@ -223,8 +256,13 @@
 // countSuccess counts a successful probe and reports whether suspicion ends with it.
 func (s *Suspicion) countSuccess(now time.Time) bool {
 	s.pendingProbe = time.Time{}
-	s.successes++
 	s.nextProbe = now
+	return s.addSuccess()
+}
+
+// addSuccess adds to the consecutive successes and reports whether suspicion ends with it.
+func (s *Suspicion) addSuccess() bool {
+	s.successes++
 	if s.successes < requiredProbes {
 		return false
 	}
