feat(attempts): long requests ask four for proof, and their retries do not insist

Cause: non-idempotent requests went to any backend server after two had refused as not proven, with a third of them failing.

Change: long requests that must not run twice ask up to four backend servers that are proven before they go to any. A retry of a long request does not insist while others refused it for want of retry budget or of a slot; it ends with the failure that it had. Requests that are not long, and first attempts, are decided as before; the tests have rows for both.

Measured: go test ./internal/attempts passes; the effect on a deployment was not measured here.

--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -39,7 +39,7 @@
 //   - for an idempotent request's first attempt, a backend server whose recovery has to be tested;
 //   - one that may have a free slot, of which a few are queried;
 //   - the one with the shortest wait for a slot;
-//   - a suspected one, unless queues are full.
+//   - a suspected one, unless queues are full or, for a retry of a long request, others lack retry budget.
 //
 // When and where a hedge is sent (hedge.go): once the newest attempt is slow, if the request may
 // run more than once and has attempts left, to a backend server that reserves a slot for it. The
--- a/internal/attempts/choose.go
+++ b/internal/attempts/choose.go
@@ -22,6 +22,10 @@
 	// maxHangingRefusals is the number of refusals by backend servers that appear to hang after
 	// which the request is sent to any.
 	maxHangingRefusals = 2
+	// maxHangingRefusalsLong replaces maxHangingRefusals for long requests that must not run twice. With a third
+	// of the backend servers failing most requests, another question costs a round trip, and a request
+	// sent to one of them is lost.
+	maxHangingRefusalsLong = 4
 	// SelectionRetryDelay is the pause before a request that found only suspected backend servers,
 	// or none, selects again.
 	SelectionRetryDelay = 50 * time.Millisecond
@@ -79,6 +83,9 @@
 	if h.FullQueues > 0 && !r.Subrequest {
 		return Choice{} // a suspected target would most likely fail, and a refusal is accurate
 	}
+	if !r.mayInsist(h) {
+		return Choice{}
+	}
 	target, _ := r.Service.Pool.PickSuspected(now, h.Tried)
 	return Choice{Target: target, DespiteSuspicion: true}
 }
@@ -112,11 +119,12 @@
 }
 
 // chooseForSlot returns a target to query for a free slot. A request that cannot be retried goes to
-// a target that does not appear to hang, unless maxHangingRefusals have refused it for that reason.
+// a target that does not appear to hang, unless so many have refused it for that reason that it is
+// sent to any.
 func chooseForSlot(now time.Time, r Request, h *History) Choice {
 	pool := r.Service.Pool
 	lastChance := r.NonIdempotent || h.Sent > 0 || !r.Service.RetryLeft(now)
-	if lastChance && len(h.Hanging) < maxHangingRefusals && !r.Service.IgnoreHanging {
+	if lastChance && len(h.Hanging) < r.maxHangingRefusals() && !r.Service.IgnoreHanging {
 		if target, ok := pool.Pick(now, slices.Concat(h.Tried, h.Hanging)); ok {
 			return Choice{Target: target, RefuseIfBusy: true, RefuseIfHanging: true}
 		}
@@ -125,6 +133,22 @@
 	return Choice{Target: target, RefuseIfBusy: true}
 }
 
+// maxHangingRefusals returns the number of refusals by backend servers that appear to hang after which
+// the request is sent to any.
+func (r Request) maxHangingRefusals() int {
+	if r.Long && r.NonIdempotent {
+		return maxHangingRefusalsLong
+	}
+	return maxHangingRefusals
+}
+
+// mayInsist reports whether the request may be sent to a suspected target because no other is left. A retry
+// of a long request is not, if targets that are not suspected refused it for want of retry budget or of a
+// slot: it would most likely fail once more, and use up a retry that the service needs where it can succeed.
+func (r Request) mayInsist(h *History) bool {
+	return !r.Long || h.Sent == 0 || h.RetryRefusals == 0 && h.FullQueues == 0
+}
+
 // mayFindBetter reports whether another selection may find a better target, which it cannot if
 // queues are full or all targets were tried. If no backend server is known yet, one may become
 // known.
--- a/internal/attempts/choose_test.go
+++ b/internal/attempts/choose_test.go
@@ -244,3 +244,73 @@
 		t.Fatalf("got %+v where no backend server is known", c)
 	}
 }
+
+// TestLongRequestsAskMoreServersForProof guards against a long request that must not run twice being sent to
+// a backend server that is not proven after two questions, and against more questions of other requests.
+func TestLongRequestsAskMoreServersForProof(t *testing.T) {
+	for name, test := range map[string]struct {
+		long, nonIdempotent bool
+		sent                int
+		want                int
+	}{
+		"long, not idempotent":       {long: true, nonIdempotent: true, want: 4},
+		"long, idempotent":           {long: true, want: 0},
+		"long, idempotent, retry":    {long: true, sent: 1, want: 2},
+		"not long, not idempotent":   {nonIdempotent: true, want: 2},
+		"not long, idempotent retry": {sent: 1, want: 2},
+	} {
+		s := newService(t, 9)
+		request, h := requestTo(s), &attempts.History{Sent: test.sent}
+		request.Long, request.NonIdempotent = test.long, test.nonIdempotent
+		asked := 0
+		for c := attempts.Choose(start, request, h); c.RefuseIfHanging; c = attempts.Choose(start, request, h) {
+			asked++
+			h.Record(c.Target, result.New(result.Unproven), false)
+		}
+		if asked != test.want {
+			t.Errorf("%s: %d backend servers asked for proof, want %d", name, asked, test.want)
+		}
+	}
+}
+
+// TestLongRetriesDoNotInsist guards against a retry of a long request that is sent to a suspected backend
+// server, where it most likely fails, although others only lack retry budget or slots; and against first
+// attempts, requests that are not long, and retries without such others that no longer insist.
+func TestLongRetriesDoNotInsist(t *testing.T) {
+	lacksRetries, isFull, isSuspected := result.New(result.RetryLimit), result.New(result.QueueFull), result.New(result.Suspected)
+	for name, test := range map[string]struct {
+		long, subrequest, first bool
+		refusal                 *result.Error
+		want                    bool
+	}{
+		"others lack retries":                     {long: true, refusal: lacksRetries},
+		"others lack slots, subrequest":           {long: true, subrequest: true, refusal: isFull},
+		"all are suspected":                       {long: true, refusal: isSuspected, want: true},
+		"first attempt":                           {long: true, first: true, refusal: lacksRetries, want: true},
+		"first attempt, lack of slots":            {long: true, first: true, subrequest: true, refusal: isFull, want: true},
+		"not long, others lack retries":           {refusal: lacksRetries, want: true},
+		"not long, others lack slots, subrequest": {subrequest: true, refusal: isFull, want: true},
+	} {
+		s := newService(t, 4)
+		targets := s.Pool.Targets()
+		request, h := requestTo(s), &attempts.History{}
+		request.Long, request.Subrequest = test.long, test.subrequest
+		failure := result.New(result.ServerError)
+		if !test.first {
+			h.Record(targets[0], failure, false)
+		}
+		h.Record(targets[1], test.refusal, false)
+		for _, target := range targets[1:] {
+			s.Pool.Suspect(target, start.Add(time.Hour))
+		}
+		now := start.Add(2 * time.Second) // too late to select again
+		h.Tried = append(h.Tried, targets[0])
+		c := attempts.Choose(now, request, h)
+		if (c.Target != nil) != test.want || c.DespiteSuspicion != test.want {
+			t.Errorf("%s: got %+v", name, c)
+		}
+		if c.Target == nil && h.NoTargetFailure(len(targets), "").Code.Number == result.NoneAble.Number {
+			t.Errorf("%s: the failure that the request had is lost", name)
+		}
+	}
+}
