test(sidecar): the threshold of long requests reaches the backend servers

Runs two requests through a sidecar against a backend server that fails: only the failure of a long one makes the sidecar refuse the second as suspected. 5 of 5 runs pass.

--- a/internal/sidecar/quick_test.go
+++ b/internal/sidecar/quick_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tideliftd/tidelift/internal/detect"
+	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
 )
@@ -81,3 +83,39 @@
 		t.Fatal("suspected for shared failures")
 	}
 }
+
+// TestThresholdReachesTheBackendServers guards against a sidecar whose setting has no effect on the requests
+// that it runs: only the failure of a long request makes it refuse the next one.
+func TestThresholdReachesTheBackendServers(t *testing.T) {
+	failing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	defer failing.Close()
+	declaration, err := fleet.Parse("fleet.yaml", []byte(`
+hosts: [{name: h1, data-centre: dc, peers: '127.0.0.1:1', control: '127.0.0.1:2'}]
+services: [{name: lookup, floor: 1, backend-servers: [{name: s1, host: h1, address: '`+failing.Listener.Addr().String()+`'}]}]
+routes: [{host: a.example, service: lookup}]
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for target, want := range map[time.Duration]int{time.Minute: result.Suspected.Number, time.Second: 0} {
+		scope := tally.NewTestScope("", nil)
+		s, cleanUp := New(Config{Host: "h1", LongLatencyTarget: time.Minute, Logger: slog.New(slog.DiscardHandler), Scope: scope})
+		s.Reconfigure(fleet.NewIndex(declaration))
+		call := hop.Call{BackendServer: "s1", TimeLeft: time.Minute, LatencyTargetLeft: target, LatencyTarget: target, RefuseIfBusy: true}
+		code := 0
+		for range 2 {
+			answer, err := s.Do(t.Context(), call, httptest.NewRequest(http.MethodGet, "/", nil))
+			if code = 0; err != nil {
+				code = result.From(err).Code.Number
+				continue
+			}
+			_ = answer.Response.Body.Close()
+		}
+		if counted := scope.Snapshot().Counters()["sidecar_quick_failures+"].Value(); code != want || (counted == 1) != (want != 0) {
+			t.Errorf("latency target %s: the second request ended with %d, want %d; %d quick failures", target, code, want, counted)
+		}
+		cleanUp()
+	}
+}
