fix(attempts): retries of long requests insist where only suspected servers are left

Cause: a retry of a long request ended as soon as any backend server had refused it for want of retry budget or of a place in the queue. A sidecar checks both after it has accepted the request despite suspicion, so the refusal of a suspected backend server counted as well, and the others were not asked although none that is not suspected was left.

Change: refusals by backend servers that were chosen despite suspicion no longer end the search. Other requests are decided as before.

Result: with one backend server failed and three suspected ones that lack retry budget or slots, a retry asks all three; it asked one. The new test fails without the change. go test -p 2 -race ./internal/attempts passes.

--- a/internal/attempts/choose.go
+++ b/internal/attempts/choose.go
@@ -58,6 +58,9 @@
 	c := choose(now, r, h)
 	found := c.Target != nil && !c.DespiteSuspicion
 	c.RetrySelection = !found && h.mayFindBetter(r.Service.Pool) && r.hasTimeToReselect(now)
+	if c.DespiteSuspicion && c.Target != nil && !c.RetrySelection {
+		h.insisted = append(h.insisted, c.Target)
+	}
 	return c
 }
 
@@ -146,7 +149,7 @@
 // of a long request is not, if targets that are not suspected refused it for want of retry budget or of a
 // slot: it would most likely fail once more, and use up a retry that the service needs where it can succeed.
 func (r Request) mayInsist(h *History) bool {
-	return !r.Long || h.Sent == 0 || h.RetryRefusals == 0 && h.FullQueues == 0
+	return !r.Long || h.Sent == 0 || h.shortUnsuspected == 0
 }
 
 // mayFindBetter reports whether another selection may find a better target, which it cannot if
--- a/internal/attempts/choose_test.go
+++ b/internal/attempts/choose_test.go
@@ -314,3 +314,29 @@
 		}
 	}
 }
+
+// TestLongRetriesInsistIfAllOthersAreSuspected guards against a retry of a long request that ends because a
+// suspected backend server lacks retry budget or slots, although only suspected ones are left.
+func TestLongRetriesInsistIfAllOthersAreSuspected(t *testing.T) {
+	for name, refusal := range map[string]*result.Error{
+		"lacks retries":            result.New(result.RetryLimit),
+		"lacks slots (subrequest)": result.New(result.QueueFull),
+	} {
+		s := newService(t, 4)
+		targets := s.Pool.Targets()
+		request, h := requestTo(s), &attempts.History{}
+		request.Long, request.Subrequest = true, true
+		h.Record(targets[0], result.New(result.ServerError), false)
+		for _, target := range targets[1:] {
+			s.Pool.Suspect(target, start.Add(time.Hour))
+		}
+		now := start.Add(2 * time.Second) // too late to select again
+		for n := range targets[1:] {
+			c := attempts.Choose(now, request, h)
+			if c.Target == nil || !c.DespiteSuspicion {
+				t.Fatalf("%s: choice %d is %+v", name, n+1, c)
+			}
+			h.Record(c.Target, refusal, false)
+		}
+	}
+}
--- a/internal/attempts/history.go
+++ b/internal/attempts/history.go
@@ -29,6 +29,10 @@
 	// RetryRefusals is the number of refusals because the retry budget has no room for the calls of
 	// a retry.
 	RetryRefusals int
+	// insisted holds the backend servers that were chosen despite suspicion.
+	insisted []*balance.Target
+	// shortUnsuspected is the number of refusals by others because of a full queue or for lack of retry budget.
+	shortUnsuspected int
 	// Last is the last failure; nil if there was none.
 	Last *result.Error
 	// MayHaveRun is the last failure after which the request may have run; nil if there was none.
@@ -75,15 +79,24 @@
 		}
 	case failures.QueueFull:
 		h.FullQueues++
+		h.countShort(target)
 	case failures.Limited:
 		h.LimitRefusals++
 	case failures.NoRetryBudget:
 		h.RetryRefusals++
+		h.countShort(target)
 	case failures.Unchanged, failures.NotAccepting, failures.HostUnreachable, failures.HostUnresponsive, failures.Unreachable:
 	}
 	h.Tried = append(h.Tried, target)
 }
 
+// countShort counts the refusal of a target that was not chosen despite suspicion.
+func (h *History) countShort(target *balance.Target) {
+	if !slices.Contains(h.insisted, target) {
+		h.shortUnsuspected++
+	}
+}
+
 // triedNotBusy returns the tried targets except those that only had no free slot.
 func (h *History) triedNotBusy() []*balance.Target {
 	isBusy := func(tried *balance.Target) bool {
