fix(suspicion): a probe of a backend server that hangs does not count by running

Cause: a suspicion that began with a quick failure counted each probe that had run for 40 ms as successful, also after the failures had changed to time-outs, and so ended while the backend server still failed (found in the review). Change: the last bad outcome has to be a quick failure or a broken connection. Result: the new test fails with the rule as it was, and passes now.

--- a/internal/suspicion/quick.go
+++ b/internal/suspicion/quick.go
@@ -25,8 +25,7 @@
 	lastAt time.Time // time of the last quick failure
 }
 
-// decides reports whether quick failures decide the pauses between probes and whether a probe may count as
-// successful before its response.
+// decides reports whether quick failures decide the pauses between probes.
 func (q quick) decides() bool { return q.began || q.last }
 
 // ScaledQuickWeight returns the weight of a quick failure, given the failure rate of the others, for the
--- a/internal/suspicion/quick_test.go
+++ b/internal/suspicion/quick_test.go
@@ -133,3 +133,19 @@
 		t.Fatalf("the next probe is due after %s although a later request has succeeded", got)
 	}
 }
+
+// TestProbesOfServerThatHangsDoNotSurvive guards against a suspicion that ends while the backend server fails
+// in another way than at its beginning: one that hangs lets every probe run for longer than quick failures take.
+func TestProbesOfServerThatHangsDoNotSurvive(t *testing.T) {
+	s, now := suspicion.New(), time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	s.RecordQuickFailure(now, suspicion.QuickFailureWeight)
+	s.RecordSlowness(now, suspicion.OverdueWeight)
+	for range 3 {
+		now = now.Add(10 * time.Second)
+		s.RecordProbe(now)
+		now = now.Add(time.Second)
+		if s.ProbeSurvived(now) || !s.Suspected() {
+			t.Fatal("a probe without an answer counted as successful")
+		}
+	}
+}
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -33,8 +33,8 @@
 //   - Three consecutive successful probes end the suspicion. After a broken connection a probe
 //     counts as successful once it has run for 40 ms.
 //   - A quick failure (quick.go) begins suspicion by itself. While the suspicion began with one, or the
-//     last bad outcome is one, the first probe follows after 300 ms, each failed probe triples the
-//     pause, up to 3 s, and a probe counts as successful once it has run for 40 ms. A success of a
+//     last bad outcome is one, the first probe follows after 300 ms, and each failed probe triples the
+//     pause, up to 3 s. After a quick failure a probe counts as successful once it has run for 40 ms. A success of a
 //     request that started before the last quick failure counts, but does not end the pause.
 //   - The backend server is proven (proof.go) if a request that started recently has run for 40 ms,
 //     or if none has started for so long that the next one has to show it.
@@ -242,10 +242,10 @@
 }
 
 // ProbeSurvived counts the current probe as successful if it has run for long enough and the backend
-// server fails within milliseconds: the last bad outcome was a broken connection, or quick failures
-// decide. It reports whether suspicion ends with it.
+// server fails within milliseconds: the last bad outcome was a broken connection or a quick failure. It
+// reports whether suspicion ends with it.
 func (s *Suspicion) ProbeSurvived(now time.Time) bool {
-	failsAtOnce := s.connectionBroke || s.quick.decides()
+	failsAtOnce := s.connectionBroke || s.quick.last
 	if !s.suspected || !failsAtOnce || s.pendingProbe.IsZero() || now.Sub(s.pendingProbe) < minProbeRun {
 		return false
 	}
