feat(hop): the route of a request travels with its call

Cause: a sidecar judges a retry by what any run of its service calls, since it does not know the routes of its runs. Change: hop.Call.Route, with the header Tidelift-Route beside the encoded call, which stays byte for byte as it was. The name is percent-encoded, since a path may have characters that a header may not. Nothing sets it yet.

--- a/internal/hop/call.go
+++ b/internal/hop/call.go
@@ -55,4 +55,7 @@
 	// ServerLimit is the limit that the backend server named in its last answer to this host, in
 	// requests a second; zero if none. It has a header of its own.
 	ServerLimit float64
+	// Route is the name of the request's route, its host name followed by its path, if the rules
+	// for long requests apply to it at the ingress; otherwise it is empty. It has a header of its own.
+	Route string
 }
--- a/internal/hop/encode.go
+++ b/internal/hop/encode.go
@@ -63,6 +63,7 @@
 	}
 	h[HeaderCall] = []string{callEncoding.EncodeToString(data)}
 	EncodeLimit(h, c.ServerLimit)
+	EncodeRoute(h, c.Route)
 	return nil
 }
 
@@ -99,6 +100,7 @@
 	}
 	call := w.call()
 	call.ServerLimit = DecodeLimit(h)
+	call.Route = DecodeRoute(h)
 	return call, nil
 }
 
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -22,6 +22,7 @@
 import (
 	"math"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -44,6 +45,8 @@
 	// HeaderLimit carries the limit that the backend server names, in requests a second, both in a request and in
 	// an answer; it is absent if there is none.
 	HeaderLimit = "Tidelift-Limit"
+	// HeaderRoute carries the name of the request's route, percent-encoded; it is absent if there is none.
+	HeaderRoute = "Tidelift-Route"
 	// HeaderDetail and HeaderRetryAfter accompany the result code of a refusal.
 	HeaderDetail     = "Tidelift-Detail"
 	HeaderRetryAfter = "Tidelift-Retry-After-Ms"
@@ -100,6 +103,24 @@
 	return perSecond
 }
 
+// EncodeRoute sets the header with the name of the route, if there is one. A path may have characters
+// that a header may not.
+func EncodeRoute(h http.Header, route string) {
+	if route != "" {
+		h[HeaderRoute] = []string{(&url.URL{Path: route}).EscapedPath()}
+	}
+}
+
+// DecodeRoute reads the header set by EncodeRoute; it returns an empty name if the header is missing
+// or malformed.
+func DecodeRoute(h http.Header) string {
+	route, err := url.PathUnescape(h.Get(HeaderRoute))
+	if err != nil {
+		return ""
+	}
+	return route
+}
+
 // SuppressDate keeps net/http from adding a Date header to an answer to another daemon, which does
 // not use it.
 func SuppressDate(h http.Header) { h["Date"] = nil }
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 		BackendServer: "csepel/lookup-1", TimeLeft: 1500 * time.Millisecond, Customer: "county-7", NonIdempotent: true,
 		WantReservation: true, Reservation: "t", Baseline: "1,2,3,4,5", Origin: "records", Priority: 2, DespiteSuspicion: true, RefuseIfBusy: true,
 		RefuseIfHanging: true, Host: "csepel-1", LatencyTargetLeft: 500 * time.Millisecond, LatencyTarget: 800 * time.Millisecond, TypicalLatency: 700 * time.Millisecond,
-		SlowAfter: 300 * time.Millisecond,
+		SlowAfter: 300 * time.Millisecond, Route: "lookup.example/search",
 	}
 	h := http.Header{}
 	if err := want.Encode(h); err != nil {
@@ -37,6 +38,48 @@
 	}
 }
 
+// TestRouteRoundTrip guards against a route name that is lost or altered on its way, or that net/http
+// refuses to send, so that requests of the route fail.
+func TestRouteRoundTrip(t *testing.T) {
+	var received http.Header
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { received = r.Header }))
+	defer server.Close()
+	for _, route := range []string{"", "/", "*", "a.example/search", "a.example/sökning/ 100%25 ", "/tab\t\r\nX: y", "/a:b?c#d"} {
+		r, err := http.NewRequest(http.MethodGet, server.URL, http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		hop.EncodeRoute(r.Header, route)
+		response, err := server.Client().Do(r)
+		if err != nil {
+			t.Errorf("%q: %v", route, err)
+			continue
+		}
+		_ = response.Body.Close()
+		if _, sent := received[hop.HeaderRoute]; sent != (route != "") || hop.DecodeRoute(received) != route {
+			t.Errorf("%q is received as %q", route, hop.DecodeRoute(received))
+		}
+	}
+	if got := hop.DecodeRoute(http.Header{hop.HeaderRoute: {"/%zz"}}); got != "" {
+		t.Errorf("a malformed name is read as %q", got)
+	}
+}
+
+// TestCallWithoutARoute guards against a call of an older daemon that is refused, or that gets a route.
+func TestCallWithoutARoute(t *testing.T) {
+	h := http.Header{}
+	if err := (hop.Call{BackendServer: "csepel/lookup-1", Retry: true}).Encode(h); err != nil {
+		t.Fatal(err)
+	}
+	if _, sent := h[hop.HeaderRoute]; sent {
+		t.Error("a route is sent though there is none")
+	}
+	call, err := hop.Decode(h)
+	if err != nil || call.Route != "" || !call.Retry {
+		t.Errorf("got %+v, %v", call, err)
+	}
+}
+
 // FuzzDecode guards against a panic on any header that a peer may send, and against a call without
 // a backend server.
 func FuzzDecode(f *testing.F) {
--- a/test/pinned/pinned_test.go
+++ b/test/pinned/pinned_test.go
@@ -198,10 +198,11 @@
 	hop.EncodeServed(h, 0.25, 1500*time.Microsecond)
 	hop.EncodeFailing(h, 0.25)
 	compare(t, "hop", []string{
-		hop.Prefix, hop.HeaderCall, hop.HeaderReservation, hop.HeaderServed, hop.HeaderFailing, hop.HeaderDetail, hop.HeaderRetryAfter, result.Header,
+		hop.Prefix, hop.HeaderCall, hop.HeaderReservation, hop.HeaderServed, hop.HeaderFailing, hop.HeaderRoute, hop.HeaderDetail, hop.HeaderRetryAfter, result.Header,
 		hop.HeaderCall + ": " + h.Get(hop.HeaderCall),
 		hop.HeaderServed + ": " + h.Get(hop.HeaderServed),
 		hop.HeaderFailing + ": " + h.Get(hop.HeaderFailing),
+		hop.HeaderRoute + ": " + h.Get(hop.HeaderRoute),
 	})
 }
 
