feat(retry): judge the retry of a long request by what its route calls

Cause: a sidecar refused retries on routes that call nothing, because runs of other routes of the service call. In 8.5 s in which a service shed 55% of its requests, most of 2,139 failed requests were on such a route. Change: retry.Budgets learns the calls of runs by route. After 20 answered runs of a route in the last minutes, MayRun, Shortfall and BeginRun expect what its runs called; before, and for all other requests, what any run of the service called. Runs that failed or were rejected do not count. Tests of retry, runs and sidecar pass.

--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -11,7 +11,8 @@
 // before.
 //
 // The budgets of a host are in budgets.go, a single one in budget.go, its counts over time in
-// window.go, the loans between hosts in lend.go, and the calls of runs in calls.go.
+// window.go, the loans between hosts in lend.go, the calls of runs in calls.go, and what the runs of
+// a route call in routes.go.
 //
 // # Usage
 //
@@ -27,6 +28,7 @@
 //		defer budgets.FinishRun(now, run)
 //	}
 //	budgets.RecordCall(now, run, "records") // the run calls another service
+//	budgets.RecordAnswered(now, run)        // before FinishRun, if the backend server has answered it
 //
 // # Rules
 //
@@ -42,6 +44,8 @@
 //   - A host that has no retry left may borrow one, which counts at the lender.
 //   - A retry runs only if there is room for the calls that it may make, judged by the calls of the
 //     service's runs in the last minutes. Calls beyond that are made, and charged to the budget.
+//   - A retry of a long request is judged by the calls of its own route's runs, once enough of them
+//     were answered on this host in the last minutes.
 //
 // The limit does not cover calls whose id does not identify the run that made them, or a fleet in
 // which more than a quarter of the hosts is unknown to the rest. A retry that waits for a slot for
@@ -82,6 +86,7 @@
 	// older than callRetention.
 	calls, previousCalls map[callPath]int
 	callsSince           time.Time
+	routes               *routeMemory
 	slackUnusedFor       time.Duration // how long before the daemon started this host used no slack
 }
 
@@ -90,6 +95,7 @@
 	return &Budgets{
 		config: config, budgets: make(map[string]*Budget), running: make(map[string]*running), refusedAt: make(map[string]time.Time),
 		calls: make(map[callPath]int), previousCalls: make(map[callPath]int), callsSince: config.StartedAt,
+		routes: newRouteMemory(config.StartedAt),
 	}
 }
 
--- a/internal/retry/budgets_test.go
+++ b/internal/retry/budgets_test.go
@@ -77,16 +77,16 @@
 	b.RecordCall(epoch, retried, "prices")
 	b.End(epoch, "prices", true)
 	b.FinishRun(epoch, retried)
-	if b.BeginRun(epoch, retried, nil) || b.MayRun(epoch, "search") {
+	if b.BeginRun(epoch, retried, nil) || b.MayRun(epoch, runs.Run{Service: "search"}) {
 		t.Fatal("a retry runs without room for its calls")
 	}
-	if !b.MayRun(epoch, "names") {
+	if !b.MayRun(epoch, runs.Run{Service: "names"}) {
 		t.Fatal("a retry of another service is refused")
 	}
 	for range 40 {
 		b.RecordRequest(epoch, "prices")
 	}
-	if !b.MayRun(epoch, "search") {
+	if !b.MayRun(epoch, runs.Run{Service: "search"}) {
 		t.Fatal("a retry is refused though there is room for its calls")
 	}
 }
@@ -128,7 +128,7 @@
 	b.BeginRun(epoch, run, nil)
 	b.RecordCall(epoch, run, "prices")
 	for minute, want := range []bool{false, false, true} {
-		if now := epoch.Add(time.Duration(minute) * time.Minute); b.MayRun(now, "search") != want {
+		if now := epoch.Add(time.Duration(minute) * time.Minute); b.MayRun(now, runs.Run{Service: "search"}) != want {
 			t.Fatalf("after %d minutes a retry may run: %t", minute, !want)
 		}
 	}
--- a/internal/retry/calls.go
+++ b/internal/retry/calls.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/runs"
@@ -16,18 +17,19 @@
 // running is a request that a backend server runs, or several with the same id.
 type running struct {
 	count    int
+	routes   []runRoute     // routes of the requests with the id; usually one
 	made     map[string]int // number of calls, by service
 	reserved map[string]int // number of retries reserved for calls, by service
 	// borrowed holds the expiry times of the retries borrowed for calls, by service.
 	borrowed map[string][]time.Time
 }
 
-// MayRun reports whether a retry may run at a backend server of the service on this host: whether
+// MayRun reports whether a retry may run at a backend server of its service on this host: whether
 // the retries for its calls are left or may be borrowed.
-func (b *Budgets) MayRun(now time.Time, service string) bool {
+func (b *Budgets) MayRun(now time.Time, run runs.Run) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, called := range b.shortfall(now, service) {
+	for _, called := range b.shortfall(now, run) {
 		if !b.mayBorrow(now, called) {
 			return false
 		}
@@ -35,20 +37,20 @@
 	return true
 }
 
-// Shortfall returns the services of which retries have to be borrowed before a retry of that
-// service runs on this host. A service appears once for each retry.
-func (b *Budgets) Shortfall(now time.Time, service string) []string {
+// Shortfall returns the services of which retries have to be borrowed before the retry runs on this
+// host. A service appears once for each retry.
+func (b *Budgets) Shortfall(now time.Time, run runs.Run) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.shortfall(now, service)
+	return b.shortfall(now, run)
 }
 
 // shortfall implements Shortfall. The caller holds mu.
-func (b *Budgets) shortfall(now time.Time, service string) []string {
+func (b *Budgets) shortfall(now time.Time, run runs.Run) []string {
 	b.rotateCalls(now)
 	b.endExpiredLoans(now)
 	var shortfall []string
-	for called, count := range b.expected(service) {
+	for called, count := range b.expected(now, run) {
 		for range count - b.budget(called).Remaining(now) {
 			shortfall = append(shortfall, called)
 		}
@@ -56,9 +58,21 @@
 	return shortfall
 }
 
-// expected returns the number of calls that a run of the service may make, by the service
-// called. The caller holds mu.
-func (b *Budgets) expected(service string) map[string]int {
+// expected returns the number of calls that the run may make, by the service called: what the runs
+// of its route were seen to call if the request is long and its route is known, or else what any
+// run of its service was seen to call. The caller holds mu.
+func (b *Budgets) expected(now time.Time, run runs.Run) map[string]int {
+	if run.Long && run.Route != "" {
+		if expected, known := b.routes.expected(now, runRoute{run.Service, run.Route}); known {
+			return expected
+		}
+	}
+	return b.expectedOfService(run.Service)
+}
+
+// expectedOfService returns the largest number of calls that a run of the service was seen to make,
+// by the service called. The caller holds mu.
+func (b *Budgets) expectedOfService(service string) map[string]int {
 	expected := make(map[string]int)
 	for _, calls := range []map[callPath]int{b.calls, b.previousCalls} {
 		for path, count := range calls {
@@ -84,7 +98,7 @@
 func (b *Budgets) BeginRun(now time.Time, run runs.Run, borrowed []string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if run.Retry && len(b.shortfall(now, run.Service)) > len(borrowed) {
+	if run.Retry && len(b.shortfall(now, run)) > len(borrowed) {
 		return false
 	}
 	if run.ID == "" {
@@ -96,12 +110,21 @@
 		b.running[run.ID] = r
 	}
 	r.count++
+	r.addRoute(run)
 	if run.Retry {
-		b.reserve(now, r, b.expected(run.Service), borrowed)
+		b.reserve(now, r, b.expected(now, run), borrowed)
 	}
 	return true
 }
 
+// addRoute adds the route of a request with the id.
+func (r *running) addRoute(run runs.Run) {
+	route := runRoute{run.Service, run.Route}
+	if run.Route != "" && !slices.Contains(r.routes, route) {
+		r.routes = append(r.routes, route)
+	}
+}
+
 // reserve reserves retries for the expected calls of the run. The caller holds mu.
 func (b *Budgets) reserve(now time.Time, r *running, expected map[string]int, borrowed []string) {
 	for _, service := range borrowed {
@@ -162,11 +185,15 @@
 	return true
 }
 
-// learnCall updates the call counts of the run and its service. The caller holds mu.
+// learnCall updates the call counts of the run, its service and its route. If requests of several
+// routes have the run's id, the call counts for each of them. The caller holds mu.
 func (b *Budgets) learnCall(now time.Time, path callPath, r *running) {
 	b.rotateCalls(now)
 	r.made[path.to]++
 	b.calls[path] = max(b.calls[path], r.made[path.to])
+	for _, route := range r.routes {
+		b.routes.recordCall(now, route, path.to, r.made[path.to])
+	}
 }
 
 // useBorrowed removes a retry that was borrowed for a call of the service, and reports whether
--- a/internal/retry/daemon_test.go
+++ b/internal/retry/daemon_test.go
@@ -83,6 +83,9 @@
 		return false
 	}
 	began := to.daemon.beginRetry(runOf(r, true))
+	if !began && d.fleet.sheds() {
+		d.fleet.refusedForCalls[r.route]++
+	}
 	switch {
 	case own && began:
 		d.open[r]++
@@ -95,7 +98,7 @@
 // beginRetry records that the backend server of the host is sent a retry, and borrows the retries
 // that its calls need.
 func (d simDaemon) beginRetry(run runs.Run) bool {
-	missing := d.budgets.Shortfall(d.fleet.now, run.Service)
+	missing := d.budgets.Shortfall(d.fleet.now, run)
 	for _, service := range missing {
 		if !d.borrow(serviceName(service)) {
 			return false
@@ -117,17 +120,24 @@
 
 // runOf returns the run of a request.
 func runOf(r *simRequest, retried bool) runs.Run {
-	return runs.Run{ID: fmt.Sprintf("%p", r), Service: string(r.service), Retry: retried || r.ofRetry}
+	return runs.Run{
+		ID: fmt.Sprintf("%p", r), Service: string(r.service), Route: string(r.route), Long: r.route != noRoute && !r.from.daemon.fleet.faults.short, Retry: retried || r.ofRetry,
+	}
 }
 
 // run records that a request is sent to the backend server of the host, and returns the function to
 // call at its end.
-func (d simDaemon) run(r *simRequest, retried bool) (end func()) {
+func (d simDaemon) run(r *simRequest, retried bool) (end func(answered bool)) {
 	run := runOf(r, retried)
 	if !retried {
 		d.budgets.BeginRun(d.fleet.now, run, nil)
 	}
-	return func() { d.budgets.FinishRun(d.fleet.now, run) }
+	return func(answered bool) {
+		if answered {
+			d.budgets.RecordAnswered(d.fleet.now, run)
+		}
+		d.budgets.FinishRun(d.fleet.now, run)
+	}
 }
 
 // calls records that the run calls a service.
--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -22,9 +22,24 @@
 	// calledHosts is the number of hosts whose backend servers the others call.
 	calledHosts   = 5
 	fleetDuration = 40 * time.Second
+	shedFrom      = 20 * time.Second
+	shedUntil     = 28 * time.Second
 	fleetTick     = 50 * time.Millisecond
 )
 
+// routeName names one of the routes to search. Runs of the others call nothing.
+type routeName string
+
+const (
+	noRoute      routeName = ""
+	quietRoute   routeName = "search.example/quiet"
+	callingRoute routeName = "search.example/calling"
+	rareRoute    routeName = "search.example/rare"
+	// rareCalls is the share of the runs of rareRoute that call names. Routes that call that seldom are the least
+	// predictable ones: runs enough to know a route often do not show it.
+	rareCalls = 0.05
+)
+
 // serviceName names one of two services: runs of search call names.
 type serviceName string
 
@@ -41,6 +56,12 @@
 	daemonRestarts float64 // restarts of daemons with an empty state, per second
 	lateUpdates    bool    // daemons learn of starts and ends seconds late, each with its own delay
 	partitioned    bool    // daemons learn only of the hosts in their own half
+	// shed is the share of the arrivals at search that are rejected at once, from shedFrom until shedUntil.
+	shed float64
+	// routes is set if the requests to search have routes, and are long; the share calls then applies to one of them.
+	routes bool
+	// short is set if the requests are not long.
+	short bool
 }
 
 // simHost is a host of the simulated fleet, with a daemon and a backend server.
@@ -54,6 +75,7 @@
 // simRequest is a request from a host to a service.
 type simRequest struct {
 	service  serviceName
+	route    routeName
 	from     *simHost
 	ofRetry  bool // called by a run that is itself a retry
 	arrivals int
@@ -72,12 +94,15 @@
 	requests map[serviceName][]time.Time
 	retries  map[serviceName][]time.Time
 	refused  int // retries that the limit refused
+	// refusedForCalls counts the retries that were refused for lack of retries for their calls while search shed, by
+	// route.
+	refusedForCalls map[routeName]int
 }
 
 func newSimFleet(seed uint64, t faults) *simFleet {
 	f := &simFleet{
 		random: rand.New(rand.NewPCG(seed, 0)), faults: t, now: epoch, later: make(map[int64][]func()),
-		requests: make(map[serviceName][]time.Time), retries: make(map[serviceName][]time.Time),
+		requests: make(map[serviceName][]time.Time), retries: make(map[serviceName][]time.Time), refusedForCalls: make(map[routeName]int),
 	}
 	for n := range fleetHosts {
 		h := &simHost{number: n, service: search}
@@ -102,13 +127,44 @@
 		f.restart()
 		for _, service := range []serviceName{search, names} {
 			for range f.eventCount(perSecond[service]) {
-				f.send(&simRequest{service: service, from: f.hosts[f.random.IntN(len(f.hosts))]})
+				f.send(&simRequest{service: service, route: f.pickRoute(service), from: f.hosts[f.random.IntN(len(f.hosts))]})
 			}
 		}
 		f.tick++
 	}
 }
 
+// pickRoute returns the route of a request to the service.
+func (f *simFleet) pickRoute(service serviceName) routeName {
+	if !f.faults.routes || service != search {
+		return noRoute
+	}
+	return []routeName{quietRoute, quietRoute, callingRoute, rareRoute}[f.random.IntN(4)]
+}
+
+// callShare returns the share of the runs for that request which call names.
+func (f *simFleet) callShare(r *simRequest) float64 {
+	switch {
+	case r.service != search || r.route == quietRoute:
+		return 0
+	case r.route == rareRoute:
+		return rareCalls
+	default:
+		return f.faults.calls
+	}
+}
+
+// sheds reports whether search rejects some of its requests now.
+func (f *simFleet) sheds() bool {
+	since := f.now.Sub(epoch)
+	return since >= shedFrom && since < shedUntil
+}
+
+// isShed reports whether the arrival of the request is rejected.
+func (f *simFleet) isShed(r *simRequest) bool {
+	return r.service == search && f.sheds() && f.random.Float64() < f.faults.shed
+}
+
 // eventCount returns how often an event with that rate occurs in this tick.
 func (f *simFleet) eventCount(perSecond float64) int {
 	mean := perSecond * fleetTick.Seconds()
@@ -178,6 +234,15 @@
 	f.scheduleArrival(func() { f.arrive(r, to, retried) })
 }
 
+// finish records the end of an arrival, and sends the request again if it was not answered.
+func (f *simFleet) finish(r *simRequest, end func(answered bool), retried, answered bool) {
+	r.from.daemon.finishArrival(r, retried)
+	end(answered)
+	if !answered && r.arrivals < 2 {
+		f.sendTo(r, f.pick(r.service))
+	}
+}
+
 // arrive counts the arrival, and lets it fail or run.
 func (f *simFleet) arrive(r *simRequest, to *simHost, retried bool) {
 	r.arrivals++
@@ -185,7 +250,11 @@
 		f.retries[r.service] = append(f.retries[r.service], f.now)
 	}
 	end := to.daemon.run(r, retried)
-	if r.service == search && f.random.Float64() < f.faults.calls {
+	if f.isShed(r) {
+		f.finish(r, end, retried, false)
+		return
+	}
+	if f.random.Float64() < f.callShare(r) {
 		call := &simRequest{service: names, from: to, ofRetry: retried || r.ofRetry}
 		f.scheduleArrival(func() {
 			to.daemon.calls(r, call)
@@ -193,13 +262,7 @@
 		})
 	}
 	fails := f.random.Float64() < f.faults.failing
-	f.schedule(400*time.Millisecond, func() {
-		r.from.daemon.finishArrival(r, retried)
-		end()
-		if fails && r.arrivals < 2 {
-			f.sendTo(r, f.pick(r.service))
-		}
-	})
+	f.schedule(400*time.Millisecond, func() { f.finish(r, end, retried, !fails) })
 }
 
 // maxExcess returns the largest number by which a window that begins with a retry exceeds the
@@ -237,6 +300,9 @@
 		"daemons with late updates":             {failing: 0.6, serverRestarts: 1, lateUpdates: true},
 		"a partition, and daemons that restart": {failing: 0.6, daemonRestarts: 3, partitioned: true},
 		"all faults":                            {failing: 0.6, calls: 0.7, serverRestarts: 2, daemonRestarts: 3, lateUpdates: true, partitioned: true},
+		"routes that differ in what they call":  {failing: 0.6, calls: 0.7, routes: true},
+		"all faults, and routes that differ":    {failing: 0.6, calls: 0.7, serverRestarts: 2, daemonRestarts: 3, lateUpdates: true, partitioned: true, routes: true},
+		"a service that sheds, and routes":      {failing: 0.01, calls: 1, shed: 0.55, routes: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -44,6 +44,10 @@
 	ID string
 	// Service is the service of the backend server.
 	Service string
+	// Route is the name of the request's route; empty if unknown.
+	Route string
+	// Long is set if the rules for long requests apply to the request.
+	Long bool
 	// Retry is set if the request was, or may have been, sent to a backend server before.
 	Retry bool
 }
--- a/internal/sidecar/acquire.go
+++ b/internal/sidecar/acquire.go
@@ -39,7 +39,11 @@
 	requestedAt := time.Now()
 	request := newRequest(id, call, requestedAt.Add(call.TimeLeft))
 	reply := make(chan grant, 1)
-	if !s.send(offerMessage{attempt: newAttempt(call), request: request, host: call.Host, serverLimit: call.ServerLimit, reply: reply}) {
+	offer := offerMessage{
+		attempt: newAttempt(call), request: request, host: call.Host, serverLimit: call.ServerLimit,
+		route: call.Route, latencyTarget: call.LatencyTarget, reply: reply,
+	}
+	if !s.send(offer) {
 		return nil, result.New(result.Draining)
 	}
 	select {
--- a/internal/sidecar/admit.go
+++ b/internal/sidecar/admit.go
@@ -6,6 +6,7 @@
 	"github.com/tideliftd/tidelift/internal/admission"
 	"github.com/tideliftd/tidelift/internal/detect"
 	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/runs"
 )
 
 // offer submits one request to admission control and applies the decision.
@@ -36,6 +37,13 @@
 	m.reply <- refused(refusalCode(decision.Verdict), decision.RetryAfter)
 }
 
+// runOf returns the run that the offered request will be.
+func (t *task) runOf(m *offerMessage) runs.Run {
+	return runs.Run{
+		Service: t.declared.Service.Name, Route: m.route, Long: t.config.isLong(m.latencyTarget), Retry: m.attempt.Retry,
+	}
+}
+
 // serverState returns the state of the backend server that an admission decision depends on.
 func (t *task) serverState(now time.Time, m *offerMessage) admission.Server {
 	if t.isDraining(now) {
@@ -55,7 +63,7 @@
 		s.ProbationInFlight = t.probationInFlight
 	}
 	s.Hanging = m.attempt.RefuseIfHanging && (t.suspicion.Hanging(now) || !t.suspicion.Proven(now))
-	s.RetryLeft = m.attempt.Retry && t.config.Retries.MayRun(now, t.declared.Service.Name)
+	s.RetryLeft = m.attempt.Retry && t.config.Retries.MayRun(now, t.runOf(m))
 	s.NamesLimit = t.limit.PerSecond() > 0
 	s.Size = t.size(now)
 	return s
--- a/internal/sidecar/do.go
+++ b/internal/sidecar/do.go
@@ -50,12 +50,12 @@
 		return Answer{}, err
 	}
 	slot.begin(others, call)
-	response, err := s.exchange(ctx, server, call, in, began) //nolint:bodyclose // the caller closes the body of the answer
+	response, err := s.exchange(ctx, server, call, in, began)
 	if err != nil {
 		slot.failed(result.From(err))
 		s.recordFailure(server, result.From(err), call, in, began)
 		slot.release()
-		end()
+		end(false)
 		return Answer{}, err
 	}
 	slot.answered(response)
@@ -63,7 +63,7 @@
 	s.recordAnswered(server, call, in)
 	response.Body = hop.OnClose(response.Body, func() {
 		slot.release()
-		end()
+		end(showsCalls(response))
 	})
 	return Answer{Response: response, Load: server.load(), Failing: server.failureRate(), Limit: server.limit(), Waited: slot.waited}, nil
 }
@@ -113,5 +113,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return server.acquire(ctx, s.nextID.Add(1), call)
+	slot, err := server.acquire(ctx, s.nextID.Add(1), call)
+	if err != nil {
+		server.sentRequests.countRefusal(result.From(err))
+	}
+	return slot, err
 }
--- a/internal/sidecar/messages.go
+++ b/internal/sidecar/messages.go
@@ -18,7 +18,10 @@
 		host    string // of the ingress
 		// serverLimit is the limit that the backend server named to the ingress's host; zero if none.
 		serverLimit float64
-		reply       chan grant
+		// route is the name of the request's route, if known; latencyTarget is its latency target.
+		route         string
+		latencyTarget time.Duration
+		reply         chan grant
 	}
 	observeMessage struct {
 		observation detect.Observation
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -103,6 +103,11 @@
 	Peer Peer
 }
 
+// isLong reports whether a request with that latency target is long.
+func (c *Config) isLong(latencyTarget time.Duration) bool {
+	return c.LongLatencyTarget > 0 && latencyTarget >= c.LongLatencyTarget
+}
+
 // Sidecar sends work to the backend servers of one host.
 type Sidecar struct {
 	config       Config
