feat(attempts): three refusals for want of retries end the search of a long request

Cause: after a sidecar had no retries for the calls of a retry, the next backend server was asked, up to 76 one after the other, since the bound of three was not checked when the last refusal was a busy one. Change: for long requests MayRetry checks the bound whatever the last failure was. The ingress names the route of a long request in its call, so that sidecars learn what runs of the route call. Tests of attempts and ingress pass.

--- a/internal/attempts/retry.go
+++ b/internal/attempts/retry.go
@@ -19,7 +19,8 @@
 	minLimitRefusals = 4
 	// maxRetryRefusals is the number of refusals for lack of retry budget after which the failure
 	// is final. Each sidecar answers for the services that its backend server would call; if three
-	// have no budget left for those, most have none.
+	// have no budget left for those, most have none. The limit always holds for long requests; for
+	// others, only if the last attempt reached a backend server.
 	maxRetryRefusals = 3
 )
 
@@ -30,6 +31,8 @@
 	switch {
 	case bodyConsumed || class.Final:
 		return false
+	case r.Long && h.RetryRefusals >= maxRetryRefusals:
+		return false // whatever the last backend server lacked
 	case class.Target == failures.QueueFull && now.After(r.LatencyTargetAt):
 		return false // the other queues are as full, and the latency target has passed
 	case class.Target == failures.QueueFull:
--- a/internal/attempts/retry_test.go
+++ b/internal/attempts/retry_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/attempts"
+	"github.com/tideliftd/tidelift/internal/failures"
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
@@ -20,6 +21,7 @@
 	nonIdempotent := attempts.Request{NonIdempotent: true, MaxSent: 2, LatencyTargetAt: target}
 	idempotent := attempts.Request{MaxSent: 2, LatencyTargetAt: target}
 	subrequest := attempts.Request{MaxSent: 2, LatencyTargetAt: target, Subrequest: true}
+	long := attempts.Request{MaxSent: 2, LatencyTargetAt: target, Long: true}
 	tests := []struct {
 		name    string
 		request attempts.Request
@@ -44,6 +46,11 @@
 		{"the deadline", idempotent, attempts.History{Sent: 1, Last: result.New(result.DeadlineWhileRunning)}, inTime, final},
 		{"two had no retry budget", idempotent, attempts.History{Sent: 1, RetryRefusals: 2, Last: result.New(result.ConnectionLost)}, inTime, again},
 		{"three had no retry budget", idempotent, attempts.History{Sent: 1, RetryRefusals: 3, Last: result.New(result.ConnectionLost)}, inTime, final},
+		{"three had no retry budget, then one no slot", idempotent, attempts.History{Sent: 1, RetryRefusals: 3, Last: result.New(result.Busy)}, inTime, again},
+		{"two had no retry budget, long", long, attempts.History{Sent: 1, RetryRefusals: 2, Last: result.New(result.Busy)}, inTime, again},
+		{"three had no retry budget, long", long, attempts.History{Sent: 1, RetryRefusals: 3, Last: result.New(result.ConnectionLost)}, inTime, final},
+		{"three had no retry budget, one no slot, long", long, attempts.History{Sent: 1, RetryRefusals: 3, Last: result.New(result.Busy)}, inTime, final},
+		{"the first had no slot, long", long, attempts.History{Last: result.New(result.Busy)}, inTime, free},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -65,6 +72,31 @@
 	}
 }
 
+// TestRetryRefusalsEndLongRequestsOnly guards against a long request that asks further backend servers after
+// three had no retries for its calls, whatever the last failure was, and against other requests that end
+// earlier than before: for them such refusals only count once an attempt reached a backend server last.
+func TestRetryRefusalsEndLongRequestsOnly(t *testing.T) {
+	now := time.Now()
+	for _, code := range result.All() {
+		request := attempts.Request{MaxSent: 2, StartedAt: now, LatencyTargetAt: now.Add(time.Second)}
+		long := request
+		long.Long = true
+		may := func(r attempts.Request, refusals int) bool {
+			h := attempts.History{Sent: 1, RetryRefusals: refusals, Last: result.New(code)}
+			return h.MayRetry(now, r, false)
+		}
+		without := may(request, 0)
+		for refusals := range 9 {
+			if got := may(long, refusals); got != (without && refusals < 3) {
+				t.Errorf("%s, long, after %d refusals: retried %t", code.Name, refusals, got)
+			}
+			if got := may(request, refusals); got != (without && (refusals < 3 || !failures.Classify(code).Reached)) {
+				t.Errorf("%s after %d refusals: retried %t", code.Name, refusals, got)
+			}
+		}
+	}
+}
+
 // TestNonIdempotentIsNotRetriedAfterItMayHaveRun guards against a result code after which a request
 // that must not run twice is retried.
 func TestNonIdempotentIsNotRetriedAfterItMayHaveRun(t *testing.T) {
@@ -96,6 +128,7 @@
 		"the last":                                {record(draining, busy).Failure(), result.Busy, time.Minute},
 		"one may have run":                        {record(lost, busy).Failure(), result.ConnectionLost, time.Minute},
 		"one had no retry budget":                 {record(lost, result.New(result.RetryLimit)).Failure(), result.ConnectionLost, 0},
+		"one had no retry budget, then no slot":   {record(lost, result.New(result.RetryLimit), busy).Failure(), result.ConnectionLost, time.Minute},
 		"all had no retry budget":                 {record(result.New(result.RetryLimit)).Failure(), result.RetryLimit, 0},
 		"none was tried":                          {record().NoTargetFailure(0, ""), result.NoneAble, time.Second},
 		"none accepts requests":                   {record(busy, draining).NoTargetFailure(2, ""), result.NoneAble, time.Second},
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -51,9 +51,19 @@
 		Priority:          r.priority,
 		Baseline:          a.Target.Baseline(),
 		ServerLimit:       a.Target.ServerLimit(),
+		Route:             r.longRoute(),
 	}
 }
 
+// longRoute returns the name of the request's route if the request is long, and an empty name
+// otherwise: the sidecar uses the name only for the rules for long requests.
+func (r *request) longRoute() string {
+	if !r.attemptRequest.Long {
+		return ""
+	}
+	return r.route.Host + r.route.Path
+}
+
 // remote returns the address of the target's daemon, and reports whether that is another daemon.
 func (in *Ingress) remote(target *balance.Target) (string, bool) {
 	host := target.Placement().Host
