--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -31,6 +31,8 @@
 //     request is a subrequest.
 //   - An attempt that reached a backend server is retried elsewhere within the route's attempts and
 //     the service's retry limit, and only if the request did not run or may run more than once.
+//   - A long request ends after three refusals for lack of retries for its calls, whatever was
+//     refused in between.
 //   - A failure that another backend server would not change is final: the customer's own limits,
 //     the deadline, a caller that disconnected, a malformed request.
 //
