--- a/internal/ingress/longretry_test.go
+++ b/internal/ingress/longretry_test.go
@@ -17,12 +17,14 @@
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/retry"
+	"github.com/tideliftd/tidelift/internal/runs"
 	"github.com/tideliftd/tidelift/internal/sidecar"
 )
 
 const (
 	longAndShortRoutes = `
 hosts: [{name: h1, data-centre: dc, peers: "127.0.0.1:1", control: "127.0.0.1:2"}]
+callers: {id-header: Request-Id}
 services:
 - {name: names, floor: 1, retry-share: 1, backend-servers: [SERVERS]}
 routes:
@@ -36,6 +38,7 @@
 // are refused with the codes in then, the last of which is repeated.
 type refusingIngress struct {
 	in     *Ingress
+	runs   *runs.Table
 	first  func(r *http.Request) (sidecar.Answer, error)
 	then   []result.Code
 	calls  []hop.Call
@@ -54,11 +57,11 @@
 
 func newRefusingIngress(t *testing.T, longTarget time.Duration) *refusingIngress {
 	t.Helper()
-	f := &refusingIngress{counts: make(map[string]int)}
+	f := &refusingIngress{runs: runs.New(), counts: make(map[string]int)}
 	budgets := retry.NewBudgets(retry.Config{StartedAt: time.Now()})
 	in, cleanUp := New(Config{
 		Host: "h1", DataCentre: "dc", LongLatencyTarget: longTarget, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, HeaderBytes: 1 << 16,
-		Local: f.do, Retries: budgets,
+		Local: f.do, Runs: f.runs, Retries: budgets,
 	})
 	t.Cleanup(cleanUp)
 	servers := make([]string, 0, refusingServers)
@@ -77,10 +80,12 @@
 	return f
 }
 
-// get sends a request and returns the answer.
+// get sends a request with the id "r.1" and returns the answer.
 func (f *refusingIngress) get(url string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodGet, url, http.NoBody)
+	r.Header.Set("Request-Id", "r.1")
 	w := httptest.NewRecorder()
-	f.in.ServeHTTP(w, httptest.NewRequest(http.MethodGet, url, http.NoBody))
+	f.in.ServeHTTP(w, r)
 	return w
 }
 
@@ -177,3 +182,18 @@
 		}
 	}
 }
+
+// TestThreeRefusalsEndTheCallOfARetry guards against the call of a retried run that asks all backend servers
+// although three had no retries for its own calls, and against an end other than "not run".
+func TestThreeRefusalsEndTheCallOfARetry(t *testing.T) {
+	f := newRefusingIngress(t, 750*time.Millisecond)
+	f.first, f.then = failWith(result.RetryLimit), []result.Code{result.Busy, result.RetryLimit}
+	f.runs.Begin(time.Now(), runs.Run{ID: "r", Service: "search", Retry: true})
+	w := f.get("http://long.example/pages/1")
+	if len(f.calls) != 4 || f.counts[result.RetryLimit.Name] != 2 {
+		t.Errorf("%d backend servers were asked, want three without retries and a busy one", len(f.calls))
+	}
+	if w.Code != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want %d", w.Code, http.StatusServiceUnavailable)
+	}
+}
--- a/test/registered/fleet_test.go
+++ b/test/registered/fleet_test.go
@@ -53,6 +53,7 @@
 	store    *standin.Standin
 	storeURL string
 	source   string // additional settings under source, in YAML
+	settings string // additional settings, in YAML
 	declared string // additional fields of the service, in JSON
 	net      string // the first three octets of the hosts' addresses
 	hosts    []*host
@@ -212,7 +213,7 @@
 func (h *host) start() {
 	h.fleet.t.Helper()
 	storeURL := h.storeURL()
-	text := fmt.Sprintf(settingsText, h.number, h.number%h.fleet.dataCentres, h.ip(), storeURL, h.unready, h.service, h.fleet.source)
+	text := fmt.Sprintf(settingsText, h.number, h.number%h.fleet.dataCentres, h.ip(), storeURL, h.unready, h.service, h.fleet.source) + h.fleet.settings
 	s, err := settings.Parse("settings.yaml", []byte(text))
 	if err != nil {
 		h.fleet.t.Fatal(err)
--- a/test/registered/repeats_test.go
+++ b/test/registered/repeats_test.go
@@ -31,6 +31,7 @@
 
 const twoServicesText = `{"version":1,
 "routes":[
+ {"name":"quiet","host":"a.example","path-prefix":"/quiet/","route-type":"idempotent","timeout-s":2,"target-latency-s":0.8,"priority":1,"service":"search","attempts":2},
  {"name":"search","host":"a.example","path-prefix":"/search/","route-type":"idempotent","timeout-s":2,"target-latency-s":0.8,"priority":1,"service":"search","attempts":2},
  {"name":"names","host":"a.example","path-prefix":"/names/","route-type":"idempotent","timeout-s":2,"target-latency-s":0.8,"priority":0,"service":"names","attempts":2}],
 "services":[{"name":"search"},{"name":"names"}],"limits":{"max-body-bytes":100000}}`
@@ -42,12 +43,14 @@
 	retries  map[string][]time.Time // by service: arrivals beyond the first, and every arrival of a retried run's subrequest
 	arrivals map[string]int         // by request id
 	ofRetry  map[string]bool        // ids of subrequests of retried runs
+	// retriesByPath counts the retries by path.
+	retriesByPath map[string]int
 }
 
 func newRetryRecorder() *retryRecorder {
 	return &retryRecorder{
 		requests: make(map[string][]time.Time), retries: make(map[string][]time.Time),
-		arrivals: make(map[string]int), ofRetry: make(map[string]bool),
+		arrivals: make(map[string]int), ofRetry: make(map[string]bool), retriesByPath: make(map[string]int),
 	}
 }
 
@@ -63,13 +66,14 @@
 }
 
 // recordArrival records an arrival and reports whether its run is a retry.
-func (s *retryRecorder) recordArrival(service, id string) bool {
+func (s *retryRecorder) recordArrival(service, path, id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.arrivals[id]++
 	repeat := s.arrivals[id] > 1 || s.ofRetry[id]
 	if repeat {
 		s.retries[service] = append(s.retries[service], time.Now())
+		s.retriesByPath[path]++
 	}
 	return repeat
 }
@@ -105,10 +109,12 @@
 	return n
 }
 
-// newTwoServices starts a fleet of two services. Runs of search send subrequests to names.
-func newTwoServices(t *testing.T, searchHosts, nameHosts int, seen *retryRecorder) *fleet {
+// newTwoServices starts a fleet of two services, with additional settings in YAML. Runs of the route search send
+// subrequests to names.
+func newTwoServices(t *testing.T, searchHosts, nameHosts int, settings string, seen *retryRecorder) *fleet {
 	t.Helper()
 	f := newStore(t)
+	f.settings = settings
 	f.source = fmt.Sprintf(", retry-share: %g, retry-slack: %g, retry-window: %s", retryShare, retrySlack, retryWindow)
 	f.store.Write(platform.DesiredKey, []byte(twoServicesText))
 	for n := range searchHosts + nameHosts {
@@ -145,11 +151,11 @@
 			writeSigned(w, http.StatusOK, "done")
 			return
 		}
-		repeat := seen.recordArrival(h.service, id)
+		repeat := seen.recordArrival(h.service, r.URL.Path, id)
 		if rand.Float64() < brokenShare/2 {
 			panic(http.ErrAbortHandler)
 		}
-		if h.service == "search" && rand.Float64() < subrequestShare {
+		if strings.HasPrefix(r.URL.Path, "/search/") && rand.Float64() < subrequestShare {
 			call := fmt.Sprintf("%s.%d", id, nextID.Add(1))
 			seen.recordSent("names", call, repeat)
 			h.getWithID(r.Context(), "/names/x", call)
@@ -172,16 +178,24 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// startCallers sends each service perSecond requests a second, from random hosts, until ctx ends.
+// serviceOf returns the service of the route.
+func serviceOf(route string) string {
+	if route == "quiet" {
+		return "search"
+	}
+	return route
+}
+
+// startCallers sends each route perSecond requests a second, from random hosts, until ctx ends.
 func (f *fleet) startCallers(ctx context.Context, seen *retryRecorder, perSecond map[string]int) *sync.WaitGroup {
 	var wg sync.WaitGroup
-	for service, rate := range perSecond {
+	for route, rate := range perSecond {
 		wg.Go(func() {
 			for ctx.Err() == nil {
 				h := f.hosts[rand.IntN(len(f.hosts))]
 				id := fmt.Sprintf("q%d", nextID.Add(1))
-				seen.recordSent(service, id, false)
-				wg.Go(func() { h.getWithID(context.Background(), "/"+service+"/x", id) })
+				seen.recordSent(serviceOf(route), id, false)
+				wg.Go(func() { h.getWithID(context.Background(), "/"+route+"/x", id) })
 				time.Sleep(time.Second / time.Duration(rate))
 			}
 		})
@@ -208,7 +222,7 @@
 		t.Run(name, func(t *testing.T) {
 			const searchHosts, nameHosts, played = 6, 3, 6 * time.Second
 			seen := newRetryRecorder()
-			f := newTwoServices(t, searchHosts, nameHosts, seen)
+			f := newTwoServices(t, searchHosts, nameHosts, "", seen)
 			ctx, cancel := context.WithTimeout(t.Context(), played)
 			defer cancel()
 			requests := f.startCallers(ctx, seen, map[string]int{"search": 250, "names": 20})
