--- a/internal/hop/call.go
+++ b/internal/hop/call.go
@@ -55,6 +55,9 @@
 	// ServerLimit is the limit that the backend server named in its last answer to this host, in
 	// requests a second; zero if none. It has a header of its own.
 	ServerLimit float64
+	// Long is set if the rules for long requests apply to the request at the ingress: it is long itself, or a
+	// long request calls it.
+	Long bool
 	// Route is the name of the request's route, its host name followed by its path, if the rules
 	// for long requests apply to it at the ingress; otherwise it is empty. It has a header of its own.
 	Route string
--- a/internal/hop/encode.go
+++ b/internal/hop/encode.go
@@ -36,6 +36,7 @@
 	flagRefuseIfBusy
 	flagRefuseIfHanging
 	flagRetry
+	flagLong
 )
 
 // callEncoding converts the encoded call to the text of a header.
@@ -74,7 +75,7 @@
 func (c Call) flags() uint64 {
 	return bit(flagNonIdempotent, c.NonIdempotent) | bit(flagWantReservation, c.WantReservation) | bit(flagDespiteSuspicion, c.DespiteSuspicion) |
 		bit(flagRefuseIfBusy, c.RefuseIfBusy) | bit(flagRefuseIfHanging, c.RefuseIfHanging) |
-		bit(flagRetry, c.Retry)
+		bit(flagRetry, c.Retry) | bit(flagLong, c.Long)
 }
 
 // bit returns the flag if set is true, and zero otherwise.
@@ -125,6 +126,7 @@
 		RefuseIfBusy:      w.Flags&flagRefuseIfBusy != 0,
 		RefuseIfHanging:   w.Flags&flagRefuseIfHanging != 0,
 		Retry:             w.Flags&flagRetry != 0,
+		Long:              w.Flags&flagLong != 0,
 	}
 }
 
--- a/internal/ingress/limit_test.go
+++ b/internal/ingress/limit_test.go
@@ -40,6 +40,7 @@
 	budgets *retry.Budgets
 	sent    atomic.Int64 // requests that reached a backend server
 	retries atomic.Int64 // of these, requests marked as retries
+	long    atomic.Int64 // of these, requests to which the rules for long requests apply
 	reject  *result.Code // refusal of each retry; nil if retries reach a backend server
 	lent    atomic.Int64 // retries that another host lent
 }
@@ -53,6 +54,9 @@
 	if call.Retry {
 		l.retries.Add(1)
 	}
+	if call.Long {
+		l.long.Add(1)
+	}
 	return sidecar.Answer{}, result.New(result.ConnectionLost)
 }
 
@@ -161,6 +165,19 @@
 	}
 }
 
+// TestSubrequestOfLongRequestIsLong guards against a call whose loss loses a long request, and to which the rules
+// for long requests do not apply.
+func TestSubrequestOfLongRequestIsLong(t *testing.T) {
+	for _, long := range []bool{false, true} {
+		l := newLimitedIngress(t, nil)
+		l.runs.Begin(time.Now(), runs.Run{ID: "r", Service: "search", Long: long})
+		l.send(1, "r.1")
+		if got := l.long.Load() > 0; got != long {
+			t.Fatalf("a call of a run with long %t: long %t", long, got)
+		}
+	}
+}
+
 // TestRefusedSubrequestOfRetryIsNotRun guards against running a subrequest of a retry, or reporting
 // that it may have run, when all backend servers refuse it for lack of retry budget for their calls.
 func TestRefusedSubrequestOfRetryIsNotRun(t *testing.T) {
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -51,6 +51,7 @@
 		Priority:          r.priority,
 		Baseline:          a.Target.Baseline(),
 		ServerLimit:       a.Target.ServerLimit(),
+		Long:              r.attemptRequest.Long,
 		Route:             r.longRoute(),
 	}
 }
--- a/internal/ingress/subrequest.go
+++ b/internal/ingress/subrequest.go
@@ -30,6 +30,8 @@
 		in.config.Retries.RecordRequest(now, r.serviceName)
 		return
 	}
+	// If a call of a long request is lost, so is that request.
+	r.attemptRequest.Long = r.attemptRequest.Long || run.Long
 	r.countsAsRetry = in.config.Retries.RecordCall(now, run, r.serviceName)
 	r.sentByRetry = run.Retry
 	if run.Retry {
--- a/internal/sidecar/quick.go
+++ b/internal/sidecar/quick.go
@@ -9,15 +9,9 @@
 
 // recordQuick records in the observation whether the request failed quickly, and counts it.
 func (s *slot) recordQuick() {
-	s.observation.Quick = s.isEvidence && s.observation.Outcome == detect.Error && s.isLong() &&
+	s.observation.Quick = s.isEvidence && s.observation.Outcome == detect.Error && s.long &&
 		s.observation.Latency <= s.latencyTarget/quickDivisor
 	if s.observation.Quick {
 		s.server.quickFailures.Inc(1)
 	}
 }
-
-// isLong reports whether the request is long, by its latency target.
-func (s *slot) isLong() bool {
-	threshold := s.server.longLatencyTarget
-	return threshold > 0 && s.latencyTarget >= threshold
-}
--- a/internal/sidecar/quick_test.go
+++ b/internal/sidecar/quick_test.go
@@ -26,16 +26,19 @@
 		threshold, target, after time.Duration
 		end                      func(*slot)
 		want                     bool
+		ofLong                   bool
 	}{
-		"long":                 {long, long, 0, failed, true},
-		"short":                {long, long - time.Millisecond, 0, failed, false},
-		"without the setting":  {0, long, 0, failed, false},
-		"unknown target":       {long, 0, 0, failed, false},
-		"after its work":       {long, long, long/10 + time.Millisecond, failed, false},
-		"without a promise":    {long, long, 0, func(s *slot) { s.failed(result.New(result.ServerFailed)) }, true},
-		"a lost connection":    {long, long, 0, func(s *slot) { s.failed(result.New(result.ConnectionLost)) }, false},
-		"load that it refuses": {long, long, 0, func(s *slot) { s.failed(result.New(result.NotTaken)) }, false},
-		"a good answer":        {long, long, 0, func(s *slot) { s.answered(&http.Response{StatusCode: http.StatusOK}) }, false},
+		"a call of a long one": {threshold: long, target: long / 2, end: failed, want: true, ofLong: true},
+		"a call, unset":        {threshold: 0, target: long / 2, end: failed, want: false, ofLong: true},
+		"long":                 {long, long, 0, failed, true, false},
+		"short":                {long, long - time.Millisecond, 0, failed, false, false},
+		"without the setting":  {0, long, 0, failed, false, false},
+		"unknown target":       {long, 0, 0, failed, false, false},
+		"after its work":       {long, long, long/10 + time.Millisecond, failed, false, false},
+		"without a promise":    {long, long, 0, func(s *slot) { s.failed(result.New(result.ServerFailed)) }, true, false},
+		"a lost connection":    {long, long, 0, func(s *slot) { s.failed(result.New(result.ConnectionLost)) }, false, false},
+		"load that it refuses": {long, long, 0, func(s *slot) { s.failed(result.New(result.NotTaken)) }, false, false},
+		"a good answer":        {long, long, 0, func(s *slot) { s.answered(&http.Response{StatusCode: http.StatusOK}) }, false, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -47,7 +50,7 @@
 			}
 			server.declared.Store(task.declared)
 			s := &slot{server: server}
-			s.begin(detect.Baseline{}, hop.Call{LatencyTarget: test.target})
+			s.begin(detect.Baseline{}, hop.Call{LatencyTarget: test.target, Long: test.ofLong})
 			s.started = s.started.Add(-test.after)
 			test.end(s)
 			counted := scope.Snapshot().Counters()["sidecar_quick_failures+"].Value()
--- a/internal/sidecar/retries_test.go
+++ b/internal/sidecar/retries_test.go
@@ -39,7 +39,7 @@
 func offer(t *task, now time.Time, id uint64, call hop.Call) grant {
 	m := offerMessage{
 		attempt: newAttempt(call), request: newRequest(id, call, now.Add(time.Minute)),
-		route: call.Route, latencyTarget: call.LatencyTarget, reply: make(chan grant, 1),
+		route: call.Route, long: call.Long, latencyTarget: call.LatencyTarget, reply: make(chan grant, 1),
 	}
 	t.offer(now, &m)
 	return <-m.reply
@@ -104,6 +104,8 @@
 		{"long", longTarget, hop.Call{Route: quietRoute, LatencyTarget: longTarget}, true},
 		{"not long", longTarget, hop.Call{Route: quietRoute, LatencyTarget: longTarget - 1}, false},
 		{"a latency target that is not known", longTarget, hop.Call{Route: quietRoute}, false},
+		{"a call of a long one", longTarget, hop.Call{Route: quietRoute, Long: true}, true},
+		{"a call of a long one, without the setting", 0, hop.Call{Route: quietRoute, Long: true}, false},
 		{"without the setting", 0, hop.Call{Route: quietRoute, LatencyTarget: longTarget}, false},
 		{"from a daemon that sends no route", longTarget, hop.Call{LatencyTarget: longTarget}, false},
 		{"of another route", longTarget, hop.Call{Route: "a.example/other", LatencyTarget: longTarget}, false},
--- a/internal/sidecar/runs.go
+++ b/internal/sidecar/runs.go
@@ -30,7 +30,7 @@
 // any.
 func (s *Sidecar) begin(ctx context.Context, server *server, call hop.Call, id string) (end func(showsCalls bool), err error) {
 	run := runs.Run{
-		ID: id, Service: server.declared.Load().Service.Name, Route: call.Route, Long: s.config.isLong(call.LatencyTarget), Retry: call.Retry,
+		ID: id, Service: server.declared.Load().Service.Name, Route: call.Route, Long: isLong(s.config.LongLatencyTarget, call), Retry: call.Retry,
 	}
 	borrowed, ok := s.borrowRetries(ctx, run)
 	now := time.Now()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -55,6 +55,7 @@
 
 	"github.com/tideliftd/tidelift/internal/experiment"
 	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/metric"
 	"github.com/tideliftd/tidelift/internal/quarantinesync"
 	"github.com/tideliftd/tidelift/internal/result"
@@ -104,9 +105,10 @@
 	Peer Peer
 }
 
-// isLong reports whether a request with that latency target is long.
-func (c *Config) isLong(latencyTarget time.Duration) bool {
-	return c.LongLatencyTarget > 0 && latencyTarget >= c.LongLatencyTarget
+// isLong reports whether the rules for long requests apply to the request, by its latency target or because
+// its ingress says so, as for a call that a long request makes.
+func isLong(threshold time.Duration, call hop.Call) bool {
+	return threshold > 0 && (call.Long || call.LatencyTarget >= threshold)
 }
 
 // Sidecar sends work to the backend servers of one host.
--- a/internal/sidecar/slot.go
+++ b/internal/sidecar/slot.go
@@ -18,6 +18,7 @@
 	probation     bool
 	others        detect.Baseline
 	latencyTarget time.Duration // latency target of the route; zero if unknown
+	long          bool          // the rules for long requests apply
 	slowAfter     time.Duration // how long the request runs before it counts as slow; zero if unknown
 	granted       time.Time
 	waited        time.Duration // until it was granted
@@ -33,6 +34,7 @@
 // begin starts the request's timers.
 func (s *slot) begin(others detect.Baseline, call hop.Call) {
 	s.latencyTarget = call.LatencyTarget
+	s.long = isLong(s.server.longLatencyTarget, call)
 	s.slowAfter = call.SlowAfter
 	s.others = others
 	s.started = time.Now()
