feat(serve): serve callers' pipelined requests concurrently on request

Cause: internal/pipeline is used by nothing. Change: Config.Pipelined of 2 or more puts it between the callers' listener and internal/framing, which gets Unwrap; 0 and 1 leave connections unwrapped. A planned stop starts nothing ahead, omits "Connection: close" while answers of started requests follow, and waits for these before http.Server.Shutdown. The 408 on close is omitted where requests have been started ahead.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -47,6 +47,14 @@
 	return &conn{Conn: socket}, nil
 }
 
+// Unwrap returns the connection that was accepted by the listener given to Listen.
+func Unwrap(c net.Conn) net.Conn {
+	if watched, ok := c.(*conn); ok {
+		return watched.Conn
+	}
+	return c
+}
+
 // ConnContext stores the connection in the context for Ambiguous. It is for http.Server.ConnContext.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, contextKey{}, c)
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -12,6 +12,8 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tideliftd/tidelift/internal/framing"
+	"github.com/tideliftd/tidelift/internal/pipeline"
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
@@ -41,7 +43,8 @@
 // handler is already running, which net/http cannot know, the connection stays open until the response is written.
 type conn struct {
 	net.Conn
-	closing *atomic.Int64 // connections whose close has begun and not finished
+	closing   *atomic.Int64  // connections whose close has begun and not finished
+	pipelined *pipeline.Conn // nil if the connection's requests are served one after the other
 
 	mu         sync.Mutex
 	phase      phase
@@ -63,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: socket, closing: l.closing, phase: phaseIdle}, nil
+	return &conn{Conn: socket, closing: l.closing, pipelined: pipeline.From(framing.Unwrap(socket)), phase: phaseIdle}, nil
 }
 
 // beginRequest records that a request has begun. It returns false if the connection was closed before, in which case
@@ -139,7 +142,8 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Close closes the connection immediately if the last response announced it or the peer has closed the connection.
+// Close closes the connection immediately if the last response announced it, the peer has closed the connection, or
+// requests have been started ahead: they may have run, so that the response would not be true.
 // While a handler runs it only marks the connection: net/http calls Close again after the response. Otherwise it
 // responds that no request was run, and discards in the background what is still in transit.
 func (c *conn) Close() error {
@@ -156,7 +160,7 @@
 	if c.postponed {
 		defer c.closing.Add(-1)
 	}
-	if c.phase == phaseFinal || c.peerClosed {
+	if c.phase == phaseFinal || c.peerClosed || c.pipelined.Unanswered() > 0 {
 		return c.Conn.Close()
 	}
 	c.closing.Add(1)
@@ -200,8 +204,11 @@
 
 type connKey struct{}
 
-// withConn stores the connection in the context for trackRequests.
+// withConn stores the connection in the context for trackRequests and the pipeline.
 func withConn(ctx context.Context, c net.Conn) context.Context {
+	if tracked, ok := c.(*conn); ok && tracked.pipelined != nil {
+		ctx = pipeline.ConnContext(ctx, tracked.pipelined)
+	}
 	return context.WithValue(ctx, connKey{}, c)
 }
 
@@ -209,6 +216,7 @@
 func trackIdle(c net.Conn, state http.ConnState) {
 	if tracked, ok := c.(*conn); ok && state == http.StateIdle {
 		tracked.endResponse()
+		pipeline.ConnState(tracked.pipelined, state)
 	}
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -10,8 +10,9 @@
 // stops new connections; CloseUnused, which closes the connections without a request; and Stop, which waits for the
 // requests in flight, or aborts them when its context ends.
 //
-// The package owns the sockets and servers. It relies on the handlers it is given, and on internal/framing for
-// inspecting the bytes that callers send.
+// The package owns the sockets and servers. It relies on the handlers it is given, on internal/framing for inspecting
+// the bytes that callers send, and on internal/pipeline for serving what a caller sends ahead, which Config.Pipelined
+// enables.
 //
 // # Usage
 //
@@ -35,10 +36,12 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/tideliftd/tidelift/internal/accept"
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/framing"
+	"github.com/tideliftd/tidelift/internal/pipeline"
 	"github.com/tideliftd/tidelift/internal/settings"
 	"github.com/tideliftd/tidelift/internal/wait"
 )
@@ -69,6 +72,14 @@
 	Local map[string]http.Handler
 	// Control handles control calls.
 	Control control.Handle
+	// Pipelined is how many requests that a caller sends ahead on one connection are served at once; 0 or 1: one after
+	// the other.
+	Pipelined int
+	// MayPipeline reports whether a caller's request without a body may be served beside others of its connection. It is
+	// required if Pipelined is at least 2.
+	MayPipeline func(*http.Request) bool
+	// Scope receives the metrics. It is required if Pipelined is at least 2.
+	Scope tally.Scope
 	// DaemonsOnly returns a listener that accepts connections from daemons only.
 	DaemonsOnly func(net.Listener) net.Listener
 	// Logger receives the errors that net/http logs.
@@ -81,6 +92,7 @@
 	callers   *http.Server
 	peers     *http.Server
 	operators *http.Server
+	pipeline  *pipeline.Pipeline // of callers' connections; nil if their requests are served one after the other
 	failed    chan error
 
 	public           []*accept.Listener // listeners for callers and peers
@@ -115,8 +127,14 @@
 // Failed returns a channel that receives an error when a server fails for any reason other than a stop.
 func (s *Servers) Failed() <-chan error { return s.failed }
 
-// DisableKeepAlives adds "Connection: close" to all further responses to callers and peers.
-func (s *Servers) DisableKeepAlives() { s.stopping.Store(true) }
+// DisableKeepAlives adds "Connection: close" to all further responses to callers and peers, except those behind which
+// requests of the same connection have been started. No further request is started ahead.
+func (s *Servers) DisableKeepAlives() {
+	if s.pipeline != nil {
+		s.pipeline.StopStarting() // first, so that nothing is started behind a response with "Connection: close"
+	}
+	s.stopping.Store(true)
+}
 
 // Refuse stops new connections from callers and peers. Existing connections continue, including those that wait to be
 // accepted. It must be called some time before Stop, since http.Server.Shutdown drops without a response a request
@@ -138,6 +156,9 @@
 		listener.Wait(ctx)
 	}
 	s.CloseUnused() // connections that were accepted after Refuse
+	if s.pipeline != nil {
+		s.pipeline.Wait(ctx) // http.Server.Shutdown does not wait for requests that net/http has not read
+	}
 	err := errors.Join(
 		shutDown(ctx, s.callers, "callers"),
 		shutDown(ctx, s.peers, "peers"),
@@ -187,7 +208,7 @@
 	}
 	s.public = sockets[:2]
 	s.operatorListener = sockets[2]
-	s.serve(s.callers, framing.Listen(sockets[0]))
+	s.serve(s.callers, framing.Listen(s.pipelined(sockets[0])))
 	s.serve(s.peers, s.config.DaemonsOnly(sockets[1]))
 	s.serve(s.operators, sockets[2])
 	calls := s.config.DaemonsOnly(sockets[3])
@@ -195,6 +216,14 @@
 	return nil
 }
 
+// pipelined returns a listener for callers that serves requests which were sent ahead, if the settings ask for it.
+func (s *Servers) pipelined(socket net.Listener) net.Listener {
+	if s.pipeline == nil {
+		return socket
+	}
+	return s.pipeline.Listen(socket)
+}
+
 // localServer serves this host's own programs at one address.
 type localServer struct {
 	listener *accept.Listener
@@ -206,7 +235,7 @@
 	limits := s.config.Limits
 	s.operators = s.makeSmallServer(s.config.Operators)
 	s.callers = s.makeServer(&http.Server{
-		Handler:           s.closeWhenStopping(s.config.Callers),
+		Handler:           s.closeWhenStopping(s.callersHandler()),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes + headerSlack,
@@ -228,6 +257,21 @@
 	})
 }
 
+// callersHandler returns the handler for callers' requests. It creates the pipeline if the settings ask for it.
+func (s *Servers) callersHandler() http.Handler {
+	if s.config.Pipelined <= 1 {
+		return s.config.Callers
+	}
+	s.pipeline = pipeline.New(pipeline.Config{
+		Limit:    s.config.Pipelined,
+		MayStart: s.config.MayPipeline,
+		Handler:  s.config.Callers,
+		ErrorLog: s.newErrorLog(),
+		Scope:    s.config.Scope,
+	})
+	return s.pipeline
+}
+
 // makeSmallServer creates a server for low traffic, from operators or this host's own programs.
 func (s *Servers) makeSmallServer(handler http.Handler) *http.Server {
 	return s.makeServer(&http.Server{
@@ -251,10 +295,11 @@
 	s.unused.track(c, state)
 }
 
-// closeWhenStopping adds "Connection: close" to responses after DisableKeepAlives.
+// closeWhenStopping adds "Connection: close" to responses after DisableKeepAlives, unless requests behind this one have
+// been started, whose responses must follow.
 func (s *Servers) closeWhenStopping(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.stopping.Load() {
+		if s.stopping.Load() && pipeline.ConnOf(r.Context()).Behind() == 0 {
 			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
