feat(ingress,daemon): long-requests.pipelined takes effect

Cause: the setting is read and used by nothing. Change: the daemon passes the setting and Ingress.MayPipeline (route found, method idempotent, long) to serve. Result: tests of internal/ingress and internal/daemon pass. With the setting at 0 or 1 nothing changes.

--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -28,6 +28,9 @@
 		Operators:   operators,
 		Local:       d.localHandlers(),
 		Control:     handle,
+		Pipelined:   s.LongRequests.Pipelined,
+		MayPipeline: d.ingress.MayPipeline,
+		Scope:       d.metrics.Scope,
 		DaemonsOnly: d.daemonsOnly,
 		Logger:      d.config.Logger,
 	})
