--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -636,6 +636,47 @@
 	}
 }
 
+// TestRandomClosesLeaveNothing guards against requests that are counted, run, or wait for ever after callers have closed
+// their connections at any moment.
+func TestRandomClosesLeaveNothing(t *testing.T) {
+	var running atomic.Int64
+	s := serve(t, 4, func(w http.ResponseWriter, r *http.Request) {
+		running.Add(1)
+		defer running.Add(-1)
+		select {
+		case <-time.After(time.Duration(rand.IntN(2000)) * time.Microsecond):
+		case <-r.Context().Done():
+		}
+		_, _ = w.Write(make([]byte, rand.IntN(400_000)))
+	})
+	var callers sync.WaitGroup
+	for range 40 {
+		callers.Go(func() {
+			for range 10 {
+				c, err := net.Dial("tcp", s.address)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_ = c.SetDeadline(time.Now().Add(time.Duration(rand.IntN(20)) * time.Millisecond))
+				_, _ = io.WriteString(c, gets(0, rand.IntN(12)))
+				_, _ = io.CopyN(io.Discard, c, rand.Int64N(600_000)) // waits for as much, or until the deadline
+				_ = c.Close()
+			}
+		})
+		time.Sleep(time.Millisecond)
+	}
+	callers.Wait()
+	s.pipeline.StopStarting()
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	s.pipeline.Wait(ctx)
+	if ctx.Err() != nil {
+		t.Fatal("requests are still counted as unanswered")
+	}
+	await(t, "all handlers end", func() bool { return running.Load() == 0 })
+}
+
 // TestStopStarting guards against requests that are started after a planned stop began, and against losing those that were
 // started before.
 func TestStopStarting(t *testing.T) {
