test(serve): limits on callers hold behind pipelined requests

Cause: nothing showed that the timeouts and the limit on heads work as before on a wrapped connection. Change: the time for a head, the idle time and the size of a head are tested with and without the pipeline, behind one and three requests. An idle connection also releases the memory of a large head.

--- a/internal/pipeline/stream.go
+++ b/internal/pipeline/stream.go
@@ -263,7 +263,9 @@
 	if len(s.ahead) == 0 {
 		s.standing, s.barrier = standingUnknown, false
 	}
-	s.head = s.head[:0]
+	if s.head = s.head[:0]; cap(s.head) > pieceSize {
+		s.head = nil // an idle connection holds little memory
+	}
 	s.position++
 	s.serving = false
 }
--- a/internal/serve/pipeline_test.go
+++ b/internal/serve/pipeline_test.go
@@ -59,11 +59,17 @@
 // startPipelined serves the handler on the callers' address, which it returns, with up to limit GET requests of a
 // connection at once.
 func startPipelined(t *testing.T, limit int, handler http.HandlerFunc) (*Servers, string) {
+	t.Helper()
+	return startLimited(t, limit, settings.Limits{HeaderTimeout: waitTimeout, IdleTimeout: waitTimeout, HeaderBytes: settings.DefaultMaxHeader}, handler)
+}
+
+// startLimited is like startPipelined, with other limits on callers.
+func startLimited(t *testing.T, limit int, limits settings.Limits, handler http.HandlerFunc) (*Servers, string) {
 	t.Helper()
 	none := http.NotFoundHandler()
 	servers, cleanUp, err := New(Config{
 		Listen:      settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0", Control: "127.0.0.1:0"},
-		Limits:      settings.Limits{HeaderTimeout: waitTimeout, IdleTimeout: waitTimeout, HeaderBytes: settings.DefaultMaxHeader},
+		Limits:      limits,
 		Callers:     handler,
 		Peers:       none,
 		Operators:   none,
@@ -263,3 +269,53 @@
 		t.Fatalf("status %d, %d requests ran", response.StatusCode, h.runs.Load())
 	}
 }
+
+// TestPipelinedLimits guards against limits on callers that do not hold any more: the time for a head, the time that a
+// connection may be idle, and the size of a head, each also behind requests that were started ahead.
+func TestPipelinedLimits(t *testing.T) {
+	const (
+		headerTimeout = 200 * time.Millisecond
+		idleTimeout   = 600 * time.Millisecond
+		tolerance     = 2 * time.Second // of a busy machine
+		plain         = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	)
+	tests := []struct {
+		name, send   string
+		status       int // of the answer after the handlers'
+		after, until time.Duration
+	}{
+		{"slow head", "GET / HTTP/1.1\r\nHos", http.StatusBadRequest, headerTimeout, idleTimeout},
+		{"idle", "", http.StatusRequestTimeout, idleTimeout, tolerance},
+		{"large head", "GET / HTTP/1.1\r\nHost: a\r\nX-Large: " + strings.Repeat("x", 80<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge, 0, tolerance},
+	}
+	for _, limit := range []int{0, 4} {
+		for _, before := range []int{1, 3} {
+			for _, test := range tests {
+				t.Run(fmt.Sprintf("limit %d, %s behind %d", limit, test.name, before), func(t *testing.T) {
+					_, address := startLimited(t, limit, settings.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, HeaderBytes: 1 << 10},
+						func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") })
+					client, reader := sendAhead(t, address, 0)
+					_, _ = io.WriteString(client, strings.Repeat(plain, before)+test.send)
+					for range before {
+						response, err := http.ReadResponse(reader, nil)
+						if err != nil {
+							t.Fatal(err)
+						}
+						_, _ = io.Copy(io.Discard, response.Body)
+						_ = response.Body.Close()
+					}
+					answered := time.Now()
+					status := 0
+					if response, err := http.ReadResponse(reader, nil); err == nil {
+						status = response.StatusCode
+						_ = response.Body.Close()
+					}
+					took := time.Since(answered)
+					if status != test.status || took < test.after-100*time.Millisecond || took > test.until {
+						t.Fatalf("status %d after %s, want %d between %s and %s", status, took, test.status, test.after, test.until)
+					}
+				})
+			}
+		}
+	}
+}
