test(pipeline): a close is seen behind requests that arrive later

Change: requests that arrive while the first one is served, behind each kind of first request, followed by a close.

--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -405,6 +405,40 @@
 	}
 }
 
+// TestCloseAfterLaterRequests guards against a close that is not seen because further requests arrived while the first one
+// was served.
+func TestCloseAfterLaterRequests(t *testing.T) {
+	firsts := map[string]string{
+		"plain":   gets(0, 1),
+		"POST":    "POST /long HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\na",
+		"chunked": "POST /long HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"bare LF": "GET /long HTTP/1.1\nHost: a\n\n",
+	}
+	for name, first := range firsts {
+		t.Run(name, func(t *testing.T) {
+			g := newGate()
+			c := dial(t, serve(t, 4, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				g.ServeHTTP(w, r)
+			}))
+			c.send(t, first)
+			g.awaitRunning(t, 1)
+			c.send(t, "GET /short HTTP/1.1\r\nHost: a\r\n\r\n")
+			time.Sleep(20 * time.Millisecond)
+			_ = c.Close()
+			closed := time.Now()
+			g.awaitRunning(t, 0)
+			if took := time.Since(closed); took > closeLimit {
+				t.Fatalf("the request ended after %s, want at most %s", took, closeLimit)
+			}
+			time.Sleep(20 * time.Millisecond)
+			if n := g.runs.Load(); n != 1 {
+				t.Fatalf("%d requests ran, want 1", n)
+			}
+		})
+	}
+}
+
 // TestCloseWhileAnswering guards against requests that continue after the close because net/http has come to one that was
 // started ahead.
 func TestCloseWhileAnswering(t *testing.T) {
