fix(body): close the connection after a response to a body that was not read

Cause: body.Prepare enables full duplex, in which net/http does not read the rest of a body before the response. Finish aborts reads, so that net/http cannot read it afterwards either. net/http then reuses the connection, and takes the rest of the body for the next request: a request within a body was served. Change: Finish makes net/http close the connection after the response, by its rule for bodies beyond a MaxBytesReader's limit. Result: TestUnreadBodyIsNotTheNextRequest fails without the change (GET /second was served) and passes with it, with -race; the other tests of internal/body pass with -race.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -19,6 +19,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,7 @@
 // data read is still buffered. It limits the body's length. A nil Body
 // represents a request without a body.
 type Body struct {
+	writer         http.ResponseWriter
 	controller     *http.ResponseController
 	length         int64 // the announced length; negative if unknown
 	expectContinue bool  // the caller sends the body after a 100 response
@@ -71,6 +73,7 @@
 		return nil
 	}
 	return &Body{
+		writer:         w,
 		controller:     http.NewResponseController(w),
 		source:         r.Body,
 		length:         r.ContentLength,
@@ -182,7 +185,8 @@
 }
 
 // Finish stops the reading of the rest of the body, which an attempt may still be sending after it was
-// answered. It returns once reading has stopped.
+// answered. It returns once reading has stopped. The connection of a body that was not read to its end
+// is closed after the response.
 //
 // A body that was read to its end needs no abort: net/http is then waiting on the connection for the
 // caller to disconnect, and would treat an aborted read as a disconnect and cancel the next request.
@@ -195,7 +199,18 @@
 	}
 	if b.ended.Load() {
 		_ = b.controller.SetReadDeadline(time.Time{}) // the connection can be reused
+		return
 	}
+	b.closeAfterResponse()
+}
+
+// closeAfterResponse makes net/http close the connection after the response. In full duplex, net/http reuses a
+// connection whose request body could not be read to its end, and takes the rest of the body for the next request.
+// It closes one whose body exceeds the limit of a MaxBytesReader.
+func (b *Body) closeAfterResponse() {
+	const limit = 0
+	tooLong := http.MaxBytesReader(b.writer, io.NopCloser(strings.NewReader("x")), limit)
+	_, _ = tooLong.Read(make([]byte, 1))
 }
 
 // abortRead aborts a read in progress, and returns once it has stopped.
--- a/internal/body/body_test.go
+++ b/internal/body/body_test.go
@@ -1,9 +1,13 @@
 package body_test
 
 import (
+	"bufio"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -230,3 +234,46 @@
 		t.Fatalf("%d of %d requests were cancelled", n, requests)
 	}
 }
+
+// TestUnreadBodyIsNotTheNextRequest guards against net/http taking the rest of a body that was not read for the next
+// request on the connection.
+func TestUnreadBodyIsNotTheNextRequest(t *testing.T) {
+	const second = "GET /second HTTP/1.1\r\nHost: a\r\n\r\n"
+	bodies := map[string]string{
+		"with a length": "Content-Length: 100000\r\n\r\n",
+		"in chunks":     "Transfer-Encoding: chunked\r\n\r\n186a0\r\n",
+	}
+	for name, text := range bodies {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method != http.MethodPost {
+					t.Errorf("%s %s was served", r.Method, r.URL.Path)
+				}
+				b := body.New(w, r, 1<<20)
+				defer b.Finish()
+				if err := b.Prepare(time.Now().Add(time.Minute)); err != nil {
+					t.Error(err)
+				}
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			defer server.Close()
+			connection, err := net.Dial("tcp", server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = connection.Close() }()
+			if _, err := io.WriteString(connection, "POST /first HTTP/1.1\r\nHost: a\r\n"+text); err != nil {
+				t.Fatal(err)
+			}
+			_ = connection.SetReadDeadline(time.Now().Add(10 * time.Second))
+			reader := bufio.NewReader(connection)
+			if _, err := http.ReadResponse(reader, nil); err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(connection, second) // part of the first request's body
+			if rest, err := io.ReadAll(reader); len(rest) > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Fatalf("got %q, %v, want the end of the connection", rest, err)
+			}
+		})
+	}
+}
