fix(body): an attempt does not send a consumed body without its middle

Cause: a hedge is chosen before it reserves a slot. Meanwhile, the first attempt may read a streamed body beyond the buffer. The hedge then read the buffered part followed by what was left at the source, and ended the first attempt. A body in chunks has no length, so that the backend server could not tell it from a whole one. Change: Rewind of a consumed body sets a reader that fails, and leaves the earlier attempt's reader alone.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -48,6 +48,9 @@
 // errSuperseded is returned when a later attempt is reading the body.
 var errSuperseded = errors.New("request body is in use by a later attempt")
 
+// errConsumed is returned to an attempt that began after more of the body was read than is buffered.
+var errConsumed = errors.New("request body was read further than it is buffered")
+
 // Body lets each attempt read the caller's body from its start, as long as the
 // data read is still buffered. It limits the body's length. A nil Body
 // represents a request without a body.
@@ -117,7 +120,8 @@
 }
 
 // Rewind sets the request's body to a reader that starts at the beginning. If the body is not fully
-// buffered, the readers of earlier attempts fail from then on. A fully buffered body is set as an
+// buffered, the readers of earlier attempts fail from then on; if it is already consumed, the new reader
+// fails instead. A fully buffered body is set as an
 // in-memory reader that net/http recognizes and writes together with the headers; other readers
 // are copied through a buffer of 32 KB (BenchmarkSendShortBody).
 func (b *Body) Rewind(r *http.Request) {
@@ -130,6 +134,10 @@
 		r.Body = io.NopCloser(bytes.NewReader(b.buffered))
 		return
 	}
+	if b.overflowed {
+		r.Body = io.NopCloser(failingReader{})
+		return
+	}
 	b.attempt++
 	r.Body = &attemptBody{body: b, attempt: b.attempt}
 }
@@ -277,3 +285,9 @@
 // Close leaves the caller's body open, since another attempt may need it.
 // net/http closes it after the request has been served.
 func (a *attemptBody) Close() error { return nil }
+
+// failingReader is the body of an attempt that cannot read the body from its start.
+type failingReader struct{}
+
+// Read returns errConsumed.
+func (failingReader) Read([]byte) (int, error) { return 0, errConsumed }
--- a/internal/body/body_test.go
+++ b/internal/body/body_test.go
@@ -277,3 +277,27 @@
 		})
 	}
 }
+
+// TestAConsumedBodyIsNotSentInPart guards against an attempt that begins after a body was read beyond the buffer, and
+// sends the body without the part in between.
+func TestAConsumedBodyIsNotSentInPart(t *testing.T) {
+	text := strings.Repeat("0123456789", 20_000)
+	r := httptest.NewRequest(http.MethodPost, "/", io.MultiReader(strings.NewReader(text))) // of unknown length
+	b := body.New(&deadlines{ResponseRecorder: httptest.NewRecorder()}, r, 1<<20)
+	if err := b.Prepare(time.Now().Add(time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	first, second := *r, *r
+	b.Rewind(&first)
+	if _, err := io.ReadFull(first.Body, make([]byte, 100_000)); err != nil {
+		t.Fatal(err)
+	}
+	b.Rewind(&second)
+	if part, err := io.ReadAll(second.Body); err == nil {
+		t.Errorf("the second attempt read %d of %d bytes without an error", len(part), len(text))
+	}
+	if rest, err := io.ReadAll(first.Body); err != nil || string(rest) != text[100_000:] {
+		t.Errorf("the first attempt read %d bytes more, %v", len(rest), err)
+	}
+	b.Finish()
+}
