feat(body): a bound on the sum of the buffered bodies

Cause: the body of one request is bounded, but not the sum of those that a daemon holds, so that many uploads at once exceed its memory. Change: body.Memory, from which a Body takes what is buffered of it and gives it back in Finish. A body of known length finds no room before it is read; one of unknown length takes room as it is read, and is streamed without the buffer if none is left after a part was sent. Without a Memory nothing changes.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -2,9 +2,12 @@
 //
 // # Usage
 //
+//	memory := body.NewMemory(body.MemoryConfig{Limit: 64 << 20, Scope: scope}) // one for each daemon
+//
 //	b := body.New(w, r, limit)      // nil without a body
-//	defer b.Finish()
-//	b.Prepare(deadline)             // reads a short body now
+//	b.ChargeTo(memory, body.Holder{Kind: body.HolderCustomer, Name: "library-12"})
+//	defer b.Finish()                // gives the memory back
+//	err := b.Prepare(deadline)      // reads a short body now; ErrNoRoom if no memory is left
 //	b.Rewind(out)                   // for each attempt
 //	if b.Consumed() { ... }         // it can no longer be sent from its start
 //	first, err := b.Peek(64 << 10)  // for its fingerprint; b.TryPeek does not wait for the caller
@@ -13,6 +16,14 @@
 // waits for the caller. Of a longer body the first part is buffered, and the
 // rest is streamed. net/http does not allow reading a body after its handler has
 // returned, which Finish ensures.
+//
+// # Memory
+//
+// A Memory bounds the sum of what is buffered. A body of known length takes what will be buffered of it
+// in Prepare, before any of it is read or sent. One of unknown length takes readAhead bytes there, and
+// more as it is read. If no memory is left for it then, an attempt has sent a part already and the
+// request may have run, so that it is not refused: it is streamed from there on, without the buffer, and
+// cannot be sent again. Finish gives back what the body has taken. Without a Memory there is no bound.
 package body
 
 import (
@@ -28,10 +39,10 @@
 )
 
 // maxBuffered is how much of a request body is buffered for further attempts, in bytes.
-// A thousand concurrent requests then buffer at most 64 MB.
+// A thousand concurrent requests then buffer at most 64 MB; a Memory bounds the sum for any number.
 const maxBuffered = 64 << 10
 
-// readAhead is how much Peek reads at a time, in bytes.
+// readAhead is how much Peek reads at a time, and how much memory a body of unknown length takes at a time, in bytes.
 const readAhead = 4 << 10
 
 // readSlack is how long after the request's deadline a streamed body may still be
@@ -67,7 +78,9 @@
 	remaining  int64
 	buffered   []byte // the body's first bytes
 	overflowed bool   // more was read than is buffered
+	dropped    bool   // no memory was left for the buffer; it also overflowed
 	attempt    int    // the latest attempt, the only one that may read
+	account    account
 }
 
 // New returns the request's body prepared for attempts, or nil if the request has none.
@@ -85,14 +98,28 @@
 	}
 }
 
-// Prepare bounds how long the caller may take to send the body, and reads the body
-// if its announced length is short.
+// ChargeTo sets the Memory that the buffer is taken from, and the holder that it is accounted to. It must
+// be called before Prepare.
+func (b *Body) ChargeTo(memory *Memory, holder Holder) {
+	if b == nil {
+		return
+	}
+	b.account.memory, b.account.holder = memory, holder
+}
+
+// Prepare takes memory for the body, bounds how long the caller may take to send the body, and reads the
+// body if its announced length is short. Without room in the Memory it returns ErrNoRoom, and the body is
+// not read.
 func (b *Body) Prepare(deadline time.Time) error {
 	if b == nil {
 		return nil
 	}
 	// Both fail only on a closed connection, which a read detects.
 	_ = b.controller.EnableFullDuplex()
+	if err := b.reserve(b.firstRoom()); err != nil {
+		b.closeAfterResponse() // before the refusal is written, so that its headers announce the close
+		return err
+	}
 	if b.expectContinue || b.length < 0 || b.length > maxBuffered {
 		_ = b.controller.SetReadDeadline(deadline.Add(readSlack))
 		return nil
@@ -105,6 +132,28 @@
 	return nil
 }
 
+// firstRoom returns how much memory the body takes before it is read, in bytes.
+func (b *Body) firstRoom() int {
+	if b.length < 0 {
+		return readAhead
+	}
+	return b.maxHeld()
+}
+
+// maxHeld returns how much of the body is buffered at most.
+func (b *Body) maxHeld() int {
+	if b.length < 0 {
+		return maxBuffered
+	}
+	return int(min(b.length, maxBuffered))
+}
+
+// reserve takes the memory for buffering that many bytes of the body, in steps of readAhead.
+func (b *Body) reserve(size int) error {
+	steps := (size + readAhead - 1) / readAhead
+	return b.account.takeUpTo(int64(min(steps*readAhead, b.maxHeld())))
+}
+
 // readAll reads and buffers the whole body.
 func (b *Body) readAll() error {
 	b.mu.Lock()
@@ -161,11 +210,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for missing := b.unread(limit); missing > 0; missing = b.unread(limit) {
-		if _, err := b.read(make([]byte, min(readAhead, missing))); err != nil && !errors.Is(err, io.EOF) {
+		piece := make([]byte, min(readAhead, missing))
+		if err := b.reserve(len(b.buffered) + len(piece)); err != nil {
+			return nil, err
+		}
+		if _, err := b.read(piece); err != nil && !errors.Is(err, io.EOF) {
 			return nil, err
 		}
 	}
-	return b.buffered[:min(len(b.buffered), limit)], nil
+	return b.first(limit)
 }
 
 // TryPeek is like Peek but returns ErrUnread where Peek would wait for the caller: a caller that is itself waiting
@@ -181,6 +234,14 @@
 	if b.unread(limit) > 0 {
 		return nil, ErrUnread
 	}
+	return b.first(limit)
+}
+
+// first returns the first buffered bytes, at most limit. The caller holds mu.
+func (b *Body) first(limit int) ([]byte, error) {
+	if b.dropped {
+		return nil, ErrNoRoom
+	}
 	return b.buffered[:min(len(b.buffered), limit)], nil
 }
 
@@ -193,13 +254,17 @@
 }
 
 // Finish stops the reading of the rest of the body, which an attempt may still be sending after it was
-// answered. It returns once reading has stopped. The connection of a body that was not read to its end
-// is closed after the response.
+// answered. It returns once reading has stopped. It gives back the memory of the body. The connection of
+// a body that was not read to its end is closed after the response.
 //
 // A body that was read to its end needs no abort: net/http is then waiting on the connection for the
 // caller to disconnect, and would treat an aborted read as a disconnect and cancel the next request.
 func (b *Body) Finish() {
-	if b == nil || b.complete.Load() {
+	if b == nil {
+		return
+	}
+	defer b.account.close()
+	if b.complete.Load() {
 		return
 	}
 	if !b.ended.Load() {
@@ -258,16 +323,30 @@
 }
 
 // appendBuffered buffers a piece for later attempts. Of a body that does not fit, the first part stays buffered for
-// the fingerprint.
+// the fingerprint. If no memory is left for the piece, the buffer is dropped.
 func (b *Body) appendBuffered(piece []byte) {
+	if b.dropped {
+		return
+	}
 	room := maxBuffered - len(b.buffered)
 	if b.overflowed || len(piece) > room {
 		b.overflowed = true
 		piece = piece[:min(len(piece), room)]
 	}
+	if err := b.reserve(len(b.buffered) + len(piece)); err != nil {
+		b.drop()
+		return
+	}
 	b.buffered = append(b.buffered, piece...)
 }
 
+// drop gives up the buffer. Only the attempt that reads the source now can be sent the rest.
+func (b *Body) drop() {
+	b.overflowed, b.dropped = true, true
+	b.buffered = nil
+	b.account.giveBack()
+}
+
 // attemptBody is the body of one attempt.
 type attemptBody struct {
 	body    *Body
