feat(result): code 2029 body-memory

Cause: a request whose body finds no memory needs a refusal that promises that it was not run. A sidecar's refusal passes the request on, to three backend servers at most like a full queue's: one after the other, all of a large service would be asked for a body. It neither pauses the backend server nor is evidence against it, since requests without a body are served there.

--- a/internal/failures/failures.go
+++ b/internal/failures/failures.go
@@ -33,7 +33,8 @@
 	// NoSlot: it has no free slot now, and the request was not to wait.
 	NoSlot TargetState = "no-slot"
 	// QueueFull: it has no free slot and no place in its queue from which the request would run in
-	// time.
+	// time, or its daemon has no memory for the request's body. The search for another one ends after
+	// a few, since callers' uploads are spread over all hosts.
 	QueueFull TargetState = "queue-full"
 	// Limited: it names a limit on its requests, which is used up for the moment.
 	Limited TargetState = "limited"
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -49,6 +49,7 @@
 	ConnectionUnused      = Code{2026, "connection-unused", http.StatusRequestTimeout, RanNo, "The daemon closed the connection on which it had not read a whole request; a request that was sent meanwhile is not read."}
 	Evacuated             = Code{2027, "evacuated", http.StatusServiceUnavailable, RanNo, "An operator evacuated the backend server's data centre; it takes no new work."}
 	Limited               = Code{2028, "limited", http.StatusServiceUnavailable, RanNo, "The backend server names a limit on its requests, which is used up for the moment."}
+	BodyMemory            = Code{2029, "body-memory", http.StatusServiceUnavailable, RanNo, "The daemon has no memory left for the request's body, or the customer has its share of it; requests without a body are taken."}
 	ReservationUnanswered = Code{2015, "reservation-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a reservation in time; the request was never sent."}
 )
 
@@ -88,7 +89,7 @@
 	return []Code{
 		MalformedRequest, NoRoute, AmbiguousFraming, HeadersTooLarge, BodyTooLarge, BadDeadline, UpgradeRefused, ProtocolVersion, KeyMissing, KeyUnknown,
 		NotReady, Stopping, NoneAble, QueueFull, QueueTooSlow, CustomerShare, Draining, Ejected, PeerUnreachable, ServerUnreachable,
-		ReservationExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, ReservationUnanswered, PlaceLost, NotTaken, Misdirected, Suspected, Busy, Unproven, MovedOn, RetryLimit, CustomerLimit, Quarantined, ConnectionUnused, Evacuated, Limited,
+		ReservationExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, ReservationUnanswered, PlaceLost, NotTaken, Misdirected, Suspected, Busy, Unproven, MovedOn, RetryLimit, CustomerLimit, Quarantined, ConnectionUnused, Evacuated, Limited, BodyMemory,
 		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, StoppedWhileRunning, SpoiltAnswer, ServerFailed, ServerError,
 		BadDeclaration, RevisionChanged, PlatformDown, NotDeclared, ChangeUnknown, ValueTooLarge, MalformedCall, PeerSilent, ChangeIDReused, TokenRefused, RoleRefused, DeclaredElsewhere, NoneLeft,
 	}
--- a/internal/retryafter/retryafter.go
+++ b/internal/retryafter/retryafter.go
@@ -14,6 +14,7 @@
 //     served, estimated from the durations of recent requests (admission.Queue.RetryAfter).
 //   - The daemon has no declaration, or is stopping: NotReady.
 //   - No backend server of the service accepts requests: NoneAble.
+//   - The daemon has no memory left for the request's body: BodyMemory.
 //   - The request is quarantined: never, so the answer has no Retry-After.
 //   - Any other refusal that promises that the request was not run: Unspecified.
 //
@@ -32,6 +33,9 @@
 	// NoneAble is the delay after a refusal because no backend server of the service can serve the
 	// request. An ejected or crashed backend server takes seconds to return.
 	NoneAble = time.Second
+	// BodyMemory is the delay after a refusal for lack of memory for the request's body. Bodies are held
+	// until their requests are answered, which takes up to a few seconds.
+	BodyMemory = time.Second
 	// Unspecified is the delay after a refusal without a more specific one.
 	Unspecified = 250 * time.Millisecond
 	// Probation is the time for which an ingress passes a backend server over while a probation
