feat(daemon): a quarter of limits.memory-mb bounds the bodies that a daemon holds

Cause: many large bodies at once, while callers and backend servers read slowly, exceed a daemon's memory. Change: the daemon owns a body.Memory if limits.memory-mb is set. The ingress accounts bodies to the request's customer, the sidecar to the sending host. The sidecar releases the slot that a reservation holds for it, and refuses a request whose quarantine cannot be checked for lack of memory. Without the setting there is no Memory.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/tideliftd/tidelift/internal/body"
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/declaration"
 	"github.com/tideliftd/tidelift/internal/fleet"
@@ -45,6 +46,7 @@
 	d.buildLender()
 	d.buildLimits()
 	d.runs = runs.New()
+	d.bodies = d.newBodyMemory()
 	d.buildSidecar()
 	d.buildIngress()
 	return nil
@@ -209,6 +211,20 @@
 // isUnreachable reports whether the ingress finds the named host unreachable.
 func (d *daemon) isUnreachable(host string) bool { return d.ingress.Unreachable(host) }
 
+// newBodyMemory returns the memory for bodies, which the ingress and the sidecar share; nil if the
+// settings do not name the memory of the daemon.
+func (d *daemon) newBodyMemory() *body.Memory {
+	const (
+		megabyte = 1_000_000
+		divisor  = 4 // the rest is for answers, copying, connections, and the heap's growth between collections
+	)
+	granted := int64(d.config.Settings.Limits.MemoryMB) * megabyte
+	if granted == 0 {
+		return nil
+	}
+	return body.NewMemory(body.MemoryConfig{Limit: granted / divisor, Scope: d.metrics.Scope})
+}
+
 func (d *daemon) buildSidecar() {
 	var onLeaving func(string)
 	if d.registers() {
@@ -223,6 +239,7 @@
 		Scope:             d.metrics.Scope,
 		OnAnswer:          func(good bool) { d.ingress.ServerAnswered(good) },
 		OnLeaving:         onLeaving,
+		BodyMemory:        d.bodies,
 		Peer:              d.sidecarPeer(),
 		Runs:              d.runs,
 		Retries:           d.budgets,
@@ -243,6 +260,7 @@
 		Off:                  s.Experiments.Off,
 		TLS:                  d.clientTLS(),
 		HeaderBytes:          s.Limits.HeaderBytes,
+		BodyMemory:           d.bodies,
 		Logger:               d.config.Logger,
 		Scope:                d.metrics.Scope,
 		Runs:                 d.runs,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tideliftd/tidelift/internal/body"
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/declaration"
 	"github.com/tideliftd/tidelift/internal/evacuationsync"
@@ -134,6 +135,7 @@
 	lender       *lend.Lender
 	limits       *limits.Limits
 	runs         *runs.Table
+	bodies       *body.Memory // nil without a bound
 	sidecar      *sidecar.Sidecar
 	ingress      *ingress.Ingress
 }
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -124,7 +124,7 @@
 			LatencyTargetAt: now.Add(effectiveTarget),
 		},
 		priority: a.caller.priority,
-		body:     body.New(w, r, a.match.MaxBody),
+		body:     in.newBody(w, r, a),
 		route:    routeName,
 		latency:  in.latencies.of(routeName),
 
@@ -136,6 +136,14 @@
 	return admitted
 }
 
+// newBody returns the request's body, which takes memory for the request's customer. All requests
+// without a customer share what one customer may have.
+func (in *Ingress) newBody(w http.ResponseWriter, r *http.Request, a admission) *body.Body {
+	b := body.New(w, r, a.match.MaxBody)
+	b.ChargeTo(in.config.BodyMemory, body.Holder{Kind: body.HolderCustomer, Name: a.caller.name})
+	return b
+}
+
 // isLong reports whether requests of a route with that latency target are long.
 func (in *Ingress) isLong(latencyTarget time.Duration) bool {
 	return in.config.LongLatencyTarget > 0 && latencyTarget >= in.config.LongLatencyTarget
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -21,7 +21,8 @@
 //  2. newRequest (admit.go) picks the service by the route's split and describes the request to
 //     package attempts. Requests that a backend server of this host sent while running another
 //     request are prioritised (prioritizeSubrequest; subrequest.go learns which these are).
-//  3. A short body is read in full so that it can be resent (package body).
+//  3. A short body is read in full so that it can be resent (package body). A body for which the daemon
+//     has no memory left is refused before any of it is sent.
 //  4. tryAll (attempts.go) sends the request to one backend server after another. Package attempts
 //     decides: Choose, which backend server gets it; MayRetry, whether a failure is retried; Failure
 //     and NoTargetFailure, which failure the caller gets. The ingress waits between choices, takes
@@ -65,6 +66,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/tideliftd/tidelift/internal/body"
 	"github.com/tideliftd/tidelift/internal/dial"
 	"github.com/tideliftd/tidelift/internal/experiment"
 	"github.com/tideliftd/tidelift/internal/fleet"
@@ -94,6 +96,8 @@
 	HeaderBytes int
 	// LongLatencyTarget is the latency target from which a request is long; zero if none is.
 	LongLatencyTarget time.Duration
+	// BodyMemory bounds the sum of the request bodies that the daemon holds; nil if nothing does.
+	BodyMemory *body.Memory
 	// TLS is the client configuration for connections to other daemons; nil disables TLS.
 	TLS *tls.Config
 	// Off lists the mechanisms that are switched off.
--- a/internal/ingress/refuse.go
+++ b/internal/ingress/refuse.go
@@ -42,6 +42,9 @@
 	if errors.Is(err, body.ErrTooLong) {
 		return result.Wrap(result.BodyTooLarge, err)
 	}
+	if errors.Is(err, body.ErrNoRoom) {
+		return result.Wrap(result.BodyMemory, err).WithRetryAfter(retryafter.BodyMemory)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return result.Wrap(result.DeadlineBeforeRun, err)
 	}
--- a/internal/sidecar/ends.go
+++ b/internal/sidecar/ends.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"github.com/tideliftd/tidelift/internal/body"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fingerprint"
 	"github.com/tideliftd/tidelift/internal/hop"
@@ -27,9 +30,9 @@
 
 // checkBeforeWait returns an error if the request is quarantined and no trial of it is due.
 func (s *Sidecar) checkBeforeWait(call hop.Call, in *http.Request) error {
-	id, quarantined := s.quarantined(call, in)
-	if !quarantined || s.config.Quarantine.TrialDue(id) {
-		return nil
+	id, quarantined, err := s.quarantined(call, in)
+	if err != nil || !quarantined || s.config.Quarantine.TrialDue(id) {
+		return err
 	}
 	return refuseQuarantined(id)
 }
@@ -38,21 +41,32 @@
 // not its trial. Ingresses do not know about quarantines, so every request to a backend server of
 // this host must pass this check.
 func (s *Sidecar) checkBeforeRun(ctx context.Context, call hop.Call, in *http.Request) error {
-	id, quarantined := s.quarantined(call, in)
-	if !quarantined || s.config.Quarantine.StartTrial(ctx, id) {
-		return nil
+	id, quarantined, err := s.quarantined(call, in)
+	if err != nil || !quarantined || s.config.Quarantine.StartTrial(ctx, id) {
+		return err
 	}
 	return refuseQuarantined(id)
 }
 
-// quarantined reports whether the request is quarantined, and returns its fingerprint if it is.
-func (s *Sidecar) quarantined(call hop.Call, in *http.Request) (string, bool) {
+// quarantined reports whether the request is quarantined, and returns its fingerprint if it is. It
+// returns an error if no memory is left for the part of the body that tells: the request could be
+// sent without it, unlike one whose body cannot be read.
+func (s *Sidecar) quarantined(call hop.Call, in *http.Request) (string, bool, error) {
 	q := s.config.Quarantine
 	if q == nil || q.Empty() {
-		return "", false
+		return "", false, nil
+	}
+	var unread error
+	peek := func(limit int) ([]byte, error) {
+		first, err := call.Body.Peek(limit)
+		unread = err
+		return first, err
+	}
+	status, id := q.Status(s.fingerprintOf(in, peek))
+	if errors.Is(unread, body.ErrNoRoom) {
+		return "", false, noBodyMemory(unread)
 	}
-	status, id := q.Status(s.fingerprintOf(in, call.Body.Peek))
-	return id, status == quarantine.Quarantined
+	return id, status == quarantine.Quarantined, nil
 }
 
 func refuseQuarantined(id string) error {
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -7,9 +7,12 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tideliftd/tidelift/internal/body"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/retryafter"
 )
 
 // Handler serves the requests that other daemons forward.
@@ -26,9 +29,10 @@
 		return
 	}
 	sent := body.New(w, r, math.MaxInt64) // the ingress limits the size
+	sent.ChargeTo(s.config.BodyMemory, body.Holder{Kind: body.HolderHost, Name: call.Host})
 	defer sent.Finish()
 	if err := sent.Prepare(time.Now().Add(call.TimeLeft)); err != nil {
-		writeRefusal(w, result.Wrap(result.CancelledBefore, err))
+		s.refuseBody(w, call, err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), call.TimeLeft)
@@ -47,6 +51,24 @@
 	s.serveRun(ctx, w, call, &own)
 }
 
+// refuseBody refuses a request whose body could not be read. For lack of memory, that may take long to
+// change, so that the slot that a reservation holds for the request is released at once.
+func (s *Sidecar) refuseBody(w http.ResponseWriter, call hop.Call, err error) {
+	if !errors.Is(err, body.ErrNoRoom) {
+		writeRefusal(w, result.Wrap(result.CancelledBefore, err))
+		return
+	}
+	s.reservations.expire(call.Reservation)
+	refusal := noBodyMemory(err)
+	s.refused.Inc(refusal.Code)
+	writeRefusal(w, refusal)
+}
+
+// noBodyMemory returns the refusal of a request for whose body no memory is left.
+func noBodyMemory(err error) *result.Error {
+	return result.Wrap(result.BodyMemory, err).WithRetryAfter(retryafter.BodyMemory)
+}
+
 // serveRun runs the request and forwards the answer.
 func (s *Sidecar) serveRun(ctx context.Context, w http.ResponseWriter, call hop.Call, r *http.Request) {
 	answer, err := s.Do(ctx, call, r)
--- a/internal/sidecar/reservation.go
+++ b/internal/sidecar/reservation.go
@@ -49,7 +49,7 @@
 	return id, nil
 }
 
-// expire releases the slot of an unused reservation.
+// expire releases the slot of an unused reservation, if there is one with the ID.
 func (r *reservations) expire(id string) {
 	if held, ok := r.take(id); ok {
 		held.slot.release()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -52,6 +52,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/tideliftd/tidelift/internal/body"
 	"github.com/tideliftd/tidelift/internal/experiment"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/metric"
@@ -99,6 +100,8 @@
 	// Quarantine holds the requests that must not be sent to any backend server; nil disables
 	// quarantines.
 	Quarantine *quarantinesync.Syncer
+	// BodyMemory bounds the sum of the request bodies that the daemon holds; nil if nothing does.
+	BodyMemory *body.Memory
 	// Peer makes the calls to the sidecars of other backend servers.
 	Peer Peer
 }
