--- a/test/integration/http_test.go
+++ b/test/integration/http_test.go
@@ -25,12 +25,19 @@
 // startWithHandler starts two daemons and a backend server with the handler at the second.
 // Requests to the first daemon take both hops.
 func startWithHandler(t *testing.T, handler http.HandlerFunc) *harness.Fleet {
+	t.Helper()
+	return startWithSettings(t, "", handler)
+}
+
+// startWithSettings is like startWithHandler, with additional settings for both daemons.
+func startWithSettings(t *testing.T, settings string, handler http.HandlerFunc) *harness.Fleet {
 	t.Helper()
 	backend := httptest.NewServer(handler)
 	t.Cleanup(backend.Close)
 	return start(t, harness.Spec{
 		DataCentres: []string{"muenchen-nord", "rosenheim"},
 		HostsEach:   1,
+		Settings:    settings,
 		Services: []harness.Service{
 			{Name: "akten", Floor: 1, Servers: 1},
 			{Name: "antraege", Floor: 1, Servers: 1, Addresses: []string{backend.Listener.Addr().String()}, MaxBody: 1 << 20, Deadline: 5 * time.Second},
