perf(body): a short body is held once while it is read

Cause: a short body was read into a piece of its length and copied to the buffer, so that up to twice what it takes of the memory was held while a slow caller sent it. Change: it is read into the buffer itself.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -154,13 +154,14 @@
 	return b.account.takeUpTo(int64(min(steps*readAhead, b.maxHeld())))
 }
 
-// readAll reads and buffers the whole body.
+// readAll reads and buffers the whole body. It reads into the buffer itself: a separate one would hold the
+// memory again while a slow caller sends.
 func (b *Body) readAll() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	piece := make([]byte, b.length+1)
+	b.buffered = make([]byte, 0, b.length+1) // net/http ends the body at its length, so that a byte is always left to read into
 	for !b.ended.Load() {
-		if _, err := b.read(piece); err != nil && !errors.Is(err, io.EOF) {
+		if _, err := b.read(b.buffered[len(b.buffered):cap(b.buffered)]); err != nil && !errors.Is(err, io.EOF) {
 			return errors.Wrap(err, "read request body")
 		}
 	}
