fix(pipeline): a caller that sends one request at a time starts nothing ahead

A caller that has received an answer may send its next request before net/http has finished the answer; the request was started ahead, and the closing server dropped it. Change: nothing is started once a byte of the current answer has been written. Servers.Stop ends the starting itself.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -227,6 +227,19 @@
 	c.remove(e.position, e)
 }
 
+// Write writes to the connection. From the first write on, no request is started behind the current one: what arrives may
+// be sent by a caller that has received the answer and sends one request at a time. It waits for net/http.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.stopStarting()
+	return c.Conn.Write(p)
+}
+
+func (c *Conn) stopStarting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stream.serving = false
+}
+
 // endRequest records that net/http reads the next request.
 func (c *Conn) endRequest() {
 	c.mu.Lock()
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -246,6 +246,39 @@
 	c.wantAnswers(t, "/long/4", "/long/5")
 }
 
+// TestOneAtATime guards against starting ahead the requests of a caller that waits for each answer: it may have received
+// the answer before the handler has returned, or before net/http has finished it.
+func TestOneAtATime(t *testing.T) {
+	const size = 30_000
+	s := serve(t, 8, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long/large" {
+			w.Header().Set("Content-Length", strconv.Itoa(size))
+			_, _ = w.Write(make([]byte, size))
+			time.Sleep(time.Millisecond)
+			return
+		}
+		echoPath(w, r)
+	})
+	var callers sync.WaitGroup
+	for range 8 {
+		c := dial(t, s)
+		callers.Go(func() {
+			for range 200 {
+				c.send(t, get("/long/x"))
+				c.wantAnswers(t, "/long/x")
+				c.send(t, get("/long/large"))
+				if _, body := c.receive(t); len(body) != size {
+					t.Errorf("got %d bytes", len(body))
+				}
+			}
+		})
+	}
+	callers.Wait()
+	if n := s.counter("callers_pipelined"); n != 0 {
+		t.Fatalf("%d requests were started ahead", n)
+	}
+}
+
 // TestOrder guards against answers that are out of order, mixed up or incomplete, for any delays and sizes.
 func TestOrder(t *testing.T) {
 	s := serve(t, 6, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/serve/pipeline_test.go
+++ b/internal/serve/pipeline_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -319,3 +320,41 @@
 		}
 	}
 }
+
+// TestPipelinedRequestDuringCloseIsRefused guards against a request on a keep-alive connection that runs and gets no
+// response because the daemon closes the connection while the request is in transit. A caller that sends one request at a
+// time may send the next one before net/http has finished the answer that the caller has received.
+func TestPipelinedRequestDuringCloseIsRefused(t *testing.T) {
+	const (
+		stops   = 10
+		callers = 20
+	)
+	for range stops {
+		var ran, answered atomic.Int64
+		servers, address := startPipelined(t, 8, func(w http.ResponseWriter, _ *http.Request) {
+			ran.Add(1)
+			_, _ = io.WriteString(w, "x")
+		})
+		var clients sync.WaitGroup
+		for range callers {
+			client, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			clients.Go(func() {
+				count, err := useUntilClosed(client)
+				answered.Add(count)
+				if err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		time.Sleep(30 * time.Millisecond)
+		servers.Refuse()
+		stopNow(t, servers)
+		clients.Wait()
+		if ran.Load() != answered.Load() {
+			t.Fatalf("%d requests ran, but callers received %d responses", ran.Load(), answered.Load())
+		}
+	}
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -157,6 +157,7 @@
 	}
 	s.CloseUnused() // connections that were accepted after Refuse
 	if s.pipeline != nil {
+		s.pipeline.StopStarting()
 		s.pipeline.Wait(ctx) // http.Server.Shutdown does not wait for requests that net/http has not read
 	}
 	err := errors.Join(
