--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -36,6 +36,9 @@
 // behind which the next request cannot be found with certainty, such as that of a chunked request, ends the reading
 // request by request: from then on net/http gets the connection's bytes as they arrive, and nothing is started ahead.
 //
+// Nothing is started once a byte of the current answer has been written: a caller that sends one request at a time may
+// have received the whole answer before net/http has finished it.
+//
 // # State
 //
 // All state belongs to a connection and ends with it. The package owns the goroutines of requests started ahead. It
