test(pipeline): a reset in place of a close is no difference

Cause: TestRequestsAreTheSame compared how the connection ends. A server that closes a connection with unread data in the kernel's buffer resets it, with and without a pipeline, depending on when the caller's next piece arrives. Change: a reset counts as a close. The answers are still compared byte for byte.

--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -15,9 +15,11 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
@@ -859,7 +861,8 @@
 	})
 }
 
-// exchange sends the pieces and returns what the server answers.
+// exchange sends the pieces and returns what the server answers, and how the connection ends unless it is closed or reset.
+// The kernel resets a connection that the server closes while unread data is in its buffer, which depends on timing.
 func exchange(t *testing.T, s *server, pieces []string) string {
 	t.Helper()
 	c := dial(t, s)
@@ -867,6 +870,9 @@
 	received := make(chan string)
 	go func() {
 		all, err := io.ReadAll(c)
+		if errors.Is(err, syscall.ECONNRESET) {
+			err = nil
+		}
 		received <- fmt.Sprintf("%s%v", date.ReplaceAllString(string(all), ""), err)
 	}()
 	for _, piece := range pieces {
