fix(pipeline): a connection may be read while it is drained

Cause: serve.conn.linger reads a closed connection while net/http's last read may not have returned. Both used Conn.piece. Change: Conn.Read excludes concurrent calls. Deadlines and Close do not wait for it.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -25,7 +25,9 @@
 	raw      syscall.RawConn
 	pipeline *Pipeline
 	memory   memory
-	piece    [pieceSize]byte // used by Read
+
+	reading sync.Mutex      // held by Read
+	piece   [pieceSize]byte // used by Read
 
 	mu         sync.Mutex
 	stream     *stream
@@ -49,11 +51,13 @@
 }
 
 // Read reads from the connection, but nothing of the next request before the current one is answered. net/http never
-// calls it concurrently.
+// calls it concurrently, but a connection that is closed may be drained while net/http's last read has not returned.
 func (c *Conn) Read(p []byte) (int, error) {
 	if len(p) == 0 {
 		return 0, nil
 	}
+	c.reading.Lock()
+	defer c.reading.Unlock()
 	for {
 		n, direct, err := c.takeBuffered(p)
 		if n > 0 || err != nil {
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -713,6 +713,47 @@
 	await(t, "all handlers end", func() bool { return running.Load() == 0 })
 }
 
+// TestConcurrentReads guards against a data race when a connection that is closed is drained (internal/serve) while
+// net/http's last read has not returned, and against bytes that get lost then. It needs the race detector.
+func TestConcurrentReads(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	p := pipeline.New(pipeline.Config{Limit: 2, Scope: tally.NoopScope})
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = caller.Close() })
+	c, err := p.Listen(listener).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	const size = 1000
+	var received atomic.Int64
+	var readers sync.WaitGroup
+	for range 2 {
+		readers.Go(func() {
+			n, _ := io.Copy(io.Discard, c)
+			received.Add(n)
+		})
+	}
+	for range size {
+		if _, err := caller.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Microsecond) // so that each read gets little
+	}
+	_ = caller.Close()
+	readers.Wait()
+	if n := received.Load(); n != size {
+		t.Fatalf("%d of %d bytes were read", n, size)
+	}
+}
+
 // TestStopStarting guards against requests that are started after a planned stop began, and against losing those that were
 // started before.
 func TestStopStarting(t *testing.T) {
