fix(ingress): no hedge of a body that was consumed while its slot was reserved

Cause: a hedge is chosen only while the body is fully buffered, but then waits for its reservation. If the first attempt reads further meanwhile, the hedge's body fails after net/http has flushed the request's headers. The backend server gets a cut request, and the broken connection counts against it. Change: the body is checked again once the slot is reserved, and the hedge is given up as if it had been refused. Result: TestHedgeOfAConsumedBodyIsNotSent passes, and fails without the change ("the hedge was sent").

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -60,6 +60,10 @@
 		a.learnFromFailure(result.From(err), 0)
 		return err
 	}
+	if a.request.body.Consumed() {
+		// Sent without its start, the body would fail at a healthy backend server and count against it.
+		return result.New(result.CancelledBefore).WithDetail("the body was read further than it is buffered while a slot was reserved")
+	}
 	a.reservation = reservation
 	event.Log(a.in.config.Logger, event.RequestHedged,
 		"request", a.in.requestID(a.request.Request), "service", a.request.serviceName, "backend_server", a.Target.Name,
--- a/internal/ingress/attempt_test.go
+++ b/internal/ingress/attempt_test.go
@@ -1,16 +1,25 @@
 package ingress
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/attempts"
 	"github.com/tideliftd/tidelift/internal/balance"
+	"github.com/tideliftd/tidelift/internal/body"
 	"github.com/tideliftd/tidelift/internal/fleet"
+	"github.com/tideliftd/tidelift/internal/hop"
+	"github.com/tideliftd/tidelift/internal/latency"
 	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/sidecar"
 )
 
 // newTestRace returns a race with the given number of running attempts.
@@ -78,3 +87,32 @@
 	pool.Reconfigure(declaration.Services[0], fleet.NewIndex(declaration))
 	return pool
 }
+
+// TestHedgeOfAConsumedBodyIsNotSent guards against a hedge that is sent although the body was read further than it is
+// buffered while its slot was reserved: the backend server would get a cut body, and be suspected for it.
+func TestHedgeOfAConsumedBodyIsNotSent(t *testing.T) {
+	r := newTestRace(t, 1)
+	text := strings.Repeat("x", 200_000)
+	r.request.Request = httptest.NewRequest(http.MethodPut, "/x", strings.NewReader(text))
+	r.request.body = body.New(httptest.NewRecorder(), r.request.Request, 1<<20)
+	r.request.deadline, r.request.latency = time.Now().Add(time.Minute), latency.New()
+	if err := r.request.body.Prepare(r.request.deadline); err != nil {
+		t.Fatal(err)
+	}
+	first := *r.request.Request
+	r.request.body.Rewind(&first)
+	r.in.config.Host = "h1"
+	r.in.config.LocalReservation = func(context.Context, hop.Call) (string, error) {
+		_, err := io.Copy(io.Discard, first.Body)
+		return "a slot", err
+	}
+	r.in.config.Local = func(context.Context, hop.Call, *http.Request) (sidecar.Answer, error) {
+		t.Error("the hedge was sent")
+		return sidecar.Answer{}, result.New(result.ConnectionLost)
+	}
+	hedge := r.running[0]
+	hedge.isHedge = true
+	if o := hedge.runReserved(t.Context()); !o.hedgeRefused || result.From(o.err).Code.Ran != result.RanNo {
+		t.Fatalf("ended with %+v", o)
+	}
+}
