test(ingress): a refused upload that runs at the backend server is seen

Cause: the backend server of the test recorded an upload only after it had read the whole body, and the test looks when the refusal arrives. A refused upload whose body was still being read counted as "not run". Change: the backend server records a request when it arrives.

--- a/internal/ingress/memory_test.go
+++ b/internal/ingress/memory_test.go
@@ -48,6 +48,8 @@
 
 // ServeHTTP reads the body at about 2 MB a second.
 func (s *slowReader) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	s.record(id, 0) // at once, so that a request that was refused while it runs is seen
 	var length int64
 	for {
 		n, err := io.CopyN(io.Discard, r.Body, 20_000)
@@ -57,13 +59,18 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	s.mu.Lock()
-	s.read[r.Header.Get("Request-Id")] += length
-	s.mu.Unlock()
-	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	s.record(id, length)
+	w.Header().Set("Request-Id", id)
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// record records that the backend server got the request and has read length bytes more of it.
+func (s *slowReader) record(id string, length int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.read[id] += length
+}
+
 // bytesRead returns how much of the request the backend server has read, and whether it got the request.
 func (s *slowReader) bytesRead(id string) (int64, bool) {
 	s.mu.Lock()
