refactor(sidecar): whether an offered request is long is decided once

Cause: the task built a call only to ask whether it is long (found in the review). Change: the offer carries the answer.

--- a/internal/sidecar/acquire.go
+++ b/internal/sidecar/acquire.go
@@ -41,7 +41,7 @@
 	reply := make(chan grant, 1)
 	offer := offerMessage{
 		attempt: newAttempt(call), request: request, host: call.Host, serverLimit: call.ServerLimit,
-		route: call.Route, long: call.Long, latencyTarget: call.LatencyTarget, reply: reply,
+		route: call.Route, long: isLong(s.longLatencyTarget, call), reply: reply,
 	}
 	if !s.send(offer) {
 		return nil, result.New(result.Draining)
--- a/internal/sidecar/admit.go
+++ b/internal/sidecar/admit.go
@@ -5,7 +5,6 @@
 
 	"github.com/tideliftd/tidelift/internal/admission"
 	"github.com/tideliftd/tidelift/internal/detect"
-	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/runs"
 )
@@ -41,7 +40,7 @@
 // runOf returns the run that the offered request will be.
 func (t *task) runOf(m *offerMessage) runs.Run {
 	return runs.Run{
-		Service: t.declared.Service.Name, Route: m.route, Long: isLong(t.config.LongLatencyTarget, hop.Call{Long: m.long, LatencyTarget: m.latencyTarget}), Retry: m.attempt.Retry,
+		Service: t.declared.Service.Name, Route: m.route, Long: m.long, Retry: m.attempt.Retry,
 	}
 }
 
--- a/internal/sidecar/messages.go
+++ b/internal/sidecar/messages.go
@@ -18,12 +18,10 @@
 		host    string // of the ingress
 		// serverLimit is the limit that the backend server named to the ingress's host; zero if none.
 		serverLimit float64
-		// route is the name of the request's route, if known; latencyTarget is its latency target; long is set
-		// if its ingress applies the rules for long requests.
-		route         string
-		long          bool
-		latencyTarget time.Duration
-		reply         chan grant
+		// route is the name of the request's route, if known; long is set if the rules for long requests apply.
+		route string
+		long  bool
+		reply chan grant
 	}
 	observeMessage struct {
 		observation detect.Observation
--- a/internal/sidecar/retries_test.go
+++ b/internal/sidecar/retries_test.go
@@ -39,7 +39,7 @@
 func offer(t *task, now time.Time, id uint64, call hop.Call) grant {
 	m := offerMessage{
 		attempt: newAttempt(call), request: newRequest(id, call, now.Add(time.Minute)),
-		route: call.Route, long: call.Long, latencyTarget: call.LatencyTarget, reply: make(chan grant, 1),
+		route: call.Route, long: isLong(t.config.LongLatencyTarget, call), reply: make(chan grant, 1),
 	}
 	t.offer(now, &m)
 	return <-m.reply
