style: comments and test heads of the new parts in the usual terms

Cause: a read-through found figurative words, and test comments of three lines and more. Change: comments only.

--- a/internal/attempts/choose.go
+++ b/internal/attempts/choose.go
@@ -22,9 +22,8 @@
 	// maxHangingRefusals is the number of refusals by backend servers that appear to hang after
 	// which the request is sent to any.
 	maxHangingRefusals = 2
-	// maxHangingRefusalsLong replaces maxHangingRefusals for long requests that must not run twice. With a third
-	// of the backend servers failing most requests, another question costs a round trip, and a request
-	// sent to one of them is lost.
+	// maxHangingRefusalsLong replaces maxHangingRefusals for long requests that must not run twice. Another query costs a
+	// round trip; a request sent to a failing backend server is lost.
 	maxHangingRefusalsLong = 4
 	// SelectionRetryDelay is the pause before a request that found only suspected backend servers,
 	// or none, selects again.
--- a/internal/attempts/choose_test.go
+++ b/internal/attempts/choose_test.go
@@ -273,9 +273,8 @@
 	}
 }
 
-// TestLongRetriesDoNotInsist guards against a retry of a long request that is sent to a suspected backend
-// server, where it most likely fails, although others only lack retry budget or slots; and against first
-// attempts, requests that are not long, and retries without such others that no longer insist.
+// TestLongRetriesDoNotInsist guards against a retry of a long request that goes to a suspected backend server although
+// others only lack retry budget or slots, and against any other request that no longer insists.
 func TestLongRetriesDoNotInsist(t *testing.T) {
 	lacksRetries, isFull, isSuspected := result.New(result.RetryLimit), result.New(result.QueueFull), result.New(result.Suspected)
 	for name, test := range map[string]struct {
--- a/internal/attempts/retry.go
+++ b/internal/attempts/retry.go
@@ -18,9 +18,8 @@
 	// one with room may end. In a large service that names limits everywhere, a request would ask hundreds.
 	minLimitRefusals = 4
 	// maxRetryRefusals is the number of refusals for lack of retry budget after which the failure
-	// is final. Each sidecar answers for the services that its backend server would call; if three
-	// have no budget left for those, most have none. The limit always holds for long requests; for
-	// others, only if the last attempt reached a backend server.
+	// is final: if three hosts have no budget left for the calls, most have none. For requests that are not
+	// long it is in force only if the last attempt reached a backend server.
 	maxRetryRefusals = 3
 )
 
--- a/internal/attempts/retry_test.go
+++ b/internal/attempts/retry_test.go
@@ -72,9 +72,8 @@
 	}
 }
 
-// TestRetryRefusalsEndLongRequestsOnly guards against a long request that asks further backend servers after
-// three had no retries for its calls, whatever the last failure was, and against other requests that end
-// earlier than before: for them such refusals only count once an attempt reached a backend server last.
+// TestRetryRefusalsEndLongRequestsOnly guards against a long request that queries further backend servers after three had
+// no retries for its calls, and against any other request that ends earlier than without the rules for long requests.
 func TestRetryRefusalsEndLongRequestsOnly(t *testing.T) {
 	now := time.Now()
 	for _, code := range result.All() {
--- a/internal/body/memory.go
+++ b/internal/body/memory.go
@@ -20,7 +20,7 @@
 // The kinds of holders.
 const (
 	// HolderCustomer is a customer, for the requests that an ingress receives; the one without a name
-	// stands for all requests without a customer.
+	// represents all requests without a customer.
 	HolderCustomer HolderKind = "customer"
 	// HolderHost is a host, for the requests that its ingress sends to a sidecar.
 	HolderHost HolderKind = "host"
@@ -36,7 +36,7 @@
 
 // MemoryConfig configures a Memory.
 type MemoryConfig struct {
-	// Limit bounds the sum of the bodies that are held at once, in bytes.
+	// Limit bounds the sum of the buffered bodies, in bytes.
 	Limit int64
 	// Scope receives the metrics.
 	Scope tally.Scope
@@ -64,7 +64,7 @@
 	}
 }
 
-// Used returns how much is held, in bytes.
+// Used returns the size of the buffered bodies, in bytes.
 func (m *Memory) Used() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/ingress/longretry_test.go
+++ b/internal/ingress/longretry_test.go
@@ -103,9 +103,8 @@
 	return func(*http.Request) (sidecar.Answer, error) { return sidecar.Answer{}, result.New(code) }
 }
 
-// TestThreeRetryRefusalsEndALongRequest guards against a long request that asks one backend server after
-// the other although none has retries for its calls, and against a loss of the failure or answer that it
-// had, or a wrong "not run".
+// TestThreeRetryRefusalsEndALongRequest guards against a long request that queries each backend server although none has
+// retries for its calls, and against the loss of its answer or failure, or a wrong "not run".
 func TestThreeRetryRefusalsEndALongRequest(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -183,7 +182,7 @@
 	}
 }
 
-// TestThreeRefusalsEndTheCallOfARetry guards against the call of a retried run that asks all backend servers
+// TestThreeRefusalsEndTheCallOfARetry guards against the call of a retried run that queries all backend servers
 // although three had no retries for its own calls, and against an end other than "not run".
 func TestThreeRefusalsEndTheCallOfARetry(t *testing.T) {
 	f := newRefusingIngress(t, 750*time.Millisecond)
--- a/internal/ingress/memory_test.go
+++ b/internal/ingress/memory_test.go
@@ -127,7 +127,7 @@
 	return f
 }
 
-// measure records the most that is held at each daemon until stopMeasuring is called.
+// measure records the maximum at each daemon until stopMeasuring is called.
 func (f *uploadFleet) measure() {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -183,7 +183,7 @@
 	}
 }
 
-// uploads sends that many uploads at once, of the customers in turn, and GETs meanwhile.
+// uploads sends that many concurrent uploads, of the customers in turn, and GETs beside them.
 func (f *uploadFleet) uploads(t *testing.T, count int, customers ...string) {
 	t.Helper()
 	var sent sync.WaitGroup
@@ -332,7 +332,7 @@
 	}
 }
 
-// TestRefusalsForMemoryEndTheSearch guards against a request that asks every backend server of a large service.
+// TestRefusalsForMemoryEndTheSearch guards against a request that queries every backend server of a large service.
 func TestRefusalsForMemoryEndTheSearch(t *testing.T) {
 	in, sent := newIngressWithFullSidecars(t, func(string) bool { return true })
 	w := serveOne(in, http.MethodPost, "a book")
--- a/internal/pipeline/answer.go
+++ b/internal/pipeline/answer.go
@@ -11,7 +11,7 @@
 	"github.com/go-faster/errors"
 )
 
-// errDropped is what a handler gets that writes an answer which nobody waits for.
+// errDropped is returned to a handler that writes an answer after it was discarded.
 var errDropped = errors.New("the connection of the request is closed")
 
 // partOverhead is what a recorded part holds beside its data, in bytes.
@@ -69,7 +69,7 @@
 	parts    []part              // recorded and not yet delivered
 	live     http.ResponseWriter // set when the handler's calls are passed on
 	done     bool                // the handler has ended
-	dropped  bool                // nobody waits for the answer
+	dropped  bool                // the answer is discarded
 	panicked any                 // what the handler has panicked with
 }
 
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -15,7 +15,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// pieceSize is how much is read from the socket at once, in bytes. Heads of callers have less than 1 KB.
+// pieceSize is the size of one read from the socket, in bytes. Heads of callers have less than 1 KB.
 const pieceSize = 4 << 10
 
 // Conn is a caller's connection. It gives net/http one request at a time and starts those behind it. A nil Conn has no
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -70,7 +70,7 @@
 
 // Config configures a Pipeline.
 type Config struct {
-	// Limit is how many requests of a connection are served at once, including the one that net/http serves. Requests
+	// Limit is how many requests of a connection are served concurrently, including the one that net/http serves. Requests
 	// that wait for their turn to be answered count. It is at least 2.
 	Limit int
 	// MayStart reports whether a request without a body may run beside others of its connection, and more than once. It
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -58,7 +58,7 @@
 	return b.buffer.String()
 }
 
-// serve starts a server that serves up to limit requests of a connection at once; 0 serves without a pipeline.
+// serve starts a server that serves up to limit requests of a connection concurrently; 0 serves without a pipeline.
 // GET requests to paths below /long may be started ahead.
 func serve(t testing.TB, limit int, handler http.HandlerFunc) *server {
 	t.Helper()
@@ -580,7 +580,7 @@
 	}
 }
 
-// TestPanicAfterCloseIsLogged guards against a panic that nobody learns of.
+// TestPanicAfterCloseIsLogged guards against a panic that is not logged.
 func TestPanicAfterCloseIsLogged(t *testing.T) {
 	s := serve(t, 8, func(_ http.ResponseWriter, r *http.Request) {
 		<-r.Context().Done()
--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -56,7 +56,7 @@
 	daemonRestarts float64 // restarts of daemons with an empty state, per second
 	lateUpdates    bool    // daemons learn of starts and ends seconds late, each with its own delay
 	partitioned    bool    // daemons learn only of the hosts in their own half
-	// shed is the share of the arrivals at search that are rejected at once, from shedFrom until shedUntil.
+	// shed is the share of the arrivals at search that are rejected, from shedFrom until shedUntil.
 	shed float64
 	// routes is set if the requests to search have routes, and are long; the share calls then applies to one of them.
 	routes bool
--- a/internal/retry/routes_test.go
+++ b/internal/retry/routes_test.go
@@ -127,7 +127,7 @@
 	}
 }
 
-// TestUnexpectedCallIsChargedAndExpected guards against a call of a retry that nobody expected and
+// TestUnexpectedCallIsChargedAndExpected guards against a call of a retry that was not expected and
 // that is not counted, or that the next retry of the route makes as well.
 func TestUnexpectedCallIsChargedAndExpected(t *testing.T) {
 	b := newCallingBudgets()
@@ -169,9 +169,8 @@
 	}
 }
 
-// TestShortRequestsAreDecidedWithoutRoutes guards against a change for requests that are not long: two
-// hosts with the same history, one of which is told the routes and sees long runs, decide every retry
-// of a short request alike.
+// TestShortRequestsAreDecidedWithoutRoutes guards against routes that change decisions on requests that are not long: two
+// hosts with the same history, one of which learns routes, decide every retry of a short request alike.
 func TestShortRequestsAreDecidedWithoutRoutes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := newPair()
@@ -205,7 +204,7 @@
 	})
 }
 
-// pair is a host that is told the routes of its runs, and one that is not.
+// pair is a host that learns the routes of its runs, and one that does not.
 type pair struct {
 	told, untold *retry.Budgets
 	now          time.Time
@@ -287,10 +286,8 @@
 	})
 }
 
-// TestSheddingServiceUsesItsRetries guards against retries that a limit leaves unused while a service sheds
-// as a whole, because they are refused for calls that their route never makes, and against a limit that is
-// exceeded when they are not. In trials 0.5 to 0.7 of what the limit allows was used, and 0.1 to 0.4 when retries were
-// judged by their service. The rest is earned for the next window, or left at hosts that nobody asks.
+// TestSheddingServiceUsesItsRetries guards against retries that are refused for calls that their route never makes while a
+// service sheds, and against a limit that is exceeded. Part of it is earned for the next window or left at other hosts.
 func TestSheddingServiceUsesItsRetries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
--- a/internal/serve/pipeline_test.go
+++ b/internal/serve/pipeline_test.go
@@ -88,7 +88,7 @@
 	return servers, servers.public[0].Addr().String()
 }
 
-// sendAhead connects and sends that many requests at once.
+// sendAhead connects and sends that many requests in one write.
 func sendAhead(t *testing.T, address string, count int) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	client, err := net.Dial("tcp", address)
@@ -321,9 +321,8 @@
 	}
 }
 
-// TestPipelinedRequestDuringCloseIsRefused guards against a request on a keep-alive connection that runs and gets no
-// response because the daemon closes the connection while the request is in transit. A caller that sends one request at a
-// time may send the next one before net/http has finished the answer that the caller has received.
+// TestPipelinedRequestDuringCloseIsRefused guards against a request that runs and gets no response because the daemon
+// closes its keep-alive connection while it is in transit, before net/http has finished the answer before it.
 func TestPipelinedRequestDuringCloseIsRefused(t *testing.T) {
 	const (
 		stops   = 10
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -72,7 +72,7 @@
 	Local map[string]http.Handler
 	// Control handles control calls.
 	Control control.Handle
-	// Pipelined is how many requests that a caller sends ahead on one connection are served at once; 0 or 1: one after
+	// Pipelined is how many requests that a caller sends ahead on one connection are served concurrently; 0 or 1: one after
 	// the other.
 	Pipelined int
 	// MayPipeline reports whether a caller's request without a body may be served beside others of its connection. It is
--- a/internal/sidecar/ends.go
+++ b/internal/sidecar/ends.go
@@ -49,7 +49,7 @@
 }
 
 // quarantined reports whether the request is quarantined, and returns its fingerprint if it is. It
-// returns an error if no memory is left for the part of the body that tells: the request could be
+// returns an error if no memory is left for the part of the body that identifies the request: the request could be
 // sent without it, unlike one whose body cannot be read.
 func (s *Sidecar) quarantined(call hop.Call, in *http.Request) (string, bool, error) {
 	q := s.config.Quarantine
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -52,7 +52,7 @@
 }
 
 // refuseBody refuses a request whose body could not be read. For lack of memory, that may take long to
-// change, so that the slot that a reservation holds for the request is released at once.
+// change, so that the slot that a reservation holds for the request is released immediately.
 func (s *Sidecar) refuseBody(w http.ResponseWriter, call hop.Call, err error) {
 	if !errors.Is(err, body.ErrNoRoom) {
 		writeRefusal(w, result.Wrap(result.CancelledBefore, err))
--- a/internal/sidecar/quick_sim_test.go
+++ b/internal/sidecar/quick_sim_test.go
@@ -22,8 +22,8 @@
 var simStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // quickSim simulates a service whose backend servers get five long requests a second each, with the tasks
-// of its sidecars and a made-up clock. A request asks random backend servers until one runs it. Each
-// sidecar knows the failure rates of the others at once.
+// of its sidecars and a simulated clock. A request asks random backend servers until one runs it. Each
+// sidecar knows the failure rates of the others immediately.
 type quickSim struct {
 	quick   bool // quick failures are recognised
 	failing int  // the first so many backend servers fail 85% of their requests during a spell
@@ -161,9 +161,8 @@
 	s.most = max(s.most, suspected)
 }
 
-// TestQuickFailuresCostFewRequests guards against failing backend servers that get many requests of
-// callers: because a first failure is waited for in vain, or as probes. It also guards against ones that
-// stay unused for long after they have recovered.
+// TestQuickFailuresCostFewRequests guards against failing backend servers that get many requests, before they are
+// suspected or as probes, and against ones that stay unused for long after they have recovered.
 func TestQuickFailuresCostFewRequests(t *testing.T) {
 	const failing = 10
 	before, s := runQuickSim(false, failing), runQuickSim(true, failing)
--- a/internal/sidecar/runs.go
+++ b/internal/sidecar/runs.go
@@ -54,7 +54,7 @@
 }
 
 // showsCalls reports whether the run with that answer has made the calls that runs of its route
-// make. A backend server that sheds a request, or fails at once, has made none of them.
+// make. A backend server that sheds a request, or fails immediately, has made none of them.
 func showsCalls(response *http.Response) bool {
 	return response.StatusCode < http.StatusInternalServerError && !impliesNotRun(response.StatusCode)
 }
--- a/internal/sidecar/short_test.go
+++ b/internal/sidecar/short_test.go
@@ -16,9 +16,8 @@
 // decisionsBefore is the digest of traceDecisions as of cad9269, which knew no quick failures.
 const decisionsBefore = "d142ed8c0c8892840ea6be3e3dc95d9f457fe62ad4503a2ba66cb73cfffcbd4e"
 
-// TestDecisionsWithoutQuickFailuresAreAsBefore guards against a change of what is decided for requests
-// that are not long, and in daemons without the setting: the same outcomes and requests give the
-// same decisions and delays as the code before quick failures were known.
+// TestDecisionsWithoutQuickFailuresAreAsBefore guards against other decisions or delays, for requests that are not long and
+// in daemons without the setting, than those of the code without quick failures.
 func TestDecisionsWithoutQuickFailuresAreAsBefore(t *testing.T) {
 	digest := sha256.New()
 	suspected := 0
--- a/internal/suspicion/quick.go
+++ b/internal/suspicion/quick.go
@@ -3,17 +3,14 @@
 import "time"
 
 const (
-	// QuickFailureWeight is the weight of a quick failure: an error answer to a long request that came within
-	// a small part of the time that the request may take. One suffices: with a third of the backend servers
-	// failing most requests, one failure is chance in 3 of 100 cases, and each backend server gets so few
-	// requests that waiting for a second failure costs a caller its request.
+	// QuickFailureWeight is the weight of a quick failure. One suffices: with a third of the backend servers failing
+	// most requests, one failure is chance in 3 of 100 cases, and a second one would cost another request.
 	QuickFailureWeight = 1.0
 
 	// quickFirstPause is the pause before the first probe. A single failure may be chance.
 	quickFirstPause = 300 * time.Millisecond
-	// quickPauseFactor is the factor by which a failed probe extends the pause, up to quickLongestPause. Spells of
-	// failures last 6 to 10 s. A failed probe costs a caller's attempt, a retry and the calls of the retry; a
-	// recovered backend server that waits longer costs little while others have free slots.
+	// quickPauseFactor extends the pause after a failed probe, up to quickLongestPause. A failed probe costs an attempt, a
+	// retry and its calls; failures last 6 to 10 s, and others usually have free slots meanwhile.
 	quickPauseFactor  = 3
 	quickLongestPause = 3 * time.Second
 )
--- a/internal/suspicion/quick_test.go
+++ b/internal/suspicion/quick_test.go
@@ -21,7 +21,7 @@
 	}
 }
 
-// TestQuickFailureWeight guards against a quick failure that does not begin suspicion by itself, and
+// TestQuickFailureWeight guards against a quick failure that alone does not begin suspicion, and
 // against suspicion for failures that the others share.
 func TestQuickFailureWeight(t *testing.T) {
 	for _, test := range []struct {
@@ -115,7 +115,7 @@
 	}
 }
 
-// TestEarlierRequestsLeaveThePause guards against a probe that is sent at once because a request has
+// TestEarlierRequestsLeaveThePause guards against a probe that is sent immediately because a request has
 // succeeded that started before the failure, as each backend server has some when a spell begins.
 func TestEarlierRequestsLeaveThePause(t *testing.T) {
 	s := suspicion.New()
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -32,7 +32,7 @@
 //     pause. If no idempotent request arrives, any other request may probe after two seconds.
 //   - Three consecutive successful probes end the suspicion. After a broken connection a probe
 //     counts as successful once it has run for 40 ms.
-//   - A quick failure (quick.go) begins suspicion by itself. While the suspicion began with one, or the
+//   - One quick failure (quick.go) begins suspicion. While the suspicion began with one, or the
 //     last bad outcome is one, the first probe follows after 300 ms, and each failed probe triples the
 //     pause, up to 3 s. After a quick failure a probe counts as successful once it has run for 40 ms. A success of a
 //     request that started before the last quick failure counts, but does not end the pause.
--- a/test/integration/pipeline_test.go
+++ b/test/integration/pipeline_test.go
@@ -70,7 +70,7 @@
 	reader *bufio.Reader
 }
 
-// sendAhead connects to the first daemon and sends the requests at once: GET, or POST if the name starts with "post".
+// sendAhead connects to the first daemon and sends the requests in one write: GET, or POST if the name starts with "post".
 func sendAhead(t *testing.T, f *harness.Fleet, names ...string) *ahead {
 	t.Helper()
 	c, err := net.Dial("tcp", f.Daemons[0].CallersAddress())
--- a/test/registered/longretries_test.go
+++ b/test/registered/longretries_test.go
@@ -9,9 +9,8 @@
 // longSettings makes the requests of this test long.
 const longSettings = "long-requests: {latency-target: 750ms}\n"
 
-// TestLongRetriesFollowTheirRoute guards against retries that are refused for calls that the runs of their route never
-// make, and against retries beyond the limit when they are not. Most requests are on a route that calls nothing, beside
-// one that calls a service with few requests of its own.
+// TestLongRetriesFollowTheirRoute guards against retries that are refused for calls that their route never makes, and
+// against retries beyond the limit. Most requests are on a route that calls nothing.
 func TestLongRetriesFollowTheirRoute(t *testing.T) {
 	const (
 		searchHosts, nameHosts, played = 6, 3, 6 * time.Second
