test(pipeline): delivered answers return their memory

Cause: without the release after delivery all tests passed, although later answers of the connection would block. Change: eight rounds of an answer of 300 KB that must end while the one before it is still served.

--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -644,6 +644,32 @@
 	}
 }
 
+// TestMemoryIsReturned guards against memory that delivered answers keep: later answers of the connection would wait for
+// their turn although little is held.
+func TestMemoryIsReturned(t *testing.T) {
+	const size = 300_000
+	ended := make(chan struct{}, 1)
+	s := serve(t, 2, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long/0" { // answers once the one behind it has ended
+			select {
+			case <-ended:
+			case <-r.Context().Done():
+			}
+			return
+		}
+		_, _ = w.Write(make([]byte, size))
+		ended <- struct{}{}
+	})
+	c := dial(t, s)
+	for range 8 { // more than 1 MiB in total
+		c.send(t, gets(0, 2))
+		c.wantAnswers(t, "")
+		if _, body := c.receive(t); len(body) != size {
+			t.Fatalf("the answer has %d bytes, want %d", len(body), size)
+		}
+	}
+}
+
 // TestMemoryAtClose guards against a handler that waits for memory after its caller has gone.
 func TestMemoryAtClose(t *testing.T) {
 	var running atomic.Int64
