test(pipeline): a head that may be too large is not started

Cause: without the limit of 32 KiB the tests of internal/pipeline and internal/serve passed. Change: a head of exactly the limit is started, and one that is a byte larger is not. Result: passes with -race, and fails without the limit.

--- a/internal/pipeline/stream_test.go
+++ b/internal/pipeline/stream_test.go
@@ -176,6 +176,21 @@
 	})
 }
 
+// TestLargeHeadIsNotStarted guards against running a request whose head net/http may refuse with 431.
+func TestLargeHeadIsNotStarted(t *testing.T) {
+	for size, want := range map[int]bool{maxStartedHead: true, maxStartedHead + 1: false} {
+		s := newStream(4, func(*http.Request) bool { return true })
+		const first = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+		const before, after = "GET / HTTP/1.1\r\nHost: a\r\nX-A: ", "\r\n\r\n"
+		s.add([]byte(first + before + strings.Repeat("x", size-len(before)-len(after)) + after))
+		s.take(make([]byte, len(first)))
+		s.begin()
+		if _, got := s.next(); got != want {
+			t.Errorf("a head of %d bytes: started %t, want %t", size, got, want)
+		}
+	}
+}
+
 // TestDecode guards against starting requests ahead that have a body, that two readers could understand differently, or
 // that net/http refuses.
 func TestDecode(t *testing.T) {
