--- a/internal/ingress/pipeline_test.go
+++ b/internal/ingress/pipeline_test.go
@@ -20,7 +20,8 @@
 		want              bool
 	}{
 		{"long", "GET", "http://a.example/long/x?y=z", time.Second, true},
-		{"declared idempotent", "PUT", "http://a.example/long/x", time.Second, true},
+		{"declared idempotent, but not safe", "PUT", "http://a.example/long/x", time.Second, false},
+		{"safe", "HEAD", "http://a.example/long/x", time.Second, true},
 		{"as long as the target", "GET", "http://a.example/short/x", 300 * time.Millisecond, true},
 		{"short", "GET", "http://a.example/short/x", time.Second, false},
 		{"not idempotent", "POST", "http://a.example/long/x", time.Second, false},
@@ -38,7 +39,7 @@
 			in.Reconfigure(fleet.NewIndex(fleet.Declaration{
 				Services: []fleet.Service{{Name: "lookup", FloorShare: 0.7}},
 				Routes: []fleet.Route{
-					{Path: "/long", Service: "lookup", Target: time.Second, Idempotent: []string{"GET", "PUT"}},
+					{Path: "/long", Service: "lookup", Target: time.Second, Idempotent: []string{"GET", "HEAD", "PUT"}},
 					{Path: "/short", Service: "lookup", Target: 300 * time.Millisecond},
 				},
 			}.Complete()))
