--- a/internal/hop/trip_test.go
+++ b/internal/hop/trip_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,9 +72,9 @@
 // TestALostRequestIsNotSentAgain guards against net/http resending a request after its connection
 // was lost.
 func TestALostRequestIsNotSentAgain(t *testing.T) {
-	received := 0
+	var received atomic.Int64
 	sender := newSender(t, func(http.ResponseWriter, *http.Request) {
-		if received++; received > 1 {
+		if received.Add(1) > 1 {
 			panic(http.ErrAbortHandler)
 		}
 	})
@@ -90,8 +91,8 @@
 			t.Fatalf("got %v", err)
 		}
 	}
-	if received != 2 {
-		t.Fatalf("server received %d requests, want 2", received)
+	if received.Load() != 2 {
+		t.Fatalf("server received %d requests, want 2", received.Load())
 	}
 }
 
