--- a/internal/pipeline/head.go
+++ b/internal/pipeline/head.go
@@ -18,8 +18,8 @@
 	// bounded reports whether the request ends length bytes after its head.
 	bounded bool
 	length  int64
-	// alone reports whether the request may not be started ahead, whatever its route.
-	alone bool
+	// neverAhead reports whether the request may not be started ahead, whatever its route.
+	neverAhead bool
 	// last reports whether the connection ends after the request's answer.
 	last bool
 }
@@ -36,11 +36,11 @@
 		return head{}
 	}
 	return head{
-		request: r,
-		bounded: true,
-		length:  s.length,
-		last:    r.Close,
-		alone:   s.length > 0 || s.special || !strings.HasPrefix(r.RequestURI, "/"),
+		request:    r,
+		bounded:    true,
+		length:     s.length,
+		last:       r.Close,
+		neverAhead: s.length > 0 || s.special || !strings.HasPrefix(r.RequestURI, "/"),
 	}
 }
 
--- a/internal/pipeline/stream.go
+++ b/internal/pipeline/stream.go
@@ -23,16 +23,16 @@
 	phaseUnbounded phase = "unbounded"
 )
 
-// standing says whether requests behind the current one may be started.
-type standing string
+// eligibility says whether requests behind the current one may be started.
+type eligibility string
 
 const (
-	// standingUnknown means that it has not been decided: it is only needed once there is a request behind.
-	standingUnknown standing = "unknown"
-	// standingOpen means that they may.
-	standingOpen standing = "open"
-	// standingClosed means that the current request is a barrier.
-	standingClosed standing = "closed"
+	// eligibilityUnknown means that it has not been decided: it is only needed once there is a request behind.
+	eligibilityUnknown eligibility = "unknown"
+	// eligibilityOpen means that they may.
+	eligibilityOpen eligibility = "open"
+	// eligibilityClosed means that the current request is a barrier.
+	eligibilityClosed eligibility = "closed"
 )
 
 // started is a request that was started ahead.
@@ -57,16 +57,16 @@
 	// waits for the caller to disconnect without.
 	deadline bool
 
-	position int64    // of the current request
-	serving  bool     // a handler serves the current request
-	standing standing // of the current request
-	barrier  bool     // the first request that was not started may not be
-	ahead    []started
-	scanned  int // size of the started requests at the beginning of the buffer
+	position    int64       // of the current request
+	serving     bool        // a handler serves the current request
+	eligibility eligibility // of the current request
+	barrier     bool        // the first request that was not started may not be
+	ahead       []started
+	scanned     int // size of the started requests at the beginning of the buffer
 }
 
 func newStream(limit int, mayStart func(*http.Request) bool) *stream {
-	return &stream{limit: limit, mayStart: mayStart, phase: phaseHead, standing: standingUnknown}
+	return &stream{limit: limit, mayStart: mayStart, phase: phaseHead, eligibility: eligibilityUnknown}
 }
 
 // room returns how much may be added.
@@ -193,7 +193,7 @@
 func (s *stream) giveUp() {
 	s.phase = phaseUnbounded
 	s.head = nil
-	s.standing = standingClosed
+	s.eligibility = eligibilityClosed
 }
 
 // begin records that a handler serves the current request, and returns its position.
@@ -217,7 +217,7 @@
 	if len(text) <= maxStartedHead {
 		h = decode(text)
 	}
-	if !h.bounded || h.alone || !s.mayStart(h.request) {
+	if !h.bounded || h.neverAhead || !s.mayStart(h.request) {
 		s.barrier = true
 		return started{}, false
 	}
@@ -230,13 +230,13 @@
 
 // isOpen reports whether requests behind the current one may be started.
 func (s *stream) isOpen() bool {
-	if s.standing == standingUnknown {
-		s.standing = standingClosed
-		if h := decode(s.head); s.phase == phaseEnd && h.bounded && !h.alone && !h.last && s.mayStart(h.request) {
-			s.standing = standingOpen
+	if s.eligibility == eligibilityUnknown {
+		s.eligibility = eligibilityClosed
+		if h := decode(s.head); s.phase == phaseEnd && h.bounded && !h.neverAhead && !h.last && s.mayStart(h.request) {
+			s.eligibility = eligibilityOpen
 		}
 	}
-	return s.standing == standingOpen
+	return s.eligibility == eligibilityOpen
 }
 
 // unanswered returns how many requests are in progress or wait for their turn, including the current one.
@@ -261,7 +261,7 @@
 		s.ahead = s.ahead[1:]
 	}
 	if len(s.ahead) == 0 {
-		s.standing, s.barrier = standingUnknown, false
+		s.eligibility, s.barrier = eligibilityUnknown, false
 	}
 	if s.head = s.head[:0]; cap(s.head) > pieceSize {
 		s.head = nil // an idle connection holds little memory
@@ -280,5 +280,5 @@
 func (s *stream) forget() {
 	s.ahead = nil
 	s.scanned = 0
-	s.standing = standingClosed
+	s.eligibility = eligibilityClosed
 }
--- a/internal/pipeline/stream_test.go
+++ b/internal/pipeline/stream_test.go
@@ -196,20 +196,20 @@
 func TestDecode(t *testing.T) {
 	const host = "Host: a\r\n"
 	tests := []struct {
-		name, text     string
-		bounded, alone bool
-		last           bool
-		length         int64
+		name, text          string
+		bounded, neverAhead bool
+		last                bool
+		length              int64
 	}{
 		{name: "plain", text: "GET /a?b=%20 HTTP/1.1\r\n" + host + "Accept: */*\r\n\r\n", bounded: true},
 		{name: "POST without a body", text: "POST / HTTP/1.1\r\n" + host + "\r\n", bounded: true},
 		{name: "length 0", text: "POST / HTTP/1.1\r\n" + host + "Content-Length: 0\r\n\r\n", bounded: true},
-		{name: "length", text: "POST / HTTP/1.1\r\n" + host + "Content-Length: 12\r\n\r\n", bounded: true, alone: true, length: 12},
+		{name: "length", text: "POST / HTTP/1.1\r\n" + host + "Content-Length: 12\r\n\r\n", bounded: true, neverAhead: true, length: 12},
 		{name: "close", text: "GET / HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n", bounded: true, last: true},
-		{name: "expect", text: "GET / HTTP/1.1\r\n" + host + "expect: x\r\n\r\n", bounded: true, alone: true},
-		{name: "upgrade", text: "GET / HTTP/1.1\r\n" + host + "Upgrade: h2c\r\n\r\n", bounded: true, alone: true},
-		{name: "asterisk", text: "OPTIONS * HTTP/1.1\r\n" + host + "\r\n", bounded: true, alone: true},
-		{name: "absolute", text: "GET http://a/b HTTP/1.1\r\n" + host + "\r\n", bounded: true, alone: true},
+		{name: "expect", text: "GET / HTTP/1.1\r\n" + host + "expect: x\r\n\r\n", bounded: true, neverAhead: true},
+		{name: "upgrade", text: "GET / HTTP/1.1\r\n" + host + "Upgrade: h2c\r\n\r\n", bounded: true, neverAhead: true},
+		{name: "asterisk", text: "OPTIONS * HTTP/1.1\r\n" + host + "\r\n", bounded: true, neverAhead: true},
+		{name: "absolute", text: "GET http://a/b HTTP/1.1\r\n" + host + "\r\n", bounded: true, neverAhead: true},
 		{name: "non-ASCII value", text: "GET / HTTP/1.1\r\n" + host + "X: \xc3\xbc\r\n\r\n", bounded: true},
 		{name: "chunked", text: "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n"},
 		{name: "both lengths", text: "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n"},
@@ -232,7 +232,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			h := decode([]byte(test.text))
-			if h.bounded != test.bounded || h.alone != test.alone || h.last != test.last || h.length != test.length {
+			if h.bounded != test.bounded || h.neverAhead != test.neverAhead || h.last != test.last || h.length != test.length {
 				t.Fatalf("got %+v, want %+v", h, test)
 			}
 		})
