test(ingress): tests of single backend servers refuse the slots of hedges

On a busy machine a request that is answered in microseconds otherwise counts as slow and is hedged. Change: the fixtures refuse the reservation, as for a full backend server. No check changes.

--- a/internal/ingress/memory_test.go
+++ b/internal/ingress/memory_test.go
@@ -289,6 +289,7 @@
 			}
 			return answered(call, r), nil
 		},
+		LocalReservation: noSlotForHedges,
 	})
 	t.Cleanup(cleanUp)
 	declaration, err := fleet.Parse("fleet.yaml", []byte(fiveArchives))
