test(record): as many starts as the share of complete reads needs to show

Since 8 of 900 daemons of a data centre read all records, so that none of 300 starts does by chance in 7 runs of 100. Change: 1,575 starts at that size, by which that is chance in less than one run of a million. The checks and bounds are the same.

--- a/internal/record/discover_test.go
+++ b/internal/record/discover_test.go
@@ -39,8 +39,9 @@
 			read += len(batch.Items)
 			return batch, nil
 		}}
-		// Enough starts for the share of those that read all records to show.
-		const starts = 300
+		local := hosts / dataCentres
+		// So many that no complete read among them is chance in less than one run of a million.
+		starts := max(300, 14*local/listingDaemons)
 		for n := range starts {
 			r := New(Config{
 				Store: kv, Prefix: "tidelift", Health: storehealth.New(storehealth.Config{Logger: slog.New(slog.DiscardHandler)}),
@@ -54,7 +55,6 @@
 		if calls > 2*starts {
 			t.Errorf("%d hosts: %d calls for %d starts, want at most two each", hosts, calls, starts)
 		}
-		local := hosts / dataCentres
 		// Twice the expected number of complete reads leaves room for chance.
 		if most := starts*local + 2*starts*min(local, listingDaemons)/local*hosts + starts*hosts/10; read > most {
 			t.Errorf("%d hosts: %d records read in %d starts, want at most %d", hosts, read, starts, most)
