refactor(hash): one function draws fixed values for pairs of names

Cause: the gate of a customer's limit drew its first credit by the same hash as retry.rounding, written a second time. Change: hash.Fraction serves both, with the same values.

--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -1,10 +1,9 @@
 package quota
 
 import (
-	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/tideliftd/tidelift/internal/hash"
 )
 
 const (
@@ -127,7 +126,9 @@
 func (g *Gate) spend(customer string, share float64) bool {
 	credit, known := g.credit[customer]
 	if !known {
-		credit = g.initialCredit(customer)
+		// From zero, each gate would refuse the first request: a hundred gates with one each would admit none at a
+		// share of 0.9.
+		credit = hash.Fraction(g.host, customer)
 	}
 	credit += share
 	if credit < 1 {
@@ -138,14 +139,6 @@
 	return true
 }
 
-// initialCredit returns the credit of a customer whose share has just fallen below one, evenly drawn
-// from 0 to 1 by a hash. If it were zero, each gate would refuse the customer's first request: with a
-// hundred gates and a request at each, a share of 0.9 would admit none of them.
-func (g *Gate) initialCredit(customer string) float64 {
-	const mantissaBits = 53
-	return math.Ldexp(float64(xxhash.Sum64String(g.host+"\n"+customer)>>(64-mantissaBits)), -mantissaBits)
-}
-
 // retryAfter returns the time until the bucket holds a request again, plus the time to serve
 // those of one second that exceed the limit, plus the horizon, after which current requests no
 // longer count.
--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -53,11 +53,10 @@
 package retry
 
 import (
-	"math"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/tideliftd/tidelift/internal/hash"
 )
 
 // Config configures the budgets of a host.
@@ -135,19 +134,13 @@
 	if !ok {
 		budget = NewBudget(b.config.StartedAt)
 		budget.SetSlackUnusedFor(b.slackUnusedFor)
-		budget.SetRounding(rounding(b.config.Host, service))
+		budget.SetRounding(hash.Fraction(b.config.Host, service))
 		budget.SetLimit(b.config.StartedAt, b.limits[service])
 		b.budgets[service] = budget
 	}
 	return budget
 }
 
-// rounding returns a host's fixed value for SetRounding, evenly drawn from 0 to 1 by a hash.
-func rounding(host, service string) float64 {
-	const mantissaBits = 53
-	return math.Ldexp(float64(xxhash.Sum64String(host+"\n"+service)>>(64-mantissaBits)), -mantissaBits)
-}
-
 // RecordRequest counts a request to the service that begins on the host.
 func (b *Budgets) RecordRequest(now time.Time, service string) {
 	b.mu.Lock()
