test(serve): the check of requests during a close serves connections with and without pipelining

Cause: TestPipelinedRequestDuringCloseIsRefused and startLimited repeated TestRequestDuringCloseIsRefused and startServers. Change: one check and one start serve both; what they require is the same.

--- a/internal/serve/conn_test.go
+++ b/internal/serve/conn_test.go
@@ -3,11 +3,9 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -15,7 +13,6 @@
 	"testing"
 	"time"
 
-	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/result"
 	"github.com/tideliftd/tidelift/internal/settings"
 )
@@ -23,13 +20,20 @@
 // TestRequestDuringCloseIsRefused guards against a request on a keep-alive connection that gets no response because
 // the daemon closes the connection while the request is in transit.
 func TestRequestDuringCloseIsRefused(t *testing.T) {
+	checkRequestsDuringClose(t, startServers)
+}
+
+// checkRequestsDuringClose stops servers while callers use keep-alive connections, and fails if a request ran whose
+// response its caller did not receive.
+func checkRequestsDuringClose(t *testing.T, start func(*testing.T, http.HandlerFunc) (*Servers, string)) {
+	t.Helper()
 	const (
 		stops   = 10
 		callers = 20
 	)
 	for range stops {
 		var ran, answered, refused atomic.Int64
-		servers, address := startServers(t, func(w http.ResponseWriter, _ *http.Request) {
+		servers, address := start(t, func(w http.ResponseWriter, _ *http.Request) {
 			ran.Add(1)
 			_, _ = io.WriteString(w, "x")
 		})
@@ -103,22 +107,7 @@
 // startServers serves the handler on the callers' address, which it returns.
 func startServers(t *testing.T, handler http.HandlerFunc) (*Servers, string) {
 	t.Helper()
-	none := http.NotFoundHandler()
-	listen := settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0", Control: "127.0.0.1:0"}
-	servers, cleanUp, err := New(Config{
-		Listen:      listen,
-		Callers:     handler,
-		Peers:       none,
-		Operators:   none,
-		Control:     func(context.Context, control.Method, json.RawMessage) (any, error) { return nil, nil },
-		DaemonsOnly: func(l net.Listener) net.Listener { return l },
-		Logger:      slog.New(slog.DiscardHandler),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(cleanUp)
-	return servers, servers.public[0].Addr().String()
+	return startLimited(t, 0, settings.Limits{}, handler)
 }
 
 func stopNow(t *testing.T, servers *Servers) {
--- a/internal/serve/pipeline_test.go
+++ b/internal/serve/pipeline_test.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -324,36 +323,7 @@
 // TestPipelinedRequestDuringCloseIsRefused guards against a request that runs and gets no response because the daemon
 // closes its keep-alive connection while it is in transit, before net/http has finished the answer before it.
 func TestPipelinedRequestDuringCloseIsRefused(t *testing.T) {
-	const (
-		stops   = 10
-		callers = 20
-	)
-	for range stops {
-		var ran, answered atomic.Int64
-		servers, address := startPipelined(t, 8, func(w http.ResponseWriter, _ *http.Request) {
-			ran.Add(1)
-			_, _ = io.WriteString(w, "x")
-		})
-		var clients sync.WaitGroup
-		for range callers {
-			client, err := net.Dial("tcp", address)
-			if err != nil {
-				t.Fatal(err)
-			}
-			clients.Go(func() {
-				count, err := useUntilClosed(client)
-				answered.Add(count)
-				if err != nil {
-					t.Error(err)
-				}
-			})
-		}
-		time.Sleep(30 * time.Millisecond)
-		servers.Refuse()
-		stopNow(t, servers)
-		clients.Wait()
-		if ran.Load() != answered.Load() {
-			t.Fatalf("%d requests ran, but callers received %d responses", ran.Load(), answered.Load())
-		}
-	}
+	checkRequestsDuringClose(t, func(t *testing.T, handler http.HandlerFunc) (*Servers, string) {
+		return startPipelined(t, 8, handler)
+	})
 }
