feat(cli): log a signal to stop that arrives during a planned stop

The logs could not tell whether that signal reaches the process.

The log ends before the handlers of signals, as before.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/tideliftd/tidelift/internal/daemon"
 	"github.com/tideliftd/tidelift/internal/declaration"
+	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/logline"
 	"github.com/tideliftd/tidelift/internal/membership"
@@ -87,11 +88,11 @@
 // startDaemon runs a daemon with these settings until it is stopped by a signal.
 func startDaemon(ctx context.Context, out io.Writer, s settings.Settings, watched *settingsFile, hangUps <-chan os.Signal) error {
 	limitResources(s)
-	ctx, force, cleanUp := stopSignals(ctx)
-	defer cleanUp()
 	lines, endLog := logline.New(logline.Config{Out: out, PerSecond: s.Log.PerSecond})
-	defer endLog()
 	logger, level := newLogger(lines, s)
+	ctx, force, cleanUp := stopSignals(ctx, logger)
+	defer cleanUp() // last, because a signal that is not handled ends the process
+	defer endLog()
 	watched.logger = logger
 	kv, closeStore := platform.NewStore(platform.StoreConfig{Address: s.Platform.Address})
 	defer closeStore()
@@ -155,9 +156,9 @@
 }
 
 // stopSignals returns a context that the first signal cancels and a channel that a later SIGINT
-// closes. A repeated SIGTERM is ignored, because overlapping series of daemon replacements send it
-// more than once.
-func stopSignals(ctx context.Context) (context.Context, <-chan struct{}, func()) {
+// closes. A repeated SIGTERM is only logged, because overlapping series of daemon replacements send
+// it more than once.
+func stopSignals(ctx context.Context, logger *slog.Logger) (context.Context, <-chan struct{}, func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -170,6 +171,7 @@
 				close(force)
 				return
 			}
+			event.Log(logger, event.StopRepeated, "signal", s.String())
 		}
 	}()
 	return ctx, force, func() {
