fix(route): a route takes only requests whose path it begins

Callers saw: a request that must not be repeated ran at two backend servers after its first answer was lost, since it took an idempotent route which its path does not begin; others reached a service where a 404 was due, or a public route without a key.

Cause: the lookup of routes cut the last slash off the declared path and the request's, so that /loans/hold/ took /loans/hold, and the ingress gave it the decoded path, in which /loans/hold%2F7 is /loans/hold/7.

Change: declared paths are compared with the path as it was sent. One that ends with a slash takes only what begins with it.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -200,7 +200,7 @@
 // Route maps requests to a service.
 type Route struct {
 	Host       string        `yaml:"host" json:"host,omitempty" jsonschema:"description=The host name the caller asks for; empty means any."`
-	Path       string        `yaml:"path" json:"path,omitempty" jsonschema:"description=The start of the path up to a slash; / means any. Default /."`
+	Path       string        `yaml:"path" json:"path,omitempty" jsonschema:"description=What the path begins with as it is sent; a slash at the end is part of it. / means any. Default /."`
 	Service    string        `yaml:"service" json:"service" jsonschema:"description=The service that answers."`
 	Idempotent []string      `yaml:"repeatable" json:"repeatable,omitempty" jsonschema:"description=The methods that may run more than once; * means any. Default GET and HEAD and OPTIONS. An empty list means none."`
 	Split      []Part        `yaml:"split" json:"split,omitempty" jsonschema:"description=Several services that share the route's requests by weight in place of service."`
--- a/internal/fleet/parse.go
+++ b/internal/fleet/parse.go
@@ -167,7 +167,7 @@
 	for i, r := range routes {
 		path := fmt.Sprintf("$.routes[%d]", i)
 		c.route(path, r)
-		key := strings.ToLower(r.Host) + " " + strings.TrimSuffix(r.Path, "/")
+		key := strings.ToLower(r.Host) + " " + strings.TrimSuffix(EncodePath(r.Path), "/")
 		if seen[key] {
 			c.Add(path, fmt.Sprintf("overlaps another route of host %q and path %q", r.Host, r.Path), "one route for each host and path")
 		}
--- a/internal/fleet/parse_test.go
+++ b/internal/fleet/parse_test.go
@@ -52,6 +52,23 @@
 	}
 }
 
+// TestRoutesThatDifferInEncodingOverlap guards against two routes for the same requests, of which one is never used.
+func TestRoutesThatDifferInEncodingOverlap(t *testing.T) {
+	for path, overlaps := range map[string]bool{
+		"/cafés":        false,
+		"/café":         true,
+		"/caf%C3%A9":    true,
+		"/caf%C3%A9/":   true,
+		"/caf%C3%A9/a":  false,
+		"/caf%C3%A9%2F": false,
+	} {
+		_, err := fleet.Parse("fleet.yaml", []byte(validYAML+"  - {path: /café, service: lookup}\n  - {path: "+path+", service: lookup}\n"))
+		if got := err != nil && strings.Contains(err.Error(), "overlaps another route"); got != overlaps {
+			t.Errorf("%s: overlaps %t, want %t (%v)", path, got, overlaps, err)
+		}
+	}
+}
+
 // FuzzParse guards against input that makes Parse panic, or that it accepts with a floor
 // or deadline out of range.
 func FuzzParse(f *testing.F) {
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -81,9 +81,10 @@
 	if e := in.checkRequest(r); e != nil {
 		return a, e
 	}
-	match, ok := a.state.routes.Find(r.Host, r.URL.Path)
+	path := route.SentPath(r.URL)
+	match, ok := a.state.routes.Find(r.Host, path)
 	if !ok {
-		return a, result.New(result.NoRoute).WithDetail("host %q, path %q", r.Host, r.URL.Path)
+		return a, result.New(result.NoRoute).WithDetail("host %q, path %q", r.Host, path)
 	}
 	if r.ContentLength > match.MaxBody {
 		return a, result.New(result.BodyTooLarge).WithDetail("%d bytes; at most %d", r.ContentLength, match.MaxBody)
--- a/internal/ingress/customer_test.go
+++ b/internal/ingress/customer_test.go
@@ -65,6 +65,8 @@
 		{name: "public without a key", path: "/open/x", queueCustomer: "host csepel-1", priority: 2, mayBeSubrequest: true},
 		{name: "public with a key", path: "/open/x", key: "school-key", customer: "school", queueCustomer: "school", priority: 2},
 		{name: "public with an unknown key", path: "/open/x", key: "other", code: result.KeyUnknown},
+		{name: "without the last slash of the public path", path: "/open", code: result.NoRoute},
+		{name: "with that slash encoded", path: "/open%2Fx", code: result.NoRoute},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/ingress/pipeline.go
+++ b/internal/ingress/pipeline.go
@@ -1,6 +1,10 @@
 package ingress
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/tideliftd/tidelift/internal/route"
+)
 
 // MayPipeline reports whether a caller's request may run beside others of its connection: its method is safe, and its route
 // exists, allows it to run more than once, and is long. It does not block.
@@ -11,7 +15,7 @@
 	if current == nil || !isSafe(r.Method) {
 		return false
 	}
-	match, ok := current.routes.Find(r.Host, r.URL.Path)
+	match, ok := current.routes.Find(r.Host, route.SentPath(r.URL))
 	return ok && match.Idempotent(r.Method) && in.isLong(match.Target)
 }
 
--- a/internal/ingress/pipeline_test.go
+++ b/internal/ingress/pipeline_test.go
@@ -26,6 +26,9 @@
 		{"short", "GET", "http://a.example/short/x", time.Second, false},
 		{"not idempotent", "POST", "http://a.example/long/x", time.Second, false},
 		{"no route", "GET", "http://a.example/other", time.Second, false},
+		{"in a route that ends with a slash", "GET", "http://a.example/loans/hold/7", time.Second, true},
+		{"without that slash", "GET", "http://a.example/loans/hold", time.Second, false},
+		{"with that slash encoded", "GET", "http://a.example/loans/hold%2F7", time.Second, false},
 		{"none is long", "GET", "http://a.example/long/x", 0, false},
 	}
 	for _, test := range tests {
@@ -41,6 +44,8 @@
 				Routes: []fleet.Route{
 					{Path: "/long", Service: "lookup", Target: time.Second, Idempotent: []string{"GET", "HEAD", "PUT"}},
 					{Path: "/short", Service: "lookup", Target: 300 * time.Millisecond},
+					{Path: "/loans/", Service: "lookup", Target: time.Second, Idempotent: []string{}},
+					{Path: "/loans/hold/", Service: "lookup", Target: time.Second, Idempotent: []string{"GET"}},
 				},
 			}.Complete()))
 			if got := in.MayPipeline(r); got != test.want {
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -15,6 +15,7 @@
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/retry"
 	"github.com/tideliftd/tidelift/internal/sidecar"
 )
 
@@ -114,12 +115,14 @@
 	return in, sent
 }
 
-// newLocalIngress returns an ingress with the declaration, whose backend servers are all on its own host.
+// newLocalIngress returns an ingress with the declaration, whose backend servers are all on its own host. It has retries left
+// for the service lookup.
 func newLocalIngress(t *testing.T, declaration string, local func(context.Context, hop.Call, *http.Request) (sidecar.Answer, error)) *Ingress {
 	t.Helper()
+	budgets := retry.NewBudgets(retry.Config{StartedAt: time.Now()})
 	in, cleanUp := New(Config{
 		Host: "h1", DataCentre: "dc", Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, HeaderBytes: 1 << 16,
-		Local:            local,
+		Local: local, Retries: budgets,
 		LocalReservation: func(context.Context, hop.Call) (string, error) { return "a slot", nil },
 	})
 	t.Cleanup(cleanUp)
@@ -128,6 +131,9 @@
 		t.Fatal(err)
 	}
 	in.Reconfigure(fleet.NewIndex(parsed))
+	for range 100 {
+		budgets.RecordRequest(time.Now(), "lookup")
+	}
 	return in
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -3,12 +3,19 @@
 // # Usage
 //
 //	table := route.NewTable(declaration.Routes)
-//	match, ok := table.Find("lookup.example", "/search/books")
+//	match, ok := table.Find(r.Host, route.SentPath(r.URL))
 //
 // A route with a host name takes precedence over one without; among the routes of
 // a host name, the longest path takes precedence. A path matches whole segments:
-// /search matches /search and /search/books, but not /searching. Finding a route
-// takes one map lookup per segment of the path, whatever the number of routes.
+// /search matches /search and /search/books, but not /searching. A path that ends
+// with a slash matches only what begins with it: /search/ matches /search/books, but
+// not /search.
+//
+// Paths are compared as they are sent (SentPath): an encoded slash separates no
+// segments, and no other encoded character is decoded. Empty segments count.
+//
+// Finding a route takes two map lookups per segment of the path, whatever the number
+// of routes.
 //
 // A Table is built from a checked declaration, is read-only and has no clock or
 // random source: the caller of Choose supplies the random bits.
@@ -16,6 +23,7 @@
 
 import (
 	"net"
+	"net/url"
 	"slices"
 	"strings"
 
@@ -89,10 +97,10 @@
 	return t
 }
 
-// keyOf returns the key of the named route: the host name in lower case and the path without a
-// trailing slash.
+// keyOf returns the key of the named route: the host name in lower case and the path as it would be
+// sent.
 func keyOf(name Name) key {
-	return key{host: strings.ToLower(name.Host), path: strings.TrimSuffix(name.Path, "/")}
+	return key{host: strings.ToLower(name.Host), path: fleet.EncodePath(name.Path)}
 }
 
 // Has reports whether the named route is declared.
@@ -101,26 +109,41 @@
 	return ok
 }
 
-// Find returns the route for the request's host name and path.
+// SentPath returns the path of a request's URL as the caller sent it.
+func SentPath(u *url.URL) string {
+	if u.RawPath != "" {
+		return u.RawPath // set only if it differs from the encoding of the decoded path
+	}
+	return u.EscapedPath()
+}
+
+// Find returns the route for the request's host name and path, which is that of SentPath.
 func (t *Table) Find(host, path string) (*Match, bool) {
+	path = fleet.EncodePath(path)
+	if !strings.HasPrefix(path, "/") {
+		path = "/" // the request is for the whole server: "*" or empty
+	}
 	if match, ok := t.findPath(hostName(host), path); ok {
 		return match, true
 	}
 	return t.findPath("", path)
 }
 
-// findPath tries the path and each of its parents, longest first.
+// findPath tries the path and then, for each of its slashes from the last one on, the path up to the slash with and
+// without it.
 func (t *Table) findPath(host, path string) (*Match, bool) {
-	path = strings.TrimSuffix(path, "/")
-	for {
-		if match, ok := t.byKey[key{host: host, path: path}]; ok {
+	if match, ok := t.byKey[key{host: host, path: path}]; ok {
+		return match, true
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if match, ok := t.byKey[key{host: host, path: path[:end+1]}]; ok {
 			return match, true
 		}
-		if path == "" {
-			return nil, false
+		if match, ok := t.byKey[key{host: host, path: path[:end]}]; ok {
+			return match, true
 		}
-		path = path[:max(0, strings.LastIndexByte(path, '/'))]
 	}
+	return nil, false
 }
 
 // hostName returns the host name without its port, in lower case.
