fix(hop): backend servers get the path as the caller sent it

Callers saw: GET /search/a|b reached the backend server as /search/a%7Cb; with an encoded slash beside such a character the request was for another path, /a%2fb| as /a/b%7C. The quarantine took such paths for equal.

Cause: net/http encodes the decoded path anew if the sent one has a character that a URL should not contain.

Change: such a path is sent as it is (url.URL.Opaque), and fingerprints are made of it. One that starts with two slashes is still encoded, since net/http takes an opaque one for an authority.

Evidence: without the change TestOutgoingKeepsThePath fails for 11 of 25 paths, and TestFingerprintKeepsThePath for one.

--- a/internal/hop/forward.go
+++ b/internal/hop/forward.go
@@ -11,6 +11,8 @@
 	"sync"
 
 	"github.com/go-faster/errors"
+
+	"github.com/tideliftd/tidelift/internal/route"
 )
 
 // copyBufferSize is the size of the buffers for copying bodies, in bytes.
@@ -29,15 +31,8 @@
 // path, query, body and end-to-end headers.
 func Outgoing(ctx context.Context, in *http.Request, address string) *http.Request {
 	out := &http.Request{
-		Method: in.Method,
-		URL: &url.URL{
-			Scheme:     "http",
-			Host:       address,
-			Path:       in.URL.Path,
-			RawPath:    in.URL.RawPath,
-			RawQuery:   in.URL.RawQuery,
-			ForceQuery: in.URL.ForceQuery,
-		},
+		Method:        in.Method,
+		URL:           outgoingURL(in.URL, address),
 		Proto:         "HTTP/1.1", // without it net/http does not wait for 100 Continue
 		ProtoMajor:    1,
 		ProtoMinor:    1,
@@ -54,6 +49,24 @@
 	return out.WithContext(ctx)
 }
 
+// outgoingURL returns the URL at the address with the path and query as they were sent.
+func outgoingURL(in *url.URL, address string) *url.URL {
+	out := &url.URL{
+		Scheme:     "http",
+		Host:       address,
+		Path:       in.Path,
+		RawPath:    in.RawPath,
+		RawQuery:   in.RawQuery,
+		ForceQuery: in.ForceQuery,
+	}
+	// net/http encodes characters that a URL should not contain, unless the path is opaque. It takes an opaque path that
+	// starts with two slashes for an authority.
+	if sent := route.SentPath(in); sent != in.EscapedPath() && !strings.HasPrefix(sent, "//") {
+		out.Opaque = sent
+	}
+	return out
+}
+
 // forbidReplay modifies the request so that http.Transport does not resend it after a lost
 // connection; only the ingress may retry it. The transport treats a request without a body as
 // idempotent if its method is GET, HEAD, OPTIONS or TRACE, or if it has an Idempotency-Key header.
--- a/internal/hop/trip_test.go
+++ b/internal/hop/trip_test.go
@@ -1,6 +1,7 @@
 package hop_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net/http"
@@ -69,6 +70,33 @@
 	}
 }
 
+// TestOutgoingKeepsThePath guards against a path or query that arrives encoded in another way than the caller sent it.
+func TestOutgoingKeepsThePath(t *testing.T) {
+	got := make(chan string, 1)
+	sender := newSender(t, func(w http.ResponseWriter, r *http.Request) {
+		got <- r.RequestURI
+		w.WriteHeader(http.StatusNoContent)
+	})
+	for _, target := range []string{
+		"/search/a|b", `/search/"a"`, "/{a}", "/a^b", "/a`b", `/a\b`, "/<a>", "/caf\xc3\xa9", "/caf%C3%A9", "/caf%c3%a9", "/a%2Fb", "/a%2fb|", "/%61", "/a+b",
+		"/a//b/", "/a/./../b", "//a/b", "/a;b=c", "/[a]", "/a?b=|&c=%7C", "/a|b?", "/a#b", "/:a", "/http://a/b", "*",
+	} {
+		in, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET " + target + " HTTP/1.1\r\nHost: a.example\r\n\r\n")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := sender.Send(t.Context(), in)
+		if err != nil {
+			t.Errorf("%s: %v", target, err)
+			continue
+		}
+		_ = response.Body.Close()
+		if arrived := <-got; arrived != target {
+			t.Errorf("%s arrived as %s", target, arrived)
+		}
+	}
+}
+
 // TestALostRequestIsNotSentAgain guards against net/http resending a request after its connection
 // was lost.
 func TestALostRequestIsNotSentAgain(t *testing.T) {
--- a/internal/sidecar/ends.go
+++ b/internal/sidecar/ends.go
@@ -13,6 +13,7 @@
 	"github.com/tideliftd/tidelift/internal/hop"
 	"github.com/tideliftd/tidelift/internal/quarantine"
 	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/route"
 )
 
 // fingerprintOf returns the input of the request's fingerprint. body returns the first bytes of the
@@ -21,7 +22,7 @@
 	return fingerprint.Request{
 		Method:   in.Method,
 		Host:     in.Host,
-		Path:     in.URL.EscapedPath(),
+		Path:     route.SentPath(in.URL),
 		Query:    in.URL.RawQuery,
 		Customer: in.Header.Get(s.headers.Load().CustomerHeader),
 		Body:     body,
