--- a/test/soak/evidence_test.go
+++ b/test/soak/evidence_test.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// checkNothingCut fails the test for each request that was cut off or given up.
+func checkNothingCut(t *testing.T, samples []sample, runs map[string]int) {
+	t.Helper()
+	for _, s := range samples {
+		if s.outcome == outcomeBroken || s.outcome == outcomeIndeterminate {
+			t.Errorf("%s was cut off after %d runs: %s %s", s.key, runs[s.key], s.outcome, s.err)
+		}
+	}
+}
+
 // reasons counts the requests that did not succeed by result code, or by the innermost connection error.
 func reasons(samples []sample) map[string]int {
 	counts := make(map[string]int)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -249,11 +249,7 @@
 		samples := stopAmongCallers(t, f, fmt.Sprintf("s%d", number))
 		runs := runsOf(t, f, nil)
 		checkResponses(t, samples, runs)
-		for _, s := range samples {
-			if s.outcome == outcomeBroken || s.outcome == outcomeIndeterminate {
-				t.Errorf("%s was cut off after %d runs: %s %s", s.key, runs[s.key], s.outcome, s.err)
-			}
-		}
+		checkNothingCut(t, samples, runs)
 	}
 }
 
--- a/test/soak/stop_test.go
+++ b/test/soak/stop_test.go
@@ -70,13 +70,3 @@
 	time.Sleep(time.Second)
 	stopAsPlanned(t, d)
 }
-
-// checkNothingCut fails the test for each request that was cut off or given up.
-func checkNothingCut(t *testing.T, samples []sample, runs map[string]int) {
-	t.Helper()
-	for _, s := range samples {
-		if s.outcome == outcomeBroken || s.outcome == outcomeIndeterminate {
-			t.Errorf("%s was cut off after %d runs: %s %s", s.key, runs[s.key], s.outcome, s.err)
-		}
-	}
-}
