fix(platform): changes are seen after the store has come back from an older copy

Callers saw: after the store had come back from a copy some seconds old, two confirmed versions of the desired state were never in force; requests ran at the service of the version before.

Cause: watches go on from the last revision seen. The store gives revisions out again, so that it has that revision, answers no 410, and the changes before it are missed, by all watchers alike. Its era was not read.

Change: the era stands above the store's own number in revisions and leases. A watch from another era is refused like one whose history is gone, so that the keys are listed anew; an expected revision of an earlier era is a conflict, a lease of one has expired.

--- a/internal/store/follow_test.go
+++ b/internal/store/follow_test.go
@@ -75,6 +75,24 @@
 	await(t, applied, "three")
 }
 
+// TestFollowSeesChangesAfterReturnFromCopy guards against changes that are missed, since the store has come back from an
+// older copy and has given the revisions of its lost changes out again.
+func TestFollowSeesChangesAfterReturnFromCopy(t *testing.T) {
+	s := standin.New()
+	applied := follow(t, s, func() error { return nil })
+	s.Write("key", []byte("one"))
+	await(t, applied, "one")
+	older := s.Copy()
+	s.Write("key", []byte("lost"))
+	await(t, applied, "lost")
+	time.Sleep(100 * time.Millisecond) // the watch waits for what is behind the lost change
+	s.SetOutage(true)
+	s.Restore(older)
+	s.Write("key", []byte("two"))
+	s.SetOutage(false)
+	await(t, applied, "two")
+}
+
 // TestFollowRetriesAfterApplyError guards against the loss of a change that Apply failed on.
 func TestFollowRetriesAfterApplyError(t *testing.T) {
 	s := standin.New()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -11,9 +11,9 @@
 //	batch, err := s.Watch(ctx, "tidelift/", batch.Revision, 30*time.Second)
 //
 // A Store is a struct of functions, implemented by package platform. A single
-// revision counter covers all keys, so that revisions order all changes; no wall
-// clock is used. Each call has a cost; a Watch counts as one call however long it
-// waits.
+// revision counter covers all keys, so that revisions order all changes, also if the
+// store has come back from an older copy of itself; no wall clock is used. Each call
+// has a cost; a Watch counts as one call however long it waits.
 package store
 
 import (
@@ -37,7 +37,8 @@
 	// ErrNoLease means that the lease has expired.
 	ErrNoLease = errors.New("lease has expired")
 	// ErrCompacted means that the store no longer has the changes after a
-	// revision, so that the keys have to be listed again.
+	// revision, or has come back from an older copy of itself, so that the keys
+	// have to be listed again.
 	ErrCompacted = errors.New("store has compacted its history")
 )
 
--- a/test/standin/standin.go
+++ b/test/standin/standin.go
@@ -7,7 +7,7 @@
 //	s.SetOutage(true)
 //
 // It implements the store's protocol as used by package platform, and can simulate an outage, lost
-// responses, a rate limit, expired leases and a compacted history.
+// responses, a rate limit, expired leases, a compacted history and a return from an older copy.
 package standin
 
 import (
@@ -20,6 +20,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,6 +34,7 @@
 type Standin struct {
 	mu        sync.Mutex
 	revision  int64
+	era       atomic.Int64 // how often it has come back from a copy
 	items     map[string]item
 	history   []item
 	compacted int64 // last revision that is no longer in the history
@@ -80,7 +82,7 @@
 	mux.HandleFunc("POST /-/kv-lease", s.serveGrant)
 	mux.HandleFunc("POST /-/kv-keep/{lease}", s.serveRenew)
 	mux.HandleFunc("DELETE /-/kv-lease-end/{lease}", s.serveRevoke)
-	return s.withFaults(mux)
+	return s.withEra(s.withFaults(mux))
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
@@ -172,7 +174,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removeExpired(time.Now())
-	if after < s.compacted {
+	if after < s.compacted || after > s.revision {
 		return nil, 0, nil, false
 	}
 	events = []item{}
