--- a/test/registered/fleet_test.go
+++ b/test/registered/fleet_test.go
@@ -256,7 +256,7 @@
 // nextCheckIn returns the body of the backend server's next check-in.
 func (h *host) nextCheckIn(state string) string {
 	h.sequence++
-	return fmt.Sprintf(`{"service":"%s","address":"%s","capacity":4,"state":"%s","cold-remaining-s":%g,"call-seq":%d}`,
+	return fmt.Sprintf(`{"service":"%s","address":"%s","zone":"dc0","version":"v1","capacity":4,"state":"%s","cold-remaining-s":%g,"call-seq":%d}`,
 		h.service, h.backend.Listener.Addr(), state, h.cold, h.sequence)
 }
 
--- a/test/registered/registered_test.go
+++ b/test/registered/registered_test.go
@@ -300,15 +300,16 @@
 	}
 }
 
-// TestInvalidCheckInsAreRejected guards against forged check-ins, with an unknown state or service, that affect a
-// backend server of the same name or address.
+// TestInvalidCheckInsAreRejected guards against forged check-ins, with an unknown state or service or without a field, that
+// affect a backend server of the same name or address: it would get the requests of another service.
 func TestInvalidCheckInsAreRejected(t *testing.T) {
 	f := newFleet(t, 2)
 	h := f.hosts[1]
 	address := h.backend.Listener.Addr()
+	const text = `{"service":"%s","address":"%s","zone":"dc0","version":"v1","capacity":4,"state":"%s","cold-remaining-s":0,"call-seq":99}`
 	foreign := map[string]string{
-		h.name:    fmt.Sprintf(`{"service":"lookup","address":"%s","capacity":4,"state":"retired","call-seq":99}`, address),
-		"i-other": fmt.Sprintf(`{"service":"elsewhere","address":"%s","capacity":4,"state":"ready","call-seq":1}`, address),
+		h.name:    fmt.Sprintf(text, "lookup", address, "retired"),
+		"i-other": fmt.Sprintf(text, "elsewhere", address, "ready"),
 		"i-empty": fmt.Sprintf(`{"address":"%s"}`, address),
 	}
 	for name, body := range foreign {
@@ -316,9 +317,15 @@
 			t.Errorf("check-in %s: got status %d, want 400", body, status)
 		}
 	}
-	if status := h.sendCheckInOnce(http.MethodPut, h.name, fmt.Sprintf(`{"service":"elsewhere","address":"%s","capacity":4,"state":"ready","call-seq":99}`, address)); status != http.StatusBadRequest {
+	if status := h.sendCheckInOnce(http.MethodPut, h.name, fmt.Sprintf(text, "elsewhere", address, "ready")); status != http.StatusBadRequest {
 		t.Errorf("check-in of a running backend server with another service: got status %d, want 400", status)
 	}
+	for _, missing := range []string{`"zone":"dc0",`, `"version":"v1",`, `"cold-remaining-s":0,`} {
+		body := strings.Replace(fmt.Sprintf(text, "records", address, "ready"), missing, "", 1)
+		if status := h.sendCheckInOnce(http.MethodPut, h.name, body); status != http.StatusBadRequest {
+			t.Errorf("check-in %s: got status %d, want 400", body, status)
+		}
+	}
 	if reachable := f.hosts[0].reachable(); reachable != 2 {
 		t.Fatalf("%d backend servers receive requests, want 2", reachable)
 	}
