--- a/internal/ingress/path_test.go
+++ b/internal/ingress/path_test.go
@@ -16,7 +16,8 @@
 // TestRequestRunsOnceUnlessItsOwnRouteIsIdempotent guards against a request that runs twice after a lost answer, since it
 // takes an idempotent route which its path does not begin.
 func TestRequestRunsOnceUnlessItsOwnRouteIsIdempotent(t *testing.T) {
-	declaration := twoServers[:strings.Index(twoServers, "routes:")] + `
+	servers, _, _ := strings.Cut(twoServers, "routes:")
+	declaration := servers + `
 routes:
 - {path: /loans/, service: lookup, repeatable: []}
 - {path: /loans/hold/, service: lookup, repeatable: [POST]}
--- a/internal/route/path_test.go
+++ b/internal/route/path_test.go
@@ -86,8 +86,9 @@
 func TestFindAgreesWithPrefixes(t *testing.T) {
 	path := rapid.StringMatching(`(/|a|b|%2F){0,6}`)
 	rapid.Check(t, func(t *rapid.T) {
-		var routes []fleet.Route
-		for _, p := range rapid.SliceOfDistinct(path, rapid.ID[string]).Draw(t, "paths") {
+		paths := rapid.SliceOfDistinct(path, rapid.ID[string]).Draw(t, "paths")
+		routes := make([]fleet.Route, 0, len(paths))
+		for _, p := range paths {
 			routes = append(routes, fleet.Route{Path: "/" + p, Service: "/" + p})
 		}
 		target := "/" + path.Draw(t, "target")
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -51,10 +51,10 @@
 		one := c.send(fmt.Sprintf("%s-%d", c.prefix, n), method)
 		samples = append(samples, one)
 		pause := time.Duration(c.random.Int64N(int64(c.maxPause)))
-		switch one.outcome {
-		case outcomeRefused:
+		if one.outcome == outcomeRefused {
 			pause = 20 * time.Millisecond
-		case outcomeNotRun:
+		}
+		if one.outcome == outcomeNotRun {
 			pause = max(pause, pauseAfterRefusal)
 		}
 		wait.For(ctx, pause)
--- a/test/soak/stop_test.go
+++ b/test/soak/stop_test.go
@@ -21,9 +21,10 @@
 		callers  = 30                      // of each daemon
 		stops    = 2
 	)
-	withServers := []string{"muenchen-nord", "rosenheim"}
+	dataCentres := []string{"muenchen-nord", "rosenheim", "weilheim"}
+	withServers := dataCentres[:2] // the daemon of the third sends all requests to the other two
 	f := start(t, harness.Spec{
-		DataCentres: append(withServers, "weilheim"), // whose daemon sends all requests to the other two
+		DataCentres: dataCentres,
 		HostsEach:   1,
 		Services:    []harness.Service{{Name: "akten", Floor: 2, Servers: 4, Slots: 100, Queue: 100, Deadline: stopTimeout, DataCentres: withServers}},
 		Settings:    "limits: {stop: 4s, unready: 2s}",
