fix(serve): OPTIONS * gets the answer of a backend server, or a 404

Callers saw: a 200 to OPTIONS * that no backend server gave, from any daemon.

Cause: net/http answers it before the handler.

Change: the servers for callers and for other daemons pass it to the handler.

--- a/internal/serve/conn_test.go
+++ b/internal/serve/conn_test.go
@@ -104,6 +104,30 @@
 	}
 }
 
+// TestOptionsForTheWholeServerReachTheHandler guards against a 200 that no backend server gave, to callers and to other
+// daemons.
+func TestOptionsForTheWholeServerReachTheHandler(t *testing.T) {
+	servers, callers := startServers(t, http.NotFound)
+	for _, address := range []string{callers, servers.public[1].Addr().String()} {
+		client, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = client.Close() }()
+		if _, err := io.WriteString(client, "OPTIONS * HTTP/1.1\r\nHost: a.example\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(client), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusNotFound {
+			t.Errorf("status %d, want the handler's 404", response.StatusCode)
+		}
+	}
+}
+
 // startServers serves the handler on the callers' address, which it returns.
 func startServers(t *testing.T, handler http.HandlerFunc) (*Servers, string) {
 	t.Helper()
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -236,7 +236,10 @@
 	limits := s.config.Limits
 	s.operators = s.makeSmallServer(s.config.Operators)
 	s.callers = s.makeServer(&http.Server{
-		Handler:           s.closeWhenStopping(s.callersHandler()),
+		Handler: s.closeWhenStopping(s.callersHandler()),
+		// Otherwise net/http itself answers OPTIONS * with 200, as if a backend server had.
+		DisableGeneralOptionsHandler: true,
+
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes + headerSlack,
@@ -249,7 +252,9 @@
 		},
 	})
 	s.peers = s.makeServer(&http.Server{
-		Handler:           s.closeWhenStopping(s.config.Peers),
+		Handler:                      s.closeWhenStopping(s.config.Peers),
+		DisableGeneralOptionsHandler: true,
+
 		ReadHeaderTimeout: peerHeaderTimeout,
 		IdleTimeout:       peerIdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes + 2*headerSlack,
