refactor(serve): one place lets OPTIONS * pass

Change: makeServer sets it for all; a comment of fleet.EncodePath says what it is for.

Measured: TestOptionsForTheWholeServerReachTheHandler passes.

--- a/internal/fleet/path.go
+++ b/internal/fleet/path.go
@@ -5,8 +5,8 @@
 	"strings"
 )
 
-// EncodePath returns the path with each character percent-encoded that a URL must not contain, so that a declared path
-// and a request's path match whether their sender encoded it or not. What is encoded already is left unchanged.
+// EncodePath returns the path with each character percent-encoded that a URL must not contain, so that /café and
+// /caf%C3%A9 are one path. What is encoded already is left unchanged.
 func EncodePath(path string) string {
 	if !strings.ContainsFunc(path, mustEncode) {
 		return path
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -236,10 +236,7 @@
 	limits := s.config.Limits
 	s.operators = s.makeSmallServer(s.config.Operators)
 	s.callers = s.makeServer(&http.Server{
-		Handler: s.closeWhenStopping(s.callersHandler()),
-		// Otherwise net/http itself answers OPTIONS * with 200, as if a backend server had.
-		DisableGeneralOptionsHandler: true,
-
+		Handler:           s.closeWhenStopping(s.callersHandler()),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes + headerSlack,
@@ -252,9 +249,7 @@
 		},
 	})
 	s.peers = s.makeServer(&http.Server{
-		Handler:                      s.closeWhenStopping(s.config.Peers),
-		DisableGeneralOptionsHandler: true,
-
+		Handler:           s.closeWhenStopping(s.config.Peers),
 		ReadHeaderTimeout: peerHeaderTimeout,
 		IdleTimeout:       peerIdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes + 2*headerSlack,
@@ -291,6 +286,7 @@
 // makeServer sets the fields that all servers have in common.
 func (s *Servers) makeServer(server *http.Server) *http.Server {
 	server.Handler = trackRequests(server.Handler)
+	server.DisableGeneralOptionsHandler = true // net/http would answer OPTIONS * with 200, which no handler gave
 	server.ErrorLog = s.newErrorLog()
 	return server
 }
