fix(membership): a confirmed leaving is remembered when the daemon is killed

Callers saw: requests were run by a backend server whose leaving had been confirmed, after its daemon was killed and started again and a late check-in arrived.

Cause: a leaving was confirmed once it was in the daemon's memory. Others heard of it 100 ms later, the store never, and a start overwrote the earlier record without reading it.

Change: before the confirmation the record is written to the store and two daemons are told, for at most 300 ms. The test of the share's first use has a store with Get, which the start now calls.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -8,6 +8,10 @@
 // updates arrive later. A host that does not answer is considered gone once its
 // record in the store is gone, too.
 //
+// That a backend server has left is final. It is confirmed to the backend server once the store
+// and other daemons have it as well, or shortly after if they do not answer, since this daemon
+// may be killed at any moment.
+//
 // The hosts learned from others are applied together, at most a few times per second; changes of the
 // local host's own backend servers are applied immediately.
 //
--- a/internal/membership/registrations.go
+++ b/internal/membership/registrations.go
@@ -1,18 +1,32 @@
 package membership
 
 import (
+	"context"
 	"slices"
+	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/fleet"
 	"github.com/tideliftd/tidelift/internal/member"
 	"github.com/tideliftd/tidelift/internal/registry"
 )
 
+const (
+	// leaveTimeout bounds how long the end of a backend server is kept from being confirmed so that others
+	// remember it. The platform waits a second for a confirmation.
+	leaveTimeout = 300 * time.Millisecond
+	// restoreTimeout bounds how long a registration waits for what the store remembers of an earlier
+	// incarnation of this daemon.
+	restoreTimeout = 500 * time.Millisecond
+)
+
 // Registrations handles the registrations of this host's backend servers. Register
-// and Leave return once the change is in force on this host.
+// and Leave return once the change is in force on this host. That a backend server
+// has left is then known to the store or to other daemons as well, if they answer.
 type Registrations struct {
 	Register func(registry.Registration) error
 	Leave    func(name string)
@@ -26,27 +40,69 @@
 			if !m.mayRegister(c) {
 				return errors.Errorf("registration of %s names service %q, which is not declared", c.Name, c.Service)
 			}
+			m.awaitRestored()
 			if m.known.register(c) {
 				m.applyRegistration("check-in", c.Name, c.Sequence)
+				if c.Draining {
+					m.saveLeft()
+				}
 			}
 			if m.known.isLatest(c) {
 				m.config.SetCold(c.Name, c.Cold)
 			}
 			return nil
 		},
-		Leave:   func(name string) { m.recordLeft("leave", name) },
+		Leave: func(name string) {
+			if m.recordLeft("leave", name) {
+				m.saveLeft()
+			}
+		},
 		OnError: func(err error) { event.Log(m.config.Logger, event.RegistrationRefused, "error", err) },
 	}
 }
 
 // RecordLeaving records that an answer of a local backend server says that it is leaving, which is final for this
 // incarnation of it.
-func (m *Membership) RecordLeaving(name string) { m.recordLeft("answer", name) }
+func (m *Membership) RecordLeaving(name string) {
+	if m.recordLeft("answer", name) {
+		m.saveLeft()
+	}
+}
+
+// recordLeft records that a backend server has left, and reports whether that is new.
+func (m *Membership) recordLeft(why, name string) bool {
+	if !m.known.leave(name) {
+		return false
+	}
+	m.applyRegistration(why, name, 0)
+	return true
+}
+
+// awaitRestored waits until the store has told which backend servers left in an earlier incarnation of this daemon, so
+// that a late registration does not bring one back.
+func (m *Membership) awaitRestored() {
+	timer := time.NewTimer(restoreTimeout)
+	defer timer.Stop()
+	select {
+	case <-m.record.Written():
+	case <-timer.C:
+	}
+}
 
-func (m *Membership) recordLeft(why, name string) {
-	if m.known.leave(name) {
-		m.applyRegistration(why, name, 0)
+// saveLeft tells the store and other daemons which backend servers have left, for a later incarnation of this daemon.
+// It returns when all have answered, or after leaveTimeout.
+func (m *Membership) saveLeft() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	var saving sync.WaitGroup
+	saving.Go(func() { _ = m.record.Update(ctx) }) // the next write of the record has it, too
+	if plan := m.config.Plan(); plan != nil {
+		update := control.HostUpdates{Host: m.config.Self.Name, Hosts: []member.Host{m.known.self()}}
+		for _, target := range plan.UpdateTargets() {
+			saving.Go(func() { _ = m.config.Peers.CallHost(ctx, target, control.MethodHostUpdates, update, nil) }) // is sent again
+		}
 	}
+	saving.Wait()
 }
 
 // mayRegister reports whether the registration is accepted, which requires a declared
--- a/internal/record/part_test.go
+++ b/internal/record/part_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tideliftd/tidelift/internal/member"
 	"github.com/tideliftd/tidelift/internal/retry"
 	"github.com/tideliftd/tidelift/internal/store"
 	"github.com/tideliftd/tidelift/internal/storehealth"
@@ -46,9 +47,12 @@
 			}
 			now := time.Now()
 			budgets := retry.NewBudgets(retry.Config{StartedAt: now})
-			r := New(Config{Store: store.Store{Commit: commit}, FirstStart: test.firstStart, OnShareUnused: budgets.SetSlackUnused})
+			r := New(Config{
+				Store:      store.Store{Commit: commit, Get: func(context.Context, string) (store.Item, error) { return store.Item{}, nil }},
+				FirstStart: test.firstStart, Self: func() member.Host { return member.Host{Name: "a"} }, OnShareUnused: budgets.SetSlackUnused,
+			})
 			budgets.SetLimits(now, map[string]retry.Limit{"names": {Slack: 56, Window: 10 * time.Second, Hosts: 1}})
-			for r.commit(context.Background(), store.Put{Key: "hosts/a"}) != nil {
+			for r.commit(context.Background(), store.NoLease) != nil {
 				continue
 			}
 			if usable := budgets.Available(now, "names"); usable != test.wantUsable {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -2,7 +2,8 @@
 // the records to discover each other when they start, and to detect that a host is gone.
 //
 // A record is attached to a lease: the store deletes it some time after the last renewal. Daemons do not watch the
-// records; they notify each other of changes.
+// records; they notify each other of changes. A record is written again only when a backend server has left, so that the
+// next incarnation of the daemon knows of it even if no other daemon remembers.
 //
 // A record's key contains its data centre, so that a daemon that starts lists the hosts of its own. The others it
 // learns from these. Of a large data centre, only a few daemons list all hosts.
@@ -82,15 +83,21 @@
 // Record is this host's record in the store.
 type Record struct {
 	config    Config
-	hadRecord atomic.Bool // the store is known to have had a record of this host, of any incarnation
-	counted   atomic.Bool // the hosts were listed countDelay after the start
+	lease     atomic.Int64  // the current lease; store.NoLease before the first write
+	written   chan struct{} // closed once the record has been written
+	hadRecord atomic.Bool   // the store is known to have had a record of this host, of any incarnation
+	counted   atomic.Bool   // the hosts were listed countDelay after the start
 	// confirmedAt is the time of the last request by which the store wrote or renewed the record; nil if there is
 	// none. It is compared by its monotonic reading, since the wall clock may step.
 	confirmedAt atomic.Pointer[time.Time]
 }
 
 // New returns a Record. It does not write to the store.
-func New(config Config) *Record { return &Record{config: config} }
+func New(config Config) *Record { return &Record{config: config, written: make(chan struct{})} }
+
+// Written returns a channel that is closed once the record has been written for the first time, and Config.OnHosts has
+// received the record of an earlier incarnation, if there was one.
+func (r *Record) Written() <-chan struct{} { return r.written }
 
 // prefix returns the prefix of the keys of all records.
 func (r *Record) prefix() string { return r.config.Prefix + "/hosts/" }
@@ -139,39 +146,62 @@
 	}
 }
 
+// Update writes the record as it is now, under its lease. Before the first write it does nothing.
+func (r *Record) Update(ctx context.Context) error {
+	lease := store.Lease(r.lease.Load())
+	if lease == store.NoLease {
+		return nil
+	}
+	change, err := r.change(lease)
+	if err != nil {
+		return err
+	}
+	_, err = r.config.Store.Commit(ctx, change)
+	return err
+}
+
 // put writes the record under a new lease.
 func (r *Record) put(ctx context.Context) (store.Lease, error) {
 	lease, err := r.config.Store.Grant(ctx, leaseTTL)
 	if err != nil {
 		return store.NoLease, err
 	}
-	self := r.config.Self()
-	data, err := json.Marshal(self)
-	if err != nil {
-		return store.NoLease, errors.Wrap(err, "encode record")
-	}
-	put := store.Put{Key: r.key(self.DataCentre, self.Name), Data: data, Lease: lease}
 	requestedAt := time.Now()
-	if err := r.commit(ctx, put); err != nil {
+	if err := r.commit(ctx, lease); err != nil {
 		return store.NoLease, err
 	}
 	r.confirmedAt.Store(&requestedAt)
+	if r.lease.Swap(int64(lease)) == int64(store.NoLease) {
+		close(r.written)
+	}
 	return lease, nil
 }
 
+// change returns the change that writes the record under the lease.
+func (r *Record) change(lease store.Lease) (store.Change, error) {
+	self := r.config.Self()
+	data, err := json.Marshal(self)
+	if err != nil {
+		return store.Change{}, errors.Wrap(err, "encode record")
+	}
+	return store.Change{Puts: []store.Put{{Key: r.key(self.DataCentre, self.Name), Data: data, Lease: lease}}}, nil
+}
+
 // commit writes the record. The first write of an incarnation finds out whether the store still has the record of an
 // earlier one. If it has none and this is the first start of the fleet, this host's share is unused: an earlier
 // incarnation did not renew its record for the lifetime of the lease, and there are no hosts that are gone by now.
-func (r *Record) commit(ctx context.Context, put store.Put) error {
-	change := store.Change{Puts: []store.Put{put}}
+func (r *Record) commit(ctx context.Context, lease store.Lease) error {
+	change, err := r.change(lease)
+	if err != nil {
+		return err
+	}
 	if !r.hadRecord.Load() {
-		change.Expect = []store.Expect{{Key: put.Key}}
+		change.Expect = []store.Expect{{Key: change.Puts[0].Key}}
 	}
-	_, err := r.config.Store.Commit(ctx, change)
+	_, err = r.config.Store.Commit(ctx, change)
 	if errors.Is(err, store.ErrConflict) {
 		r.hadRecord.Store(true)
-		change.Expect = nil
-		_, err = r.config.Store.Commit(ctx, change)
+		err = r.replaceEarlier(ctx, lease)
 	}
 	if err != nil {
 		return err
@@ -182,6 +212,25 @@
 	return nil
 }
 
+// replaceEarlier reads the record of an earlier incarnation, which names the backend servers that have left, and writes
+// the record in its place.
+func (r *Record) replaceEarlier(ctx context.Context, lease store.Lease) error {
+	self := r.config.Self()
+	item, err := r.config.Store.Get(ctx, r.key(self.DataCentre, self.Name))
+	if err != nil {
+		return errors.Wrap(err, "read earlier record")
+	}
+	if item.Data != nil {
+		r.config.OnHosts(decodeRecords([]store.Item{item}, r.logRefused))
+	}
+	change, err := r.change(lease)
+	if err != nil {
+		return err
+	}
+	_, err = r.config.Store.Commit(ctx, change)
+	return err
+}
+
 // Discover reads the records of the data centre's hosts and passes them to Config.OnHosts, and those of all hosts if
 // there are few or if this daemon is one of the few that do; it reports whether it has read all. It retries until the
 // store answers or ctx ends.
--- a/test/registered/registered_test.go
+++ b/test/registered/registered_test.go
@@ -300,6 +300,38 @@
 	}
 }
 
+// TestLeavingIsRememberedWhenAllDaemonsRestart guards against requests to a backend server that has left, after its confirmed
+// leaving was only in the memory of daemons that have all ended, and a late check-in of it arrives.
+func TestLeavingIsRememberedWhenAllDaemonsRestart(t *testing.T) {
+	for name, leave := range map[string]func(*host){
+		"drains":      func(h *host) { h.checkIn("draining") },
+		"deregisters": func(h *host) { h.sendCheckIn(http.MethodDelete, "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			left, other := f.hosts[0], f.hosts[1]
+			leave(left)
+			left.end()
+			other.end()
+			other.start()
+			left.start()
+			left.checkIn("ready")
+			other.startIncarnation("second")
+			left.waitReady()
+			other.waitReady()
+			served := left.served.Load()
+			f.waitUntil("the other backend server to be reachable", func() bool { return other.reachable() == 1 })
+			for range 30 {
+				left.get("/twice/x")
+				other.get("/twice/x")
+			}
+			if got := left.served.Load(); got != served {
+				t.Fatalf("the backend server that has left got %d requests", got-served)
+			}
+		})
+	}
+}
+
 // TestInvalidCheckInsAreRejected guards against forged check-ins, with an unknown state or service or without a field, that
 // affect a backend server of the same name or address: it would get the requests of another service.
 func TestInvalidCheckInsAreRejected(t *testing.T) {
