--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// prepare reads the request's body as far as it is buffered. A planned stop may begin meanwhile.
+// prepare reads the request's body as far as it is buffered, and checks whether a planned stop has begun by then.
 func (in *Ingress) prepare(r *request) *result.Error {
 	if err := r.body.Prepare(r.deadline); err != nil {
 		return bodyFailure(err)
--- a/internal/membership/registrations.go
+++ b/internal/membership/registrations.go
@@ -16,17 +16,17 @@
 )
 
 const (
-	// leaveTimeout bounds how long the end of a backend server is kept from being confirmed so that others
-	// remember it. The platform waits a second for a confirmation.
+	// leaveTimeout bounds how long the confirmation of a leaving is delayed until it is saved. The platform
+	// waits a second for a confirmation.
 	leaveTimeout = 300 * time.Millisecond
-	// restoreTimeout bounds how long a registration waits for what the store remembers of an earlier
-	// incarnation of this daemon.
+	// restoreTimeout bounds how long a registration waits for the record of an earlier incarnation of this
+	// daemon.
 	restoreTimeout = 500 * time.Millisecond
 )
 
 // Registrations handles the registrations of this host's backend servers. Register
-// and Leave return once the change is in force on this host. That a backend server
-// has left is then known to the store or to other daemons as well, if they answer.
+// and Leave return once the change is in force on this host and, if a backend server
+// has left, once that is saved or leaveTimeout has passed.
 type Registrations struct {
 	Register func(registry.Registration) error
 	Leave    func(name string)
@@ -78,8 +78,8 @@
 	return true
 }
 
-// awaitRestored waits until the store has told which backend servers left in an earlier incarnation of this daemon, so
-// that a late registration does not bring one back.
+// awaitRestored waits until the record of an earlier incarnation of this daemon has been read, so that a late registration
+// does not return a backend server that has left.
 func (m *Membership) awaitRestored() {
 	timer := time.NewTimer(restoreTimeout)
 	defer timer.Stop()
@@ -89,8 +89,8 @@
 	}
 }
 
-// saveLeft tells the store and other daemons which backend servers have left, for a later incarnation of this daemon.
-// It returns when all have answered, or after leaveTimeout.
+// saveLeft sends the list of backend servers that have left to the store and to other daemons, from which a later
+// incarnation of this daemon restores it. It returns when all have answered, or after leaveTimeout.
 func (m *Membership) saveLeft() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -36,9 +36,8 @@
 	ErrConflict = errors.New("store holds a different revision")
 	// ErrNoLease means that the lease has expired.
 	ErrNoLease = errors.New("lease has expired")
-	// ErrCompacted means that the store no longer has the changes after a
-	// revision, or has come back from an older copy of itself, so that the keys
-	// have to be listed again.
+	// ErrCompacted means that the store cannot list the changes after a
+	// revision, so that the keys have to be listed again.
 	ErrCompacted = errors.New("store has compacted its history")
 )
 
--- a/test/registered/copy_test.go
+++ b/test/registered/copy_test.go
@@ -7,9 +7,8 @@
 	"time"
 )
 
-// TestChangeIsInForceAfterTheStoreReturnsFromACopy guards against an accepted change that no daemon puts in force, since the
-// store has lost changes that all daemons had seen and given their revisions out again; against a host whose record stays
-// lost; and against an evacuation that does not end, since its end has a lower revision than its beginning.
+// TestChangeIsInForceAfterTheStoreReturnsFromACopy guards against an accepted change that no daemon puts in force, a record that
+// stays lost and an evacuation that does not end, since the store has lost changes and given their revisions out again.
 func TestChangeIsInForceAfterTheStoreReturnsFromACopy(t *testing.T) {
 	f := newFleet(t, 3)
 	older := f.store.Copy()
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/result"
@@ -62,6 +63,25 @@
 	return samples
 }
 
+// runTogether runs the callers until ctx ends and returns their samples.
+func runTogether(ctx context.Context, callers []*caller) []sample {
+	var (
+		all     []sample
+		mu      sync.Mutex
+		running sync.WaitGroup
+	)
+	for _, c := range callers {
+		running.Go(func() {
+			samples := c.run(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, samples...)
+		})
+	}
+	running.Wait()
+	return all
+}
+
 func (c *caller) close() {
 	if c.conn != nil {
 		_ = c.conn.Close()
--- a/test/soak/planned_test.go
+++ b/test/soak/planned_test.go
@@ -137,19 +137,7 @@
 		newConnMaxPause = 40 * time.Millisecond // maximum pause in a fleet of fewDaemons
 		fewDaemons      = 6
 	)
-	var (
-		all   []sample
-		mu    sync.Mutex
-		calls sync.WaitGroup
-	)
-	call := func(c *caller) {
-		calls.Go(func() {
-			samples := c.run(ctx)
-			mu.Lock()
-			defer mu.Unlock()
-			all = append(all, samples...)
-		})
-	}
+	var callers []*caller
 	for i, d := range f.Daemons {
 		for n := range keptConnCallers + newConnCallers {
 			c := &caller{address: d.CallersAddress(), path: "/akten/x", workMillis: 10, prefix: fmt.Sprintf("c%d.%d", i, n), random: rand.New(rand.NewPCG(seed, uint64(1000*(i+1)+n)))}
@@ -158,20 +146,19 @@
 			if c.newConnEach {
 				c.maxPause = newConnMaxPause * time.Duration(max(1, len(f.Daemons)/fewDaemons)) // keeps the total load constant
 			}
-			call(c)
+			callers = append(callers, c)
 		}
 		for n := range slowCallers {
 			if slowWork == 0 {
 				break
 			}
-			call(&caller{
+			callers = append(callers, &caller{
 				address: d.CallersAddress(), path: "/akten/x", workMillis: float64(slowWork.Milliseconds()), maxPause: slowMaxPause, firstNumber: n,
 				prefix: fmt.Sprintf("slow%d.%d", i, n), random: rand.New(rand.NewPCG(seed, uint64(1000*(i+1)+500+n))),
 			})
 		}
 	}
-	calls.Wait()
-	return all
+	return runTogether(ctx, callers)
 }
 
 // plannedOperations counts the operations on a fleet.
--- a/test/soak/stop_test.go
+++ b/test/soak/stop_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -30,34 +29,25 @@
 		Settings:    "limits: {stop: 4s, unready: 2s}",
 	})
 	for number := range stops {
-		ctx, cancel := context.WithCancel(t.Context())
-		var (
-			all   []sample
-			mu    sync.Mutex
-			calls sync.WaitGroup
-		)
+		slow := make([]*caller, 0, callers*len(f.Daemons))
 		for i, d := range f.Daemons {
 			for n := range callers {
-				c := &caller{
-					address: d.CallersAddress(), path: "/akten/x", workMillis: float64(work.Milliseconds()), maxPause: maxPause,
+				slow = append(slow, &caller{
+					address: d.CallersAddress(), path: "/akten/x", workMillis: float64(work.Milliseconds()), maxPause: maxPause, firstNumber: n,
 					prefix: fmt.Sprintf("s%d.c%d.%d", number, i, n), random: rand.New(rand.NewPCG(uint64(i), uint64(n))),
-					firstNumber: n % 2,
-				}
-				calls.Go(func() {
-					samples := c.run(ctx)
-					mu.Lock()
-					defer mu.Unlock()
-					all = append(all, samples...)
 				})
 			}
 		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan []sample, 1)
+		go func() { done <- runTogether(ctx, slow) }()
 		time.Sleep(work + maxPause)
 		stopTwice(t, f.Daemons[0])
 		cancel()
-		calls.Wait()
+		samples := <-done
 		runs := runsOf(t, f, nil)
-		checkResponses(t, all, runs)
-		checkNothingCut(t, all, runs)
+		checkResponses(t, samples, runs)
+		checkNothingCut(t, samples, runs)
 		restart(t, f.Daemons[0])
 	}
 }
