fix(membership): check-ins wait 300 ms at most for an earlier record

Cause: a check-in that announces a leaving may wait for the earlier record and then for its own saving, 800 ms together, of the second that the platform waits for a confirmation.

Change: 300 ms for each.

--- a/internal/membership/registrations.go
+++ b/internal/membership/registrations.go
@@ -17,11 +17,11 @@
 
 const (
 	// leaveTimeout bounds how long the confirmation of a leaving is delayed until it is saved. The platform
-	// waits a second for a confirmation.
+	// waits a second for a confirmation, which both of these timeouts may delay.
 	leaveTimeout = 300 * time.Millisecond
 	// restoreTimeout bounds how long a registration waits for the record of an earlier incarnation of this
 	// daemon.
-	restoreTimeout = 500 * time.Millisecond
+	restoreTimeout = 300 * time.Millisecond
 )
 
 // Registrations handles the registrations of this host's backend servers. Register
