feat(membership): log a leaving that the store did not take in time

Cause: read again, an error of the store was dropped without a line.

Change: event 412; codes.golden has it.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -77,6 +77,7 @@
 	RegistrationRefused = Event{402, slog.LevelWarn, "check-in refused", "A check-in cannot be read, or names a service that is not declared; it changed nothing."}
 	HostLearned         = Event{403, slog.LevelInfo, "host learned", "Another daemon or the store reported a change of a host."}
 	MoreHostsLearned    = Event{411, slog.LevelInfo, "more hosts learned", "Many hosts changed at the same time; the line says how many are not logged one by one."}
+	LeavingUnsaved      = Event{412, slog.LevelWarn, "leaving not saved", "The store did not take the list of backend servers that have left in time, before a leaving was confirmed. The other daemons have it; if all end now, a late registration may bring one back."}
 	RecordRefused       = Event{404, slog.LevelWarn, "record refused", "A record of a host or of a quarantine in the store cannot be read, or is stored under the key of another record, and was ignored."}
 	HostUnreachable     = Event{406, slog.LevelWarn, "host away", "A request could not reach another host's daemon; the host is skipped until its daemon answers."}
 	HostBack            = Event{407, slog.LevelInfo, "host back", "The other host's daemon answers again, or the time limit for skipping the host has passed."}
@@ -107,7 +108,7 @@
 		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers, DataCentreEvacuated, DataCentreInUse, StoreWatched, StoreUnwatched,
 		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerDraining, ServerBack, ServerSuspected, ServerTrusted, ServerProbed, ServerEnded, ServerLimited, LimitEnded, LimitRefused,
 		RequestFailed, AttemptFailed, RequestRefused, RequestHedged, RouteSubrequest, RequestQuarantined, QuarantineEnded, QuarantineTrial, QuarantineUntried, QuarantineDropped,
-		ServersRegistered, RegistrationRefused, HostLearned, RecordRefused, PeerSilent, HostUnreachable, HostBack, HostGone, UpdatesDropped, HostListRefused, MoreHostsLearned,
+		ServersRegistered, RegistrationRefused, HostLearned, RecordRefused, PeerSilent, HostUnreachable, HostBack, HostGone, UpdatesDropped, HostListRefused, MoreHostsLearned, LeavingUnsaved,
 	}
 }
 
--- a/internal/membership/registrations.go
+++ b/internal/membership/registrations.go
@@ -95,11 +95,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	var saving sync.WaitGroup
-	saving.Go(func() { _ = m.record.Update(ctx) }) // the next write of the record has it, too
+	saving.Go(func() {
+		if err := m.record.Update(ctx); err != nil {
+			event.Log(m.config.Logger, event.LeavingUnsaved, "error", err)
+		}
+	})
 	if plan := m.config.Plan(); plan != nil {
 		update := control.HostUpdates{Host: m.config.Self.Name, Hosts: []member.Host{m.known.self()}}
 		for _, target := range plan.UpdateTargets() {
-			saving.Go(func() { _ = m.config.Peers.CallHost(ctx, target, control.MethodHostUpdates, update, nil) }) // is sent again
+			// The client logs a failure, and the update is sent again with the next batch.
+			saving.Go(func() { _ = m.config.Peers.CallHost(ctx, target, control.MethodHostUpdates, update, nil) })
 		}
 	}
 	saving.Wait()
