feat(accept): log connections that are closed before the peer has received everything

Cause: nothing in the logs says that a close discarded an answer, so the hypotheses of docs/incidents/last-answers.md cannot be told apart on a machine of the users. Change: connections of a listener are accept.Conns; one that is closed with unread and unreceived bytes is logged as event 110.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -12,7 +12,7 @@
 //
 // # Usage
 //
-//	listener, err := accept.Listen("127.0.0.1:7400")
+//	listener, err := accept.Listen(accept.Config{Address: "127.0.0.1:7400", OnCut: logCut})
 //	go server.Serve(listener)
 //	...
 //	listener.Refuse()
@@ -45,9 +45,27 @@
 	invalidInterface = math.MaxInt32
 )
 
+// Config configures a Listener.
+type Config struct {
+	// Address is the IP:port to listen at.
+	Address string
+	// OnCut is called for each connection that is closed before its peer has received everything; nil if nobody needs
+	// to know.
+	OnCut func(Cut)
+}
+
+// Cut describes a connection that was closed before its peer had received everything.
+type Cut struct {
+	// Peer is the peer's IP:port.
+	Peer string
+	// Unreceived is how many bytes the peer had not received, and Unread how many of the peer's were not read.
+	Unreceived, Unread int
+}
+
 // Listener is a TCP listener.
 type Listener struct {
 	*net.TCPListener
+	config Config
 
 	mu          sync.Mutex
 	refusing    bool
@@ -59,22 +77,28 @@
 	closeErr error
 }
 
-// Listen opens a listener at the IP:port.
-func Listen(address string) (*Listener, error) {
-	socket, err := net.Listen("tcp", address)
+// Listen opens a listener.
+func Listen(config Config) (*Listener, error) {
+	if config.OnCut == nil {
+		config.OnCut = func(Cut) {}
+	}
+	socket, err := net.Listen("tcp", config.Address)
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", address)
+		return nil, errors.Wrapf(err, "listen on %s", config.Address)
 	}
-	return &Listener{TCPListener: socket.(*net.TCPListener), closed: make(chan struct{})}, nil
+	return &Listener{TCPListener: socket.(*net.TCPListener), config: config, closed: make(chan struct{})}, nil
 }
 
 // Accept returns the next connection. After Refuse it returns the queued connections, and then net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		refusing := l.limitAccept()
-		socket, err := l.TCPListener.Accept()
+		socket, err := l.AcceptTCP()
+		if err == nil {
+			return &Conn{TCPConn: socket, listener: l}, nil
+		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return socket, err
+			return nil, err
 		}
 		// An accept that starts after its deadline fails without a look at the queue.
 		if refusing && (l.expired() || !l.hasQueued()) {
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -108,7 +108,7 @@
 
 func listen(t *testing.T) *accept.Listener {
 	t.Helper()
-	listener, err := accept.Listen("127.0.0.1:0")
+	listener, err := accept.Listen(accept.Config{Address: "127.0.0.1:0"})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -37,6 +37,7 @@
 	SettingsRefused = Event{107, slog.LevelError, "settings refused", "The settings file changed and is invalid; the previous settings stay in force."}
 	KeysRefused     = Event{108, slog.LevelError, "key files refused", "A certificate or token file changed and cannot be read; its previous content stays in force."}
 	StopRepeated    = Event{109, slog.LevelInfo, "stop requested again", "A signal to stop arrived during a planned stop, which goes on unchanged and ends at its first limit."}
+	PeerCut         = Event{110, slog.LevelWarn, "connection cut", "A connection was closed before its peer had received everything that was sent. The line says how many bytes."}
 	ServeFailed     = Event{105, slog.LevelError, "listener failed", "A listener failed; the daemon stops."}
 )
 
@@ -104,7 +105,7 @@
 // All returns every event, ordered by number.
 func All() []Event {
 	return []Event{
-		DaemonStarted, DaemonStopping, DaemonStopped, StopCut, ServeFailed, SettingsTaken, SettingsRefused, KeysRefused, StopRepeated,
+		DaemonStarted, DaemonStopping, DaemonStopped, StopCut, ServeFailed, SettingsTaken, SettingsRefused, KeysRefused, StopRepeated, PeerCut,
 		DeclarationInForce, DeclarationRefused, PlatformUnreachable, PlatformReachable, DeclarationAccepted, DeclarationFromPeers, DataCentreEvacuated, DataCentreInUse, StoreWatched, StoreUnwatched,
 		ServerAvoided, ServerEjected, ServerReturned, FloorHeld, ServerDraining, ServerBack, ServerSuspected, ServerTrusted, ServerProbed, ServerEnded, ServerLimited, LimitEnded, LimitRefused,
 		RequestFailed, AttemptFailed, RequestRefused, RequestHedged, RouteSubrequest, RequestQuarantined, QuarantineEnded, QuarantineTrial, QuarantineUntried, QuarantineDropped,
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -52,6 +52,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -112,7 +113,7 @@
 	}
 }
 
-// Listen returns a listener whose TCP connections are Conns.
+// Listen returns a listener whose connections are Conns, as far as they are sockets.
 func (p *Pipeline) Listen(listener net.Listener) net.Listener {
 	return connListener{Listener: listener, pipeline: p}
 }
@@ -128,15 +129,15 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := socket.(*net.TCPConn)
+	system, ok := socket.(syscall.Conn)
 	if !ok {
 		return socket, nil
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := system.SyscallConn()
 	if err != nil {
 		return socket, nil //nolint:nilerr // an error would end the server; the first read reports it
 	}
-	return newConn(l.pipeline, tcp, raw), nil
+	return newConn(l.pipeline, socket, raw), nil
 }
 
 // From returns the Conn that Listen's listener accepted as c; nil if it is none.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -40,6 +40,7 @@
 
 	"github.com/tideliftd/tidelift/internal/accept"
 	"github.com/tideliftd/tidelift/internal/control"
+	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/framing"
 	"github.com/tideliftd/tidelift/internal/pipeline"
 	"github.com/tideliftd/tidelift/internal/settings"
@@ -199,7 +200,7 @@
 // listen opens all listeners, or none on failure, and starts to serve.
 func (s *Servers) listen() error {
 	listen := s.config.Listen
-	sockets, err := openAll(listen.Callers, listen.Peers, listen.Operators, listen.Control)
+	sockets, err := s.openAll(listen.Callers, listen.Peers, listen.Operators, listen.Control)
 	if err != nil {
 		return err
 	}
@@ -319,7 +320,7 @@
 		if address == "" {
 			continue
 		}
-		sockets, err := openAll(address)
+		sockets, err := s.openAll(address)
 		if err != nil {
 			return err
 		}
@@ -342,10 +343,10 @@
 }
 
 // openAll opens a listener at each address, or none on failure.
-func openAll(addresses ...string) ([]*accept.Listener, error) {
+func (s *Servers) openAll(addresses ...string) ([]*accept.Listener, error) {
 	var sockets []*accept.Listener
 	for _, address := range addresses {
-		socket, err := accept.Listen(address)
+		socket, err := accept.Listen(accept.Config{Address: address, OnCut: s.logCut})
 		if err != nil {
 			closeAll(sockets)
 			return nil, err
@@ -355,6 +356,11 @@
 	return sockets, nil
 }
 
+// logCut logs a connection that was closed before its peer had received everything.
+func (s *Servers) logCut(cut accept.Cut) {
+	event.Log(s.config.Logger, event.PeerCut, "peer", cut.Peer, "unreceived_bytes", cut.Unreceived, "unread_bytes", cut.Unread)
+}
+
 func closeAll(sockets []*accept.Listener) {
 	for _, socket := range sockets {
 		_ = socket.Close()
