fix(accept): a close no longer discards what the peer has not received

What callers saw: a caller that had sent its next request, or sent it later, and read its last answer late got the beginning of it and a reset: 3,956 of 262,144 bytes. In a planned stop, after an answer with Connection: close, and when what followed a request was malformed. Cause: serve closed a connection right after its last answer. The kernel resets a connection that is closed with unread data or that receives data afterwards, also when the process ends, and discards what was not received. Change: accept.Conn is the one way to close an accepted connection. A planned stop waits for that, within its limit. Serve's own linger after a 408 is gone: the same close does it. The deadline of a stop holds with callers that never read.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -1,6 +1,7 @@
-// Package accept listens for TCP connections and closes a listener without resetting connections in its accept queue.
+// Package accept listens for TCP connections, and closes listeners and connections without resetting a connection.
 // Closing a listening socket resets every connection that the kernel has established and the program has not
-// accepted: the client has connected, and may already have sent a request.
+// accepted: the client has connected, and may already have sent a request. Closing a connection resets it if there is
+// unread data or any arrives later: the peer may not have received the last response (conn.go).
 //
 // After Refuse, the listener is bound to an interface that does not exist (SO_BINDTOIFINDEX), so that the kernel
 // refuses new connections immediately. Accept continues to return connections that were established before, and
@@ -17,6 +18,7 @@
 //	...
 //	listener.Refuse()
 //	listener.Wait(ctx)
+//	listener.AwaitClosed(ctx) // after the last call of a connection's Close
 package accept
 
 import (
@@ -25,10 +27,13 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/tideliftd/tidelift/internal/wait"
 )
 
 const (
@@ -43,6 +48,8 @@
 	fallbackTimeout = 500 * time.Millisecond
 	// invalidInterface is an interface index that no host uses.
 	invalidInterface = math.MaxInt32
+	// closePollInterval is the interval between checks whether all closing connections are closed.
+	closePollInterval = 5 * time.Millisecond
 )
 
 // Config configures a Listener.
@@ -58,14 +65,15 @@
 type Cut struct {
 	// Peer is the peer's IP:port.
 	Peer string
-	// Unreceived is how many bytes the peer had not received, and Unread how many of the peer's were not read.
-	Unreceived, Unread int
+	// Unreceived is how many bytes the peer had not received.
+	Unreceived int
 }
 
 // Listener is a TCP listener.
 type Listener struct {
 	*net.TCPListener
-	config Config
+	config    Config
+	lingering atomic.Int64 // connections that are being closed
 
 	mu          sync.Mutex
 	refusing    bool
@@ -183,6 +191,14 @@
 	}
 }
 
+// AwaitClosed waits until the connections whose Close was called are closed, or ctx ends. It returns how many are not: a
+// process that ends then resets them.
+func (l *Listener) AwaitClosed(ctx context.Context) int {
+	for l.lingering.Load() > 0 && wait.For(ctx, closePollInterval) {
+	}
+	return int(l.lingering.Load())
+}
+
 // Close closes the listener immediately, which resets the queued connections.
 func (l *Listener) Close() error {
 	l.closing.Do(func() {
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -17,10 +16,6 @@
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
-// lingerTimeout is how long a connection that was closed without a request is still read. A request that was sent
-// before the peer saw the close arrives within one round trip between data centres.
-const lingerTimeout = 200 * time.Millisecond
-
 // writeTimeout bounds the writing of the response on a connection that closes. The response fits into the socket's
 // buffer.
 const writeTimeout = 2 * time.Second
@@ -142,10 +137,11 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Close closes the connection immediately if the last response announced it, the peer has closed the connection, or
-// requests have been started ahead: they may have run, so that the response would not be true.
+// Close closes the connection if the last response announced it, the peer has closed the connection, or requests have
+// been started ahead: they may have run, so that the response would not be true.
 // While a handler runs it only marks the connection: net/http calls Close again after the response. Otherwise it
-// responds that no request was run, and discards in the background what is still in transit.
+// responds in the background that no request was run. The accepted connection (package accept) sends what was written
+// before it closes.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -164,7 +160,7 @@
 		return c.Conn.Close()
 	}
 	c.closing.Add(1)
-	go c.linger()
+	go c.refuse()
 	return nil
 }
 
@@ -176,22 +172,15 @@
 	}
 }
 
-// linger writes the response and discards further input: with unread data at the close, the kernel would reset the
-// connection and discard the response.
-func (c *conn) linger() {
+// refuse writes the response that no request was run, and closes the connection.
+func (c *conn) refuse() {
 	defer c.closing.Add(-1)
 	defer func() { _ = c.Conn.Close() }()
 	// Ends the server's own Read first: a compressed connection cannot be written to while it waits for its first byte.
 	if err := errors.Join(c.Conn.SetReadDeadline(time.Now()), c.SetWriteDeadline(time.Now().Add(writeTimeout))); err != nil {
 		return // the connection has ended
 	}
-	if err := result.WriteConn(c.Conn, result.New(result.ConnectionUnused)); err != nil {
-		return // the peer has disconnected
-	}
-	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
-		return // the connection has ended
-	}
-	_, _ = io.Copy(io.Discard, c.Conn) // until the peer closes the connection or the deadline passes
+	_ = result.WriteConn(c.Conn, result.New(result.ConnectionUnused)) // fails if the peer has disconnected
 }
 
 // unwrap returns the connection that the underlying listener accepted.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -96,13 +96,14 @@
 	pipeline  *pipeline.Pipeline // of callers' connections; nil if their requests are served one after the other
 	failed    chan error
 
+	listeners        []*accept.Listener // all
 	public           []*accept.Listener // listeners for callers and peers
 	operatorListener *accept.Listener
 	local            []localServer
 	stopping         atomic.Bool
 	refusing         atomic.Bool
 	unused           unusedConns
-	// closing counts the connections whose close has begun and not finished: a response or a 408 is being written.
+	// closing counts the connections whose close waits for a response or a 408 to be written.
 	closing  atomic.Int64
 	cleanUps []func()
 }
@@ -182,10 +183,16 @@
 	return err
 }
 
-// awaitClosed waits until all closing connections are closed, or ctx ends.
+// awaitClosed waits until all closing connections are closed, or ctx ends. Those that are not closed then are reset by the
+// end of the process.
 func (s *Servers) awaitClosed(ctx context.Context) {
 	for s.closing.Load() > 0 && wait.For(ctx, closePollInterval) {
 	}
+	for _, listener := range s.listeners {
+		if open := listener.AwaitClosed(ctx); open > 0 {
+			event.Log(s.config.Logger, event.PeerCut, "listener", listener.Addr().String(), "connections", open)
+		}
+	}
 }
 
 // shutDown stops a server once its requests in flight have finished, or aborts them when ctx ends.
@@ -353,12 +360,13 @@
 		}
 		sockets = append(sockets, socket)
 	}
+	s.listeners = append(s.listeners, sockets...)
 	return sockets, nil
 }
 
 // logCut logs a connection that was closed before its peer had received everything.
 func (s *Servers) logCut(cut accept.Cut) {
-	event.Log(s.config.Logger, event.PeerCut, "peer", cut.Peer, "unreceived_bytes", cut.Unreceived, "unread_bytes", cut.Unread)
+	event.Log(s.config.Logger, event.PeerCut, "peer", cut.Peer, "unreceived_bytes", cut.Unreceived)
 }
 
 func closeAll(sockets []*accept.Listener) {
