fix(membership): records that no daemon can have written are refused

What callers saw: after another writer left a record that names host-1 with the greatest life and version, the other hosts no longer reached its backend server. A list of records from another daemon was refused whole for one odd element. Cause: what could be decoded was believed. A record is replaced by a newer one only; nothing is newer than the greatest number, and the next one after it is the lowest. The record's own name counted, whatever its key. Change: member.Host.Check is the one check, where records of the store and of other daemons are merged: bounded numbers, texts and lists, addresses with a port. A record of the store must lie under its host's key. A daemon replaces any record of its own host that is newer than its own. Lists are decoded record by record. Fixtures of other tests are complete records now.

--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -29,7 +29,8 @@
 	return json.Marshal(compressed)
 }
 
-// UnmarshalJSON decodes either form.
+// UnmarshalJSON decodes either form. A record that cannot be decoded is empty, so that the others of its list are
+// received; the receiver refuses it.
 func (h *Hosts) UnmarshalJSON(data []byte) error {
 	if bytes.HasPrefix(data, []byte(`"`)) {
 		var compressed []byte
@@ -42,5 +43,15 @@
 		}
 		data = plain
 	}
-	return json.Unmarshal(data, (*[]member.Host)(h))
+	var records []json.RawMessage
+	if err := json.Unmarshal(data, &records); err != nil {
+		return errors.Wrap(err, "decode hosts")
+	}
+	*h = make(Hosts, len(records))
+	for i, record := range records {
+		if json.Unmarshal(record, &(*h)[i]) != nil {
+			(*h)[i] = member.Host{}
+		}
+	}
+	return nil
 }
--- a/internal/declaration/notice_test.go
+++ b/internal/declaration/notice_test.go
@@ -34,7 +34,7 @@
 		Health: storehealth.New(storehealth.Config{}),
 		Peers:  peers,
 		Members: membership.New(membership.Config{
-			Self: member.Host{Name: "csepel-1"}, Registers: true, Logger: logger, Reapply: func() {},
+			Self: member.Host{Name: "csepel-1", DataCentre: "csepel"}, Registers: true, Logger: logger, Reapply: func() {},
 		}),
 		Quarantines: quarantinesync.New(quarantinesync.Config{Scope: tally.NoopScope}),
 		Evacuations: evacuationsync.New(evacuationsync.Config{}),
@@ -45,6 +45,12 @@
 	})
 }
 
+// recordOf returns the record of a host whose daemon listens there.
+func recordOf(name string, control net.Listener) member.Host {
+	address := control.Addr().String()
+	return member.Host{Name: name, DataCentre: "csepel", Peers: address, Control: address, Start: "a", Incarnation: 1, Version: 1}
+}
+
 // TestNoticeFetchesRevisionWithoutDeclaration guards against a daemon without a declaration that
 // ignores notices, because it knows only the hosts that registered themselves.
 func TestNoticeFetchesRevisionWithoutDeclaration(t *testing.T) {
@@ -59,7 +65,7 @@
 	}})
 	defer cleanUp()
 	f := newFollower(t)
-	f.config.Members.Learn("", []member.Host{{Name: "csepel-2", Control: listener.Addr().String(), Start: "a", Incarnation: 1, Version: 1}})
+	f.config.Members.Learn("", []member.Host{recordOf("csepel-2", listener)})
 	f.receiveNotice(control.Notice{Host: "csepel-2", Revision: 7})
 	select {
 	case method := <-called:
@@ -92,7 +98,7 @@
 		}
 		t.Cleanup(control.Serve(control.ServerConfig{Listener: listener, Handle: handle}))
 		name := fmt.Sprintf("obuda-%d", n)
-		f.config.Members.Learn("", []member.Host{{Name: name, Control: listener.Addr().String(), Start: "a", Incarnation: 1, Version: 1}})
+		f.config.Members.Learn("", []member.Host{recordOf(name, listener)})
 		f.receiveNotice(control.Notice{Host: name, Revision: 7})
 	}
 	for end := time.Now().Add(5 * time.Second); f.Revision() != 7; time.Sleep(time.Millisecond) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -8,6 +8,7 @@
 //
 //	t := member.NewTable(member.Host{Name: "csepel-1", DataCentre: "csepel"})
 //	t.SetServers(servers, left)
+//	err := received.Check()            // another writer may have left it
 //	changed := t.Merge(received)       // from a peer or the store
 //	digest := t.Digest()               // to a peer, which answers with t.Diff(digest)
 //	hosts := t.Hosts()
@@ -20,6 +21,9 @@
 //   - A daemon starts with incarnation 1. When it receives a record of itself from
 //     an earlier start, it takes the next higher incarnation, so it needs neither
 //     a clock nor a disk.
+//   - A record that no daemon can have written is refused, also if another daemon
+//     passes it on (check.go). Of any other, the host's daemon can take the next
+//     higher incarnation.
 //   - Other daemons may report that a host is gone. The report overrides a record
 //     of the same version; the host refutes it with a higher incarnation.
 //   - Two tables are compared by the hashes of their buckets, so that the cost of
@@ -171,12 +175,12 @@
 }
 
 // refute replaces a record of the daemon's own host that comes from an earlier
-// start or reports the host gone, by one of a higher incarnation.
+// start, reports the host gone, or would replace the daemon's own record elsewhere,
+// by one of a higher incarnation.
 func (t *Table) refute(received Host) (Host, bool) {
 	self := t.Self()
 	earlierStart := received.Start != self.Start && received.Incarnation >= self.Incarnation
-	reportedGone := received.Gone && received.Incarnation == self.Incarnation && received.Version >= self.Version
-	if !earlierStart && !reportedGone {
+	if !earlierStart && !received.newer(self) {
 		return Host{}, false
 	}
 	self.Incarnation = received.Incarnation + 1
--- a/internal/membership/apply_test.go
+++ b/internal/membership/apply_test.go
@@ -15,6 +15,11 @@
 	"github.com/tideliftd/tidelift/internal/member"
 )
 
+// recordOf returns the first record of a host's daemon.
+func recordOf(name string) member.Host {
+	return member.Host{Name: name, DataCentre: "csepel", Peers: "127.0.0.1:1", Control: "127.0.0.1:1", Start: "a", Incarnation: 1, Version: 1}
+}
+
 // TestLearnedRecordsAreAppliedTogether guards against a declaration that is put in force again for each
 // record of another host, at a cost that grows with the hosts.
 func TestLearnedRecordsAreAppliedTogether(t *testing.T) {
@@ -40,7 +45,7 @@
 	const records = 1000
 	began := time.Now()
 	for n := range records {
-		m.Learn("host-1", []member.Host{{Name: fmt.Sprintf("host-%d", n+1), Start: "a", Incarnation: 1, Version: 1}})
+		m.Learn("host-1", []member.Host{recordOf(fmt.Sprintf("host-%d", n+1))})
 	}
 	time.Sleep(2 * minApplyPause)
 	cancel()
@@ -76,9 +81,9 @@
 			defer close(ended)
 			m.applyScheduled(ctx)
 		}()
-		m.Learn("host-1", []member.Host{{Name: "host-1", Start: "a", Incarnation: 1, Version: 1}})
+		m.Learn("host-1", []member.Host{recordOf("host-1")})
 		time.Sleep(waited / 2)
-		m.Learn("host-1", []member.Host{{Name: "host-2", Start: "a", Incarnation: 1, Version: 1}})
+		m.Learn("host-1", []member.Host{recordOf("host-2")})
 		time.Sleep(time.Second)
 		synctest.Wait()
 		if hosts != 3 {
--- a/internal/membership/known.go
+++ b/internal/membership/known.go
@@ -187,9 +187,9 @@
 	return true
 }
 
-// merge merges the received records. It returns those that changed the table, and
-// the local backend servers that left in an earlier incarnation of this daemon,
-// as recorded by other daemons.
+// merge merges the received records, which have been checked. It returns those that
+// changed the table, and the local backend servers that left in an earlier incarnation
+// of this daemon, as recorded by other daemons.
 func (k *known) merge(received []member.Host) (updates []member.Host, restored []string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/membership/start_test.go
+++ b/internal/membership/start_test.go
@@ -49,12 +49,12 @@
 	const listed = 196
 	list := func(context.Context, string) (batch store.Batch, err error) {
 		for n := range listed {
-			h := member.Host{Name: fmt.Sprintf("csepel-%d", n+1), DataCentre: "csepel", Start: "a", Incarnation: 1, Version: 1}
+			h := recordOf(fmt.Sprintf("csepel-%d", n+1))
 			data, err := json.Marshal(h)
 			if err != nil {
 				return store.Batch{}, err
 			}
-			batch.Items = append(batch.Items, store.Item{Key: h.Name, Data: data})
+			batch.Items = append(batch.Items, store.Item{Key: "/hosts/csepel/" + h.Name, Data: data})
 		}
 		return batch, nil
 	}
--- a/internal/membership/updates.go
+++ b/internal/membership/updates.go
@@ -23,7 +23,7 @@
 	if !m.config.Registers {
 		return
 	}
-	updates, restored := m.known.merge(received)
+	updates, restored := m.known.merge(m.checked(from, received))
 	if len(restored) > 0 {
 		event.Log(m.config.Logger, event.ServersRegistered, "why", "left in an earlier life", "left", restored, "from", from)
 	}
@@ -35,6 +35,19 @@
 	m.enqueue(from, updates)
 }
 
+// checked returns the records that a daemon can have written, and logs the others.
+func (m *Membership) checked(from string, received []member.Host) []member.Host {
+	var valid []member.Host
+	for _, h := range received {
+		if err := h.Check(); err != nil {
+			event.Log(m.config.Logger, event.RecordRefused, "from", from, "error", err)
+			continue
+		}
+		valid = append(valid, h)
+	}
+	return valid
+}
+
 // update holds host records to send to other daemons.
 type update struct {
 	hosts  []member.Host
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -221,7 +221,7 @@
 		return errors.Wrap(err, "read earlier record")
 	}
 	if item.Data != nil {
-		r.config.OnHosts(decodeRecords([]store.Item{item}, r.logRefused))
+		r.config.OnHosts(r.decodeRecords([]store.Item{item}))
 	}
 	change, err := r.change(lease)
 	if err != nil {
@@ -258,18 +258,23 @@
 	if !answered {
 		return 0
 	}
-	hosts := decodeRecords(batch.Items, r.logRefused)
+	hosts := r.decodeRecords(batch.Items)
 	r.config.OnHosts(hosts)
 	return len(hosts)
 }
 
-// decodeRecords decodes the records, skips those that cannot be decoded, and calls onBad for each of these.
-func decodeRecords(items []store.Item, onBad func(error)) []member.Host {
+// decodeRecords decodes the records. It skips and logs those that cannot be decoded, and those that another writer has left
+// under the key of another host.
+func (r *Record) decodeRecords(items []store.Item) []member.Host {
 	var hosts []member.Host
 	for _, item := range items {
 		var h member.Host
 		if err := json.Unmarshal(item.Data, &h); err != nil {
-			onBad(errors.Wrapf(err, "decode record %s", item.Key))
+			r.logRefused(errors.Wrapf(err, "decode record %s", item.Key))
+			continue
+		}
+		if item.Key != r.key(h.DataCentre, h.Name) {
+			r.logRefused(errors.Errorf("record %s is not of the host of its key", item.Key))
 			continue
 		}
 		hosts = append(hosts, h)
@@ -277,7 +282,7 @@
 	return hosts
 }
 
-// logRefused logs a record that cannot be decoded.
+// logRefused logs a record that is not taken.
 func (r *Record) logRefused(err error) {
 	event.Log(r.config.Logger, event.RecordRefused, "error", err)
 }
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -1,7 +1,9 @@
 package record
 
 import (
+	"bytes"
 	"encoding/json"
+	"log/slog"
 	"reflect"
 	"testing"
 
@@ -21,9 +23,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	refused := 0
-	got := decodeRecords([]store.Item{{Key: "a", Data: data}, {Key: "b", Data: []byte("{")}}, func(error) { refused++ })
-	if len(got) != 1 || !reflect.DeepEqual(got[0], want) || refused != 1 {
+	var log bytes.Buffer
+	r := New(Config{Prefix: "tidelift", Logger: slog.New(slog.NewJSONHandler(&log, nil))})
+	const key = "tidelift/hosts/csepel/csepel-1"
+	got := r.decodeRecords([]store.Item{{Key: key, Data: data}, {Key: "tidelift/hosts/csepel/csepel-2", Data: data}, {Key: key, Data: []byte("{")}})
+	if refused := bytes.Count(log.Bytes(), []byte("\n")); len(got) != 1 || !reflect.DeepEqual(got[0], want) || refused != 2 {
 		t.Fatalf("decoded %+v, refused %d records", got, refused)
 	}
 }
