fix(serve): a stop does not wait for peers that lose only a 408

Cause: a connection on which no request has begun is closed with a 408. The lingering close waited for its receipt too, so that callers that had gone held a planned stop until its limit. TestResponseToNoRequestDelaysNoStop.

--- a/internal/accept/conn.go
+++ b/internal/accept/conn.go
@@ -36,6 +36,30 @@
 
 	listener *Listener
 	closed   atomic.Bool
+	brief    atomic.Bool // Close waits for lingerTimeout, whatever the peer has received
+}
+
+// Of returns the accepted connection below c, which may be wrapped in connections with a method NetConn, as that of tls.Conn;
+// nil if there is none.
+func Of(c net.Conn) *Conn {
+	for {
+		if accepted, ok := c.(*Conn); ok {
+			return accepted
+		}
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		c = wrapper.NetConn()
+	}
+}
+
+// LingerBriefly lets Close wait for lingerTimeout only if the peer has received everything so far, so that what is written
+// from now on may be lost. It is for a response to no request, for which a peer that has gone would delay a stop.
+func (c *Conn) LingerBriefly() {
+	if c != nil && c.unreceived() == 0 {
+		c.brief.Store(true)
+	}
 }
 
 // Read reads from the connection. It fails once the connection is closed.
@@ -96,7 +120,7 @@
 	if err := errors.Join(c.TCPConn.SetDeadline(past), c.CloseWrite()); err != nil {
 		return // the peer has reset the connection
 	}
-	var progress lingerProgress
+	progress := lingerProgress{brief: c.brief.Load()}
 	for discarded := make([]byte, discardSize); ; {
 		if err := c.discard(discarded); err != nil {
 			return // the peer has closed the connection, and sends nothing that could cause a reset
@@ -123,7 +147,7 @@
 
 // reportCut reports that the peer has not received everything.
 func (c *Conn) reportCut(unreceived int) {
-	if unreceived > 0 {
+	if unreceived > 0 && !c.brief.Load() {
 		c.listener.config.OnCut(Cut{Peer: c.RemoteAddr().String(), Unreceived: unreceived})
 	}
 }
@@ -145,16 +169,17 @@
 
 // lingerProgress tracks what the peer of a closing connection receives.
 type lingerProgress struct {
+	brief      bool // the connection is closed after lingerTimeout
 	unreceived int
 	since      time.Time // when unreceived last changed
 }
 
 // continues reports whether the connection must be kept open, given how many bytes the peer has not received.
 func (p *lingerProgress) continues(now time.Time, unreceived int) bool {
-	if p.since.IsZero() || unreceived != p.unreceived {
+	if p.since.IsZero() || unreceived != p.unreceived && !p.brief {
 		p.unreceived, p.since = unreceived, now
 	}
-	if unreceived == 0 {
+	if unreceived == 0 || p.brief {
 		return now.Sub(p.since) < lingerTimeout
 	}
 	return now.Sub(p.since) < stallTimeout
--- a/internal/accept/conn_test.go
+++ b/internal/accept/conn_test.go
@@ -55,6 +55,32 @@
 	}
 }
 
+// TestResponseToNoRequestDelaysNoStop guards against a stop that waits for a peer which has gone and never receives the
+// response that its connection was not used, and against a response to a request that is lost with it.
+func TestResponseToNoRequestDelaysNoStop(t *testing.T) {
+	for name, test := range map[string]struct {
+		before int // bytes of a response that the peer has not received
+		want   int // connections that a stop waits for
+	}{"nothing to receive": {0, 0}, "an answer to receive": {1 << 20, 1}} {
+		t.Run(name, func(t *testing.T) {
+			_, server, listener := connected(t)
+			if _, err := server.Write(make([]byte, test.before)); err != nil {
+				t.Fatal(err)
+			}
+			Of(server).LingerBriefly()
+			if _, err := server.Write(make([]byte, 1<<20)); err != nil { // more than the peer's buffer
+				t.Fatal(err)
+			}
+			_ = server.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 3*lingerTimeout)
+			defer cancel()
+			if open := listener.AwaitClosed(ctx); open != test.want {
+				t.Errorf("%d connections are open, want %d", open, test.want)
+			}
+		})
+	}
+}
+
 // TestCloseEndsPendingRead guards against a reader that goes on reading a connection that another goroutine has closed.
 func TestCloseEndsPendingRead(t *testing.T) {
 	client, server, _ := connected(t)
@@ -83,13 +109,16 @@
 		unreceived int
 		want       bool
 	}
+	brief := map[string]bool{"brief, nothing received": true, "brief, received slowly": true}
 	for name, steps := range map[string][]step{
-		"all received":     {{0, 0, true}, {lingerTimeout - 1, 0, true}, {lingerTimeout, 0, false}},
-		"received late":    {{0, 9, true}, {stallTimeout - 1, 0, true}, {stallTimeout - 1 + lingerTimeout, 0, false}},
-		"nothing received": {{0, 9, true}, {stallTimeout - 1, 9, true}, {stallTimeout, 9, false}},
-		"received slowly":  {{0, 9, true}, {stallTimeout - 1, 8, true}, {2*stallTimeout - 2, 7, true}, {3*stallTimeout - 2, 7, false}},
+		"brief, nothing received": {{0, 9, true}, {lingerTimeout - 1, 9, true}, {lingerTimeout, 9, false}},
+		"brief, received slowly":  {{0, 9, true}, {lingerTimeout - 1, 1, true}, {lingerTimeout, 0, false}},
+		"all received":            {{0, 0, true}, {lingerTimeout - 1, 0, true}, {lingerTimeout, 0, false}},
+		"received late":           {{0, 9, true}, {stallTimeout - 1, 0, true}, {stallTimeout - 1 + lingerTimeout, 0, false}},
+		"nothing received":        {{0, 9, true}, {stallTimeout - 1, 9, true}, {stallTimeout, 9, false}},
+		"received slowly":         {{0, 9, true}, {stallTimeout - 1, 8, true}, {2*stallTimeout - 2, 7, true}, {3*stallTimeout - 2, 7, false}},
 	} {
-		var progress lingerProgress
+		progress := lingerProgress{brief: brief[name]}
 		for _, s := range steps {
 			if got := progress.continues(start.Add(s.after), s.unreceived); got != s.want {
 				t.Errorf("%s: after %s with %d bytes left continues %t, want %t", name, s.after, s.unreceived, got, s.want)
--- a/internal/compress/listen.go
+++ b/internal/compress/listen.go
@@ -37,6 +37,9 @@
 	inner net.Conn // the compressed or plain connection; nil until detected
 }
 
+// NetConn returns the connection that the listener given to Listen accepted.
+func (a *detectingConn) NetConn() net.Conn { return a.Conn }
+
 // Read reads from the connection, and decompresses the data if the connection is compressed.
 func (a *detectingConn) Read(p []byte) (int, error) {
 	inner, err := a.detect()
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -89,6 +89,9 @@
 	pipelined bool // the current head began before the end of the previous request
 }
 
+// NetConn returns the connection whose heads are recorded.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read reads from the connection and records the bytes of a head. net/http reads a single byte while a handler runs,
 // to detect whether the caller has disconnected; that byte is the first of the next request.
 func (c *conn) Read(p []byte) (int, error) {
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -50,6 +50,9 @@
 	}
 }
 
+// NetConn returns the connection that the listener given to Listen accepted.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // Read reads from the connection, but nothing of the next request before the current one is answered. net/http never
 // calls it concurrently, but a connection that is closed may be drained while net/http's last read has not returned.
 func (c *Conn) Read(p []byte) (int, error) {
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tideliftd/tidelift/internal/accept"
 	"github.com/tideliftd/tidelift/internal/framing"
 	"github.com/tideliftd/tidelift/internal/pipeline"
 	"github.com/tideliftd/tidelift/internal/result"
@@ -176,6 +177,7 @@
 func (c *conn) refuse() {
 	defer c.closing.Add(-1)
 	defer func() { _ = c.Conn.Close() }()
+	accept.Of(c.Conn).LingerBriefly()
 	// Ends the server's own Read first: a compressed connection cannot be written to while it waits for its first byte.
 	if err := errors.Join(c.Conn.SetReadDeadline(time.Now()), c.SetWriteDeadline(time.Now().Add(writeTimeout))); err != nil {
 		return // the connection has ended
