fix(backend): a head without end no longer takes the daemon down

What callers saw: 504 at their deadline, while the daemon of the host grew to 277 MB for each 64 MB that a backend server sent without ending its head. Cause: http.ReadResponse has no bound on heads, and interim answers were skipped without a count. Control calls and the operator API had no bound either, and the transports to daemons and the store had net/http's default of 10 MB. Change: internal/bound holds and enforces the bounds on what is read from backend servers, daemons, the store and operators.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/tideliftd/tidelift/internal/bound"
 )
 
 const (
@@ -34,6 +36,7 @@
 // conn is one connection.
 type conn struct {
 	socket     net.Conn
+	source     *bound.Reader // of reader; bounds the heads of answers
 	reader     *bufio.Reader
 	writer     *bufio.Writer
 	idleFor    time.Duration // how long the connection may stay idle
@@ -48,9 +51,11 @@
 
 // newConn returns a connection over the socket.
 func newConn(socket net.Conn) *conn {
+	source := bound.NewReader(socket)
 	return &conn{
 		socket: socket,
-		reader: bufio.NewReaderSize(socket, bufferSize),
+		source: source,
+		reader: bufio.NewReaderSize(source, bufferSize),
 		writer: bufio.NewWriterSize(socket, bufferSize),
 	}
 }
@@ -107,8 +112,10 @@
 	return nil, errMismatchedAnswer
 }
 
-// readFinal reads the head of the next answer that is not an interim (1xx) one.
+// readFinal reads the head of the next answer that is not an interim (1xx) one. All these heads together are bounded.
 func (c *conn) readFinal(r *http.Request) (*http.Response, error) {
+	c.source.Allow(bound.AnswerHead)
+	defer c.source.AllowAll()
 	for {
 		response, err := http.ReadResponse(c.reader, r)
 		c.reportContinue(err == nil && response.StatusCode == http.StatusContinue)
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -14,6 +14,7 @@
 	"github.com/olekukonko/tablewriter/tw"
 	"github.com/urfave/cli/v3"
 
+	"github.com/tideliftd/tidelift/internal/bound"
 	"github.com/tideliftd/tidelift/internal/operatorapi"
 )
 
@@ -45,12 +46,17 @@
 // bearer is an HTTP client that adds the operator's token to requests.
 type bearer struct{ token string }
 
-// Do sends one request.
+// Do sends one request. The response is bounded, since the generated client reads all of it.
 func (b bearer) Do(r *http.Request) (*http.Response, error) {
 	if b.token != "" {
 		r.Header.Set("Authorization", "Bearer "+b.token)
 	}
-	return http.DefaultClient.Do(r) //nolint:gosec // the operator chooses the URL of the daemon
+	response, err := http.DefaultClient.Do(r) //nolint:gosec // the operator chooses the URL of the daemon
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, bound.OperatorAnswer)
+	return response, nil
 }
 
 func jsonFlag() cli.Flag {
--- a/internal/compress/compress.go
+++ b/internal/compress/compress.go
@@ -37,6 +37,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/klauspost/compress/flate"
+
+	"github.com/tideliftd/tidelift/internal/bound"
 )
 
 const (
@@ -207,12 +209,12 @@
 	if err := inflater.(flate.Resetter).Reset(bytes.NewReader(compressed), dictionary); err != nil {
 		return nil, errors.Wrap(err, "decompress")
 	}
-	plain, err := io.ReadAll(io.LimitReader(inflater, maxPlain+1))
+	plain, err := bound.ReadAll(inflater, maxPlain)
+	if errors.Is(err, bound.ErrExceeded) {
+		return nil, errTooLong
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress")
 	}
-	if len(plain) > maxPlain {
-		return nil, errTooLong
-	}
 	return plain, nil
 }
--- a/internal/control/pack.go
+++ b/internal/control/pack.go
@@ -6,7 +6,7 @@
 	"io"
 	"sync"
 
-	"github.com/go-faster/errors"
+	"github.com/tideliftd/tidelift/internal/bound"
 )
 
 const (
@@ -44,12 +44,5 @@
 func decompress(compressed []byte) ([]byte, error) {
 	reader := flate.NewReader(bytes.NewReader(compressed))
 	defer func() { _ = reader.Close() }()
-	plain, err := io.ReadAll(io.LimitReader(reader, maxDecompressed+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(plain) > maxDecompressed {
-		return nil, errors.Errorf("decompressed size exceeds %d bytes", maxDecompressed)
-	}
-	return plain, nil
+	return bound.ReadAll(reader, maxDecompressed)
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"bufio"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"log"
@@ -11,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/tideliftd/tidelift/internal/bound"
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
@@ -59,7 +62,29 @@
 
 // newStream returns a stream of length-prefixed messages.
 func newStream(socket net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(socket, jsonrpc2.VarintObjectCodec{})
+	return jsonrpc2.NewBufferedStream(socket, codec{})
+}
+
+// codec is the library's codec with a bound on the messages that are read. After an error the connection is closed.
+type codec struct{ jsonrpc2.VarintObjectCodec }
+
+// ReadObject reads a message.
+func (codec) ReadObject(stream *bufio.Reader, v any) error {
+	size, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if size > bound.Call {
+		return errors.Wrapf(bound.ErrExceeded, "read a call of %d bytes", size)
+	}
+	data, err := bound.ReadAll(io.LimitReader(stream, int64(size)), bound.Call)
+	if err != nil {
+		return err
+	}
+	if len(data) < int(size) {
+		return io.ErrUnexpectedEOF
+	}
+	return json.Unmarshal(data, v)
 }
 
 // adapt converts handle to a handler of the jsonrpc2 library.
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tideliftd/tidelift/internal/bound"
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/operator"
 	"github.com/tideliftd/tidelift/internal/result"
@@ -25,7 +26,7 @@
 		Limits:      s.Limits,
 		Callers:     d.ingress,
 		Peers:       d.sidecar.Handler(),
-		Operators:   operators,
+		Operators:   http.MaxBytesHandler(operators, bound.OperatorCall),
 		Local:       d.localHandlers(),
 		Control:     handle,
 		Pipelined:   s.LongRequests.Pipelined,
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -67,6 +67,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tideliftd/tidelift/internal/body"
+	"github.com/tideliftd/tidelift/internal/bound"
 	"github.com/tideliftd/tidelift/internal/dial"
 	"github.com/tideliftd/tidelift/internal/experiment"
 	"github.com/tideliftd/tidelift/internal/fleet"
@@ -185,12 +186,13 @@
 		disabled: disabledBy(config.Off),
 		start:    time.Now(),
 		transport: &http.Transport{
-			DialContext:           dialer(config),
-			TLSClientConfig:       config.TLS,
-			DisableCompression:    true,
-			MaxIdleConnsPerHost:   1024,
-			IdleConnTimeout:       idleTimeout,
-			ExpectContinueTimeout: time.Second,
+			DialContext:            dialer(config),
+			TLSClientConfig:        config.TLS,
+			DisableCompression:     true,
+			MaxIdleConnsPerHost:    1024,
+			IdleConnTimeout:        idleTimeout,
+			ExpectContinueTimeout:  time.Second,
+			MaxResponseHeaderBytes: bound.PeerHead,
 		},
 		metrics: metrics{
 			requests: config.Scope.Counter("ingress_requests"),
