fix(quarantine): records with the greatest epoch or times are refused

What callers would see: a request that stays quarantined, or can never be, since another writer left a record of it with the greatest epoch, or with times in the future. Cause: the later of two epochs wins, and none is later than the greatest. Change: quarantine.Record.Check is the one check, where records of the store and of other daemons are merged. A refused record in the store is replaced by the daemon that writes its key next.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -9,6 +9,7 @@
 //
 //	table := quarantine.New()
 //	changed, ok := table.RecordEnd(now, quarantine.Request{ID: id, HeadHash: head, Service: "lookup"}, quarantine.End{Server: "i-7f3a", At: millis})
+//	err := record.Check(now)                              // another writer may have left it
 //	updates := table.Merge(records)                       // from other daemons or from the store; see Refutes
 //	changed, ok = table.RecordAnswer(now, id)             // a backend server answered the request
 //	table.RememberAnswer(at, id)                          // it did earlier, when the request was not suspected
@@ -35,7 +36,7 @@
 //   - A suspected request expires SuspectTTL after its last change, and a lifted quarantine ClearedTTL after
 //     its last change. A quarantine in force does not expire.
 //
-// The Table is in table.go, the merge of records in record.go, and lookups in view.go. None of them uses a clock,
+// What comes from elsewhere is checked in check.go. The Table is in table.go, the merge of records in record.go, and lookups in view.go. None of them uses a clock,
 // a goroutine or a socket.
 package quarantine
 
--- a/internal/quarantinesync/follow.go
+++ b/internal/quarantinesync/follow.go
@@ -71,10 +71,14 @@
 	return nil
 }
 
-// decode decodes a record of the store. A record that is stored under the key of another request is refused.
+// decode decodes a record of the store. A record that is stored under the key of another request, or that no daemon can have
+// written, is refused: a daemon that writes the key replaces it.
 func (s *Syncer) decode(item store.Item) (quarantine.Record, bool) {
 	var record quarantine.Record
 	err := json.Unmarshal(item.Data, &record)
+	if err == nil {
+		err = record.Check(time.Now())
+	}
 	if err == nil && item.Key == s.recordKey(record) {
 		return record, true
 	}
--- a/internal/quarantinesync/task.go
+++ b/internal/quarantinesync/task.go
@@ -130,9 +130,13 @@
 	t.syncer.metrics.quarantined.Update(float64(view.Count(quarantine.Quarantined)))
 }
 
-// merge merges records from other daemons or from the store.
+// merge merges records from other daemons or from the store. It skips and logs those that no daemon can have written.
 func (t *task) merge(now time.Time, m mergeMessage) {
 	for _, record := range m.records {
+		if err := record.Check(now); err != nil {
+			event.Log(t.syncer.config.Logger, event.RecordRefused, "fingerprint", record.ID, "error", err)
+			continue
+		}
 		before, _ := t.table.Find(record.ID)
 		if quarantine.Merge(before, record).Quarantined() {
 			t.recallAnswer(record.HeadHash, record.ID)
