fix(revision): numbers that nothing could replace are refused

Cause: greatest revisions, sequence numbers and times in the future were taken from the store, from other daemons and from check-ins. Change: revision.CheckNumber is asked wherever a revision arrives. What a host registers must pass the check of its own record.

--- a/internal/declaration/ask.go
+++ b/internal/declaration/ask.go
@@ -54,13 +54,22 @@
 }
 
 // recordSilence records what another daemon said when it was asked: the platform answered it so many milliseconds
-// before. A daemon that knows of no answer reports centuries.
+// before.
 func (f *Follower) recordSilence(askedAt time.Time, ms int64) {
-	if ms < maxSilence.Milliseconds() {
-		f.config.Health.RecordSeen(askedAt.Add(-time.Duration(ms) * time.Millisecond))
+	if answeredAt, ok := answeredBefore(askedAt, ms); ok {
+		f.config.Health.RecordSeen(answeredAt)
 	}
 }
 
+// answeredBefore returns when the platform answered another daemon that names a silence of so many milliseconds. A daemon that
+// knows of no answer names centuries, and one in the future cannot be true: this daemon would no longer watch the platform.
+func answeredBefore(now time.Time, ms int64) (time.Time, bool) {
+	if ms < 0 || ms >= maxSilence.Milliseconds() {
+		return time.Time{}, false
+	}
+	return now.Add(-time.Duration(ms) * time.Millisecond), true
+}
+
 // recordQuarantines merges the quarantines of another daemon's answer. The answer holds none if
 // both daemons have the same.
 func (f *Follower) recordQuarantines(response control.RevisionResponse) {
--- a/internal/declaration/inforce.go
+++ b/internal/declaration/inforce.go
@@ -30,6 +30,9 @@
 // parse parses the revision into declared and reports whether it is valid. The caller holds mu.
 func (f *Follower) parse(r revision.Revision) bool {
 	declaration, err := f.config.Source.Parse(r.YAML)
+	if numberErr := revision.CheckNumber(r.Number); numberErr != nil {
+		err = numberErr // another daemon may pass on what another writer left
+	}
 	if err != nil {
 		event.Log(f.config.Logger, event.DeclarationRefused, "revision", r.Number, "error", err)
 		return false
--- a/internal/declaration/notice.go
+++ b/internal/declaration/notice.go
@@ -18,8 +18,11 @@
 // current one, and otherwise records when the platform answered that daemon.
 func (f *Follower) receiveNotice(notice control.Notice) {
 	if notice.Revision <= f.Revision() {
-		if notice.SilentMs != nil {
-			f.receiveConfirmation(time.Now().Add(-time.Duration(*notice.SilentMs) * time.Millisecond))
+		if notice.SilentMs == nil {
+			return
+		}
+		if answeredAt, ok := answeredBefore(time.Now(), *notice.SilentMs); ok {
+			f.receiveConfirmation(answeredAt)
 		}
 		return
 	}
--- a/internal/member/check.go
+++ b/internal/member/check.go
@@ -22,7 +22,7 @@
 // left it there, and a daemon that takes it passes it on.
 func (h Host) Check() error {
 	for _, text := range []string{h.Name, h.DataCentre, h.Start} {
-		if err := checkText(text); err != nil {
+		if err := CheckName(text); err != nil {
 			return errors.Wrap(err, "read host")
 		}
 	}
@@ -45,22 +45,23 @@
 // checkServers returns the first problem of the host's backend servers, or nil.
 func (h Host) checkServers() error {
 	for _, s := range h.Servers {
-		if err := s.check(); err != nil {
+		if err := s.Check(); err != nil {
 			return err
 		}
 	}
 	for _, name := range h.Left {
-		if err := checkText(name); err != nil {
+		if err := CheckName(name); err != nil {
 			return errors.Wrap(err, "read backend server that has left")
 		}
 	}
 	return nil
 }
 
-// check returns the first problem of a backend server, or nil.
-func (s Server) check() error {
+// Check returns the first problem of a backend server, or nil. A host must not register one with a problem, since other
+// daemons would refuse the host's record.
+func (s Server) Check() error {
 	for _, text := range []string{s.Name, s.Service} {
-		if err := checkText(text); err != nil {
+		if err := CheckName(text); err != nil {
 			return errors.Wrap(err, "read backend server")
 		}
 	}
@@ -73,7 +74,8 @@
 	return nil
 }
 
-func checkText(text string) error {
+// CheckName returns the problem of a name of a host, a data centre, a service or a backend server, or nil.
+func CheckName(text string) error {
 	if text == "" || len(text) > maxText {
 		return errors.Errorf("a name has %d bytes; want 1 to %d", len(text), maxText)
 	}
--- a/internal/membership/known.go
+++ b/internal/membership/known.go
@@ -181,12 +181,17 @@
 	registered := k.registry.Serving()
 	serving := make([]member.Server, 0, len(registered))
 	for _, c := range registered {
-		serving = append(serving, member.Server{Name: c.Name, Service: c.Service, Address: c.Address, Slots: c.Slots})
+		serving = append(serving, serverOf(c))
 	}
 	k.table.SetServers(serving, k.registry.Left())
 	return true
 }
 
+// serverOf returns what other daemons learn of a registration.
+func serverOf(c registry.Registration) member.Server {
+	return member.Server{Name: c.Name, Service: c.Service, Address: c.Address, Slots: c.Slots}
+}
+
 // merge merges the received records, which have been checked. It returns those that
 // changed the table, and the local backend servers that left in an earlier incarnation
 // of this daemon, as recorded by other daemons.
--- a/internal/membership/registrations.go
+++ b/internal/membership/registrations.go
@@ -37,6 +37,9 @@
 func (m *Membership) Registrations() Registrations {
 	return Registrations{
 		Register: func(c registry.Registration) error {
+			if err := serverOf(c).Check(); err != nil {
+				return err
+			}
 			if !m.mayRegister(c) {
 				return errors.Errorf("registration of %s names service %q, which is not declared", c.Name, c.Service)
 			}
@@ -53,6 +56,10 @@
 			return nil
 		},
 		Leave: func(name string) {
+			if err := member.CheckName(name); err != nil {
+				event.Log(m.config.Logger, event.RegistrationRefused, "error", err)
+				return
+			}
 			if m.recordLeft("leave", name) {
 				m.saveLeft()
 			}
--- a/internal/revision/key.go
+++ b/internal/revision/key.go
@@ -44,6 +44,9 @@
 				return nil
 			}
 			number, err := config.Number(item.Data)
+			if err == nil {
+				err = CheckNumber(number)
+			}
 			if err != nil {
 				config.OnInvalid(errors.Wrapf(err, "read key %s", config.Key))
 				return nil
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -48,6 +48,17 @@
 	Author, Reason string
 }
 
+// maxNumber bounds the number of a revision. No later revision could replace one near the greatest number.
+const maxNumber = 1 << 53
+
+// CheckNumber returns the problem of a revision's number that comes from the store or another daemon, or nil.
+func CheckNumber(number int64) error {
+	if number < 0 || number > maxNumber {
+		return errors.Errorf("revision is %d; want 0 to %d", number, int64(maxNumber))
+	}
+	return nil
+}
+
 // Revision is a declaration with its number.
 type Revision struct {
 	// Number is 1 for the first revision and 0 for none.
--- a/internal/revision/root.go
+++ b/internal/revision/root.go
@@ -54,6 +54,9 @@
 	if err := json.Unmarshal(value.Data, &r); err != nil {
 		return root{}, errors.Wrap(err, "read root")
 	}
+	if err := CheckNumber(r.Revision); err != nil {
+		return root{}, errors.Wrap(err, "read root")
+	}
 	return r, nil
 }
 
