fix(backend): errors quote at most 200 bytes of an answer

What operators would see: log lines of up to a whole head, since net/http's errors quote what the backend server sent. Change: the error of a head that cannot be read is cut at 200 bytes. Evidence: a case of TestBrokenAnswersAreErrors fails before (a line of 50,000 bytes) and passes now.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -140,6 +140,8 @@
 		{"half a body", "HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 9\r\n\r\nhalfCLOSE"},
 		{"a chunk too few", "HTTP/1.1 200 OK\r\nX-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nCLOSE"},
 		{"another protocol", "220 welcome\r\nCLOSE"},
+		{"a long line", strings.Repeat("x", 50_000) + "\r\nCLOSE"},
+		{"a head without end", strings.Repeat("X-A: b\r\n", 100_000)},
 		{"only answers to others", strings.Repeat(reply("other", "x", ""), 4) + "CLOSE"},
 	}
 	for _, test := range tests {
@@ -152,6 +154,9 @@
 			if errors.Is(err, backend.ErrNotSent) {
 				t.Fatalf("sent request reported as not sent: %v", err)
 			}
+			if text := err.Error(); len(text) > 1000 {
+				t.Fatalf("the error quotes %d bytes", len(text))
+			}
 		})
 	}
 	if _, err := send(newPool(t, "127.0.0.1:1"), "r"); !errors.Is(err, backend.ErrNotSent) {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -26,6 +26,8 @@
 	// idleFraction is the fraction of the timeout named by the backend server for which an idle
 	// connection is used, so that a request seldom meets the closing of its connection.
 	idleFraction = 0.7
+	// maxErrorText bounds what an error quotes of an answer, in bytes.
+	maxErrorText = 200
 	// bufferSize is the size of each buffer of a connection, in bytes.
 	bufferSize = 4 << 10
 )
@@ -99,7 +101,7 @@
 	for range maxMismatched + 1 {
 		response, err := c.readFinal(r)
 		if err != nil {
-			return nil, errors.Wrap(err, "read answer")
+			return nil, readError(err)
 		}
 		if belongs(response) {
 			return response, nil
@@ -128,6 +130,14 @@
 	}
 }
 
+// readError returns the error of reading a head. Those of net/http quote what was sent, which may be a whole head.
+func readError(err error) error {
+	if text := err.Error(); len(text) > maxErrorText {
+		return errors.Errorf("read answer: %s ...", text[:maxErrorText])
+	}
+	return errors.Wrap(err, "read answer")
+}
+
 // discard reads an answer to its end. It returns an error, after which the connection is closed, if
 // the answer ends with its connection or its body is too long.
 func discard(response *http.Response) error {
