test(soak): late readers, requests sent ahead, and backend servers that send anything

Cause: the soak's callers sent one request after the other and read at once, and its backend servers sent what net/http's server sends, so that neither the lost last answers nor the heads without end could show. Change: two callers of each daemon read answers of 100 KB up to 1.5 s late, with a receive buffer of 16 KB, one of them after it has sent its next request, which must not run if the connection ends before it.

--- a/test/backendserver/backendserver.go
+++ b/test/backendserver/backendserver.go
@@ -7,8 +7,9 @@
 //	go http.Serve(workListener, b.Work())
 //	go http.Serve(controlListener, b.Control())
 //
-// A request may carry X-Work-Ms, its processing time, and X-Key, under which its
-// run is recorded. The response echoes X-Key in a header and in its body.
+// A request may carry X-Work-Ms, its processing time, X-Key, under which its run is
+// recorded, and X-Bytes, the size of its response. The response echoes X-Key in a
+// header and in its body (Body).
 package backendserver
 
 import (
@@ -18,6 +19,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,14 +28,17 @@
 
 // The headers of requests and responses.
 const (
-	HeaderKey  = "X-Key"
-	HeaderWork = "X-Work-Ms"
+	HeaderKey   = "X-Key"
+	HeaderWork  = "X-Work-Ms"
+	HeaderBytes = "X-Bytes"
 )
 
 // Mode is the behaviour of the backend server. The zero Mode is healthy.
 type Mode struct {
 	// Stall is the share of requests that get no response, from 0 to 1.
 	Stall float64 `json:"stall"`
+	// Garble is the share of requests that get anything in place of a response, from 0 to 1 (garble.go).
+	Garble float64 `json:"garble"`
 }
 
 // Ledger records the runs of requests.
@@ -78,8 +83,20 @@
 	if work := workTime(r); work > 0 && !wait.For(r.Context(), work) {
 		return
 	}
+	if rand.Float64() < mode.Garble && garble(w, key) {
+		return
+	}
 	w.Header().Set(HeaderKey, key)
-	_, _ = io.WriteString(w, cmp.Or(key, "-"))
+	size, _ := strconv.Atoi(r.Header.Get(HeaderBytes)) // 0 without the header
+	_, _ = io.WriteString(w, Body(cmp.Or(key, "-"), size))
+}
+
+// Body returns the body of the response to a request with the key that asks for so many bytes.
+func Body(key string, size int) string {
+	if size <= len(key) {
+		return key
+	}
+	return key + strings.Repeat(".", size-len(key))
 }
 
 func workTime(r *http.Request) time.Duration {
--- a/test/soak/evidence_test.go
+++ b/test/soak/evidence_test.go
@@ -45,6 +45,8 @@
 			t.Errorf("%s: %s", s.key, s.outcome)
 		case s.outcome == outcomeNotRun && n > 0:
 			t.Errorf("%s was reported as not run but ran %d times", s.key, n)
+		case s.outcome == outcomeUnread && n > 0:
+			t.Errorf("%s was sent behind the last response of its connection but ran %d times", s.key, n)
 		case s.outcome == outcomeOK && n == 0:
 			t.Errorf("%s succeeded but never ran", s.key)
 		case s.method != idempotent && n > 1:
@@ -52,7 +54,7 @@
 		}
 	}
 	t.Logf("%d requests: %v, for %v", len(samples), counts, reasons(samples))
-	connected := len(samples) - counts[outcomeRefused]
+	connected := len(samples) - counts[outcomeRefused] - counts[outcomeUnread]
 	if counts[outcomeOK] <= connected/2 {
 		t.Errorf("%d of %d requests on a connection succeeded: too few to show anything", counts[outcomeOK], connected)
 	}
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -37,6 +37,7 @@
 	outcomeMismatch      outcome = "mismatch"      // the response to another request
 	outcomeTruncated     outcome = "truncated"     // an incomplete response that ended without an error
 	outcomeRefused       outcome = "no connection" // no connection could be established
+	outcomeUnread        outcome = "unread"        // sent behind the last response of its connection
 )
 
 // sample is one request and its outcome.
@@ -134,7 +135,7 @@
 		one.outcome, one.err = outcomeBroken, err.Error()
 		return one
 	}
-	one.outcome, one.err = classify(one.key, response, string(text)), response.Header.Get(result.Header)
+	one.outcome, one.err = classify(one.key, one.key, response, string(text)), response.Header.Get(result.Header)
 	if one.outcome == outcomeNotRun && sent.Load() > 1 {
 		one.outcome = outcomeIndeterminate // net/http sent it again after a lost connection; only the last sending is known not to have run
 	}
@@ -148,8 +149,8 @@
 	return outcomeBroken
 }
 
-// classify classifies a response that was received without an error.
-func classify(key string, response *http.Response, text string) outcome {
+// classify classifies a response that was received without an error. want is the body that the backend server sent.
+func classify(key, want string, response *http.Response, text string) outcome {
 	if number, _, ok := strings.Cut(response.Header.Get(result.Header), " "); ok {
 		code, err := strconv.Atoi(number)
 		if known, ok := result.ByNumber(code); err == nil && ok && known.Ran == result.RanNo {
@@ -162,9 +163,9 @@
 		return outcomeFailed
 	case response.Header.Get(backendserver.HeaderKey) != key:
 		return outcomeMismatch
-	case len(text) < len(key):
+	case len(text) < len(want):
 		return outcomeTruncated
-	case text != key:
+	case text != want:
 		return outcomeMismatch
 	}
 	return outcomeOK
--- a/test/soak/planned_test.go
+++ b/test/soak/planned_test.go
@@ -126,14 +126,18 @@
 	}
 }
 
-// runCallers runs callers at every daemon until ctx ends and returns their samples. Some of them send slow requests, unless
-// slowWork is zero.
+// runCallers runs callers at every daemon until ctx ends and returns their samples. Some of them read large responses late,
+// after they have sent their next request, and some send slow requests, unless slowWork is zero.
 func runCallers(ctx context.Context, f *harness.Fleet, seed uint64, slowWork time.Duration) []sample {
 	const (
 		keptConnCallers = 4
 		newConnCallers  = 2
 		slowCallers     = 2
 		slowMaxPause    = time.Second
+		lateCallers     = 2
+		maxLate         = 1500 * time.Millisecond // from sending a request to reading its response
+		lateBytes       = 100_000                 // of a response: more than the caller's buffer
+		lateBuffer      = 16 << 10
 		newConnMaxPause = 40 * time.Millisecond // maximum pause in a fleet of fewDaemons
 		fewDaemons      = 6
 	)
@@ -148,6 +152,13 @@
 			}
 			callers = append(callers, c)
 		}
+		for n := range lateCallers {
+			callers = append(callers, &caller{
+				address: d.CallersAddress(), path: "/akten/x", workMillis: 10, maxPause: newConnMaxPause, firstNumber: n,
+				maxLate: maxLate, ahead: n%2 == 0, bytes: lateBytes, receiveBuffer: lateBuffer,
+				prefix: fmt.Sprintf("late%d.%d", i, n), random: rand.New(rand.NewPCG(seed, uint64(1000*(i+1)+800+n))),
+			})
+		}
 		for n := range slowCallers {
 			if slowWork == 0 {
 				break
