fix(quarantine): a trial that did not run is given back

What callers saw: after all backend servers of a service had crashed while they ran the same request, the fleet refused that request for good (2025), also after a restart of all daemons. Cause: the quarantine's only trial met a backend server that was still down, or its next start, which answers 421. Either used the trial up. Records count the trials of an epoch and those that did not run.

--- a/internal/quarantine/check.go
+++ b/internal/quarantine/check.go
@@ -31,6 +31,9 @@
 	if r.Epoch < 0 || r.Epoch > maxEpoch {
 		return errors.Errorf("epoch is %d; want 0 to %d", r.Epoch, int64(maxEpoch))
 	}
+	if r.NotRun < 0 || r.NotRun > r.trials() || r.trials() > maxEpoch {
+		return errors.Errorf("%d of %d trials were given back; want at most %d", r.NotRun, r.trials(), int64(maxEpoch))
+	}
 	if len(r.Ends) > Limit {
 		return errors.Errorf("record has %d ends; want at most %d", len(r.Ends), Limit)
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -14,6 +14,7 @@
 //	changed, ok = table.RecordAnswer(now, id)             // a backend server answered the request
 //	table.RememberAnswer(at, id)                          // it did earlier, when the request was not suspected
 //	changed, ok = table.ProposeTrial(now, id, "csepel-1") // may this daemon send it once more?
+//	changed, ok = table.ReturnTrial(now, id, "csepel-1")  // it did not run
 //	changed, ok = table.Lift(now, id)                     // an operator lifts the quarantine
 //	view := table.View()                                  // immutable snapshot for lookups
 //
@@ -31,8 +32,9 @@
 //     RefutableFor before the answer are cleared, which bounds the effect of a clock that is wrong. A request that is
 //     never answered is quarantined whatever the clocks say.
 //   - A quarantined request gets one trial: a single daemon of the fleet sends it once more, TrialDelay after its
-//     last end, since many backend servers may have ended together for an unrelated reason. After the trial, only an
-//     operator, or the answer of a run that began earlier, lifts the quarantine.
+//     last end, since many backend servers may have ended together for an unrelated reason. A trial that does not
+//     run, since the backend server has not started again, does not count: another is due TrialDelay later. After the
+//     trial, only an operator, or the answer of a run that began earlier, lifts the quarantine.
 //   - A suspected request expires SuspectTTL after its last change, and a lifted quarantine ClearedTTL after
 //     its last change. A quarantine in force does not expire.
 //
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -186,6 +186,8 @@
 		ID: "a", HeadHash: 1, Service: rapid.SampledFrom([]string{"lookup", "records"}).Draw(t, name+" service"),
 		Epoch:           rapid.Int64Range(0, 2).Draw(t, name+" epoch"),
 		TrialHost:       rapid.SampledFrom([]string{"", "host-1", "host-2"}).Draw(t, name+" tried"),
+		Trials:          rapid.Int64Range(0, 3).Draw(t, name+" trials"),
+		NotRun:          rapid.Int64Range(0, 3).Draw(t, name+" not run"),
 		EverQuarantined: rapid.Bool().Draw(t, name+" held"),
 		Cleared:         rapid.SampledFrom([]quarantine.ClearedBy{"", quarantine.ClearedByAnswer, quarantine.ClearedByOperator}).Draw(t, name+" cleared"),
 		Changed:         rapid.Int64Range(0, 9).Draw(t, name+" changed"),
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -52,8 +52,12 @@
 	// ClearedUntil is the time before which ends do not count towards Limit, in Unix milliseconds; zero if none was
 	// cleared. It holds across epochs, so that a report that arrives after they were cleared does not count them again.
 	ClearedUntil int64 `json:"cleared_until,omitempty"`
-	// TrialHost is the host that claimed the trial in this epoch; empty if the trial is not claimed.
+	// TrialHost is the host that claimed the last trial in this epoch; empty if none is claimed.
 	TrialHost string `json:"tried,omitempty"`
+	// Trials is the number of trials claimed in this epoch; records of earlier versions count one without it. NotRun is
+	// how many of them did not run, after which the trial is due again.
+	Trials int64 `json:"trials,omitempty"`
+	NotRun int64 `json:"not_run,omitempty"`
 	// EverQuarantined is true if a daemon had the request in quarantine in this epoch or an earlier one.
 	EverQuarantined bool `json:"held,omitempty"`
 	// Cleared is the reason why the previous epoch ended; empty in the first epoch.
@@ -116,7 +120,30 @@
 
 // trialDueAt returns the time from which the trial is due, and reports whether the request is eligible for one.
 func (r Record) trialDueAt() (time.Time, bool) {
-	return r.LastEnd().Add(TrialDelay), r.Quarantined() && r.TrialHost == ""
+	from := r.LastEnd()
+	if r.NotRun > 0 {
+		from = time.UnixMilli(max(from.UnixMilli(), r.Changed)) // when the last one was given back
+	}
+	return from.Add(TrialDelay), r.Quarantined() && !r.TrialClaimed()
+}
+
+// TrialClaimed reports whether a host has claimed the trial and not given it back.
+func (r Record) TrialClaimed() bool { return r.trials() > r.NotRun }
+
+// trials returns the number of trials claimed in this epoch.
+func (r Record) trials() int64 {
+	if r.TrialHost != "" {
+		return max(1, r.Trials)
+	}
+	return r.Trials
+}
+
+// ClaimTrial returns the record with the next trial claimed for the host.
+func (r Record) ClaimTrial(now time.Time, host string) Record {
+	r.Trials = r.trials() + 1
+	r.TrialHost = host
+	r.Changed = now.UnixMilli()
+	return r
 }
 
 // normalized returns the record with EverQuarantined derived from its other fields. Merge does not derive it, since the
@@ -142,12 +169,15 @@
 		return r
 	}
 	next.Epoch++
-	next.TrialHost = ""
+	next.forgetTrials()
 	next.Cleared = ClearedByAnswer
 	next.Changed = max(r.Changed, answeredAt)
 	return next
 }
 
+// forgetTrials removes the trials of an earlier epoch.
+func (r *Record) forgetTrials() { r.TrialHost, r.Trials, r.NotRun = "", 0, 0 }
+
 // Refutes reports whether the record, which a daemon has after a merge, refutes the received one, so that the daemon has
 // to distribute it. before is what the daemon had.
 func (r Record) Refutes(received, before Record) bool {
@@ -168,7 +198,9 @@
 	merged := a
 	merged.Service = max(a.Service, b.Service) // a request may be routed to one of several services
 	merged.Ends = mergeEnds(a.Ends, b.Ends)
-	merged.TrialHost = max(a.TrialHost, b.TrialHost)
+	merged.TrialHost = lastTrialHost(a, b)
+	merged.Trials = max(a.Trials, b.Trials)
+	merged.NotRun = max(a.NotRun, b.NotRun)
 	merged.ClearedUntil = max(a.ClearedUntil, b.ClearedUntil)
 	merged.EverQuarantined = a.EverQuarantined || b.EverQuarantined
 	merged.Cleared = max(a.Cleared, b.Cleared)
@@ -176,6 +208,18 @@
 	return merged
 }
 
+// lastTrialHost returns the host of the last trial of both records.
+func lastTrialHost(a, b Record) string {
+	switch {
+	case a.Trials > b.Trials:
+		return a.TrialHost
+	case b.Trials > a.Trials:
+		return b.TrialHost
+	default:
+		return max(a.TrialHost, b.TrialHost)
+	}
+}
+
 // mergeEnds returns the last distinct ends of both, at most Limit, earliest first.
 func mergeEnds(a, b []End) []End {
 	merged := slices.Concat(a, b)
@@ -188,6 +232,6 @@
 
 // Same reports whether both records of a request hold the same state.
 func (r Record) Same(other Record) bool {
-	return r.Epoch == other.Epoch && r.TrialHost == other.TrialHost && r.EverQuarantined == other.EverQuarantined && r.Cleared == other.Cleared &&
+	return r.Epoch == other.Epoch && r.TrialHost == other.TrialHost && r.Trials == other.Trials && r.NotRun == other.NotRun && r.EverQuarantined == other.EverQuarantined && r.Cleared == other.Cleared &&
 		r.ClearedUntil == other.ClearedUntil && r.Changed == other.Changed && slices.Equal(r.Ends, other.Ends)
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -58,7 +58,7 @@
 	}
 	r.Epoch++
 	r.Ends = nil
-	r.TrialHost = ""
+	r.forgetTrials()
 	r.Cleared = by
 	r.Changed = now.UnixMilli()
 	return t.put(r)
@@ -72,9 +72,19 @@
 	if !ok || !r.TrialDue(now) {
 		return Record{}, false
 	}
-	r.TrialHost = host
+	return r.ClaimTrial(now, host), true
+}
+
+// ReturnTrial records that the trial that the host has claimed did not run. It returns the changed record,
+// which the caller distributes, or false if the host has not claimed the last trial.
+func (t *Table) ReturnTrial(now time.Time, id, host string) (Record, bool) {
+	r, ok := t.records[id]
+	if !ok || !r.TrialClaimed() || r.TrialHost != host {
+		return Record{}, false
+	}
+	r.NotRun = r.trials()
 	r.Changed = now.UnixMilli()
-	return r, true
+	return t.put(r)
 }
 
 // Merge merges records of other daemons or of the store into the table, and returns the changed records.
--- a/internal/quarantinesync/messages.go
+++ b/internal/quarantinesync/messages.go
@@ -22,7 +22,9 @@
 		id    string
 		reply chan taskReply
 	}
-	mergeMessage struct {
+	// returnedMessage gives back the trial of a request that this host has claimed.
+	returnedMessage struct{ id string }
+	mergeMessage    struct {
 		records []quarantine.Record
 		stored  bool // the records come from the store
 	}
--- a/internal/quarantinesync/quarantinesync.go
+++ b/internal/quarantinesync/quarantinesync.go
@@ -15,6 +15,7 @@
 //	go s.Run(ctx)
 //	status, id := s.Status(request)
 //	if status == quarantine.Quarantined && !s.StartTrial(ctx, id) { ... } // refuse the request
+//	s.ReturnTrial(id)                   // the trial did not run
 //	s.RecordEnd(request, "lookup", end) // its backend server ended while running it
 //	s.RecordAnswer(request)             // or answered it
 //	s.Merge(records)                    // from another daemon
--- a/internal/quarantinesync/task.go
+++ b/internal/quarantinesync/task.go
@@ -83,6 +83,8 @@
 	case trialMessage:
 		record, ok := t.table.ProposeTrial(now, m.id, t.syncer.config.Host)
 		m.reply <- taskReply{record: record, ok: ok}
+	case returnedMessage:
+		t.applyLocal(now, m.id, func() (quarantine.Record, bool) { return t.table.ReturnTrial(now, m.id, t.syncer.config.Host) })
 	case mergeMessage:
 		t.merge(now, m)
 	case recordsMessage:
--- a/internal/quarantinesync/trial.go
+++ b/internal/quarantinesync/trial.go
@@ -32,6 +32,10 @@
 	return s.claim(ctx, record)
 }
 
+// ReturnTrial gives back a trial that StartTrial has claimed, because the request did not run. Another one is
+// due later.
+func (s *Syncer) ReturnTrial(id string) { s.send(context.Background(), returnedMessage{id: id}) }
+
 // proposeTrial requests the record that claims the trial for this host.
 func (s *Syncer) proposeTrial(ctx context.Context, id string) (quarantine.Record, bool) {
 	reply := make(chan taskReply, 1)
@@ -52,10 +56,13 @@
 		return false // the quarantine is not in the store yet, so other daemons could not see the claim
 	}
 	merged := quarantine.Merge(stored, record)
-	if stored.TrialHost != "" || stored.Epoch != record.Epoch || !merged.Quarantined() {
+	if stored.TrialClaimed() || stored.Epoch != record.Epoch || !merged.Quarantined() {
 		s.send(ctx, mergeMessage{records: []quarantine.Record{stored}})
 		return false
 	}
+	if !merged.TrialClaimed() { // other daemons have given back trials that this one does not know of
+		merged = merged.ClaimTrial(time.Now(), s.config.Host)
+	}
 	put, err := s.newPut(ctx, merged)
 	if err != nil {
 		s.logTrialFailed(record, err)
--- a/internal/sidecar/do.go
+++ b/internal/sidecar/do.go
@@ -46,12 +46,16 @@
 	server := slot.server
 	end, err := s.begin(ctx, server, call, s.headers.Load().id(in.Header))
 	if err != nil {
+		s.returnTrial(slot)
 		slot.release()
 		return Answer{}, err
 	}
 	slot.begin(others, call)
 	response, err := s.exchange(ctx, server, call, in, began)
 	if err != nil {
+		if result.From(err).Code.Ran == result.RanNo { // the backend server is down, or says so itself
+			s.returnTrial(slot)
+		}
 		slot.failed(result.From(err))
 		s.recordFailure(server, result.From(err), call, in, began)
 		slot.release()
@@ -88,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.checkBeforeRun(ctx, call, in); err != nil {
+	if slot.trial, err = s.checkBeforeRun(ctx, call, in); err != nil {
 		slot.release()
 		return nil, err
 	}
--- a/internal/sidecar/ends.go
+++ b/internal/sidecar/ends.go
@@ -39,14 +39,24 @@
 }
 
 // checkBeforeRun returns an error if the request, which holds a slot, is quarantined and this is
-// not its trial. Ingresses do not know about quarantines, so every request to a backend server of
-// this host must pass this check.
-func (s *Sidecar) checkBeforeRun(ctx context.Context, call hop.Call, in *http.Request) error {
+// not its trial. If it is, trial is the request's fingerprint. Ingresses do not know about quarantines, so every
+// request to a backend server of this host must pass this check.
+func (s *Sidecar) checkBeforeRun(ctx context.Context, call hop.Call, in *http.Request) (trial string, err error) {
 	id, quarantined, err := s.quarantined(call, in)
-	if err != nil || !quarantined || s.config.Quarantine.StartTrial(ctx, id) {
-		return err
+	if err != nil || !quarantined {
+		return "", err
+	}
+	if !s.config.Quarantine.StartTrial(ctx, id) {
+		return "", refuseQuarantined(id)
+	}
+	return id, nil
+}
+
+// returnTrial gives back the trial of a quarantined request, if the slot is for one, because it did not run.
+func (s *Sidecar) returnTrial(slot *slot) {
+	if slot.trial != "" {
+		s.config.Quarantine.ReturnTrial(slot.trial)
 	}
-	return refuseQuarantined(id)
 }
 
 // quarantined reports whether the request is quarantined, and returns its fingerprint if it is. It
--- a/internal/sidecar/slot.go
+++ b/internal/sidecar/slot.go
@@ -15,6 +15,7 @@
 // except for the overdue timer.
 type slot struct {
 	server        *server
+	trial         string // fingerprint of the quarantined request whose trial it is for; empty for others
 	probation     bool
 	others        detect.Baseline
 	latencyTarget time.Duration // latency target of the route; zero if unknown
--- a/test/registered/ends_test.go
+++ b/test/registered/ends_test.go
@@ -93,13 +93,16 @@
 
 // crash closes the backend server's listener and all its connections, as the kernel does for a killed
 // process, and restarts it under another name after backAfter. It reports false if the backend server is down already.
-func (h *host) crash() bool {
+func (h *host) crash() bool { return h.crashFor(restartAfter) }
+
+// crashFor is crash with another time until the restart.
+func (h *host) crashFor(down time.Duration) bool {
 	if h.crashed.Swap(true) {
 		return false
 	}
 	address := h.backend.Listener.Addr().String()
 	_ = h.backend.Config.Close()
-	time.AfterFunc(restartAfter, func() {
+	time.AfterFunc(down, func() {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return // the test has ended, or the address is taken
@@ -297,6 +300,43 @@
 	}
 }
 
+// TestOutageOfAllQuarantinesNoRequestForGood guards against an innocent request that no backend server gets any more, since all
+// of them crashed while they ran it and its trial came before they had started again.
+func TestOutageOfAllQuarantinesNoRequestForGood(t *testing.T) {
+	const down = 3 * time.Second
+	f := newFleet(t, quarantine.Limit)
+	f.stopConcurrently()
+	for _, h := range f.hosts {
+		h.setHandler(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-time.After(300 * time.Millisecond):
+				writeSigned(w, http.StatusOK, "done")
+			case <-r.Context().Done():
+			}
+		})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var calling sync.WaitGroup
+	f.callAtRate(ctx, &calling, 20, func(h *host) { h.get("/twice/popular") })
+	time.Sleep(time.Second)
+	for _, h := range f.hosts {
+		h.crashFor(down)
+	}
+	time.Sleep(down / 2)
+	if !slices.ContainsFunc(f.hosts, func(h *host) bool { return len(h.quarantined(t)) > 0 }) {
+		t.Error("the request is not quarantined, so that the test shows nothing")
+	}
+	time.Sleep(down)
+	f.waitUntil("the request is served again at every host", func() bool {
+		return !slices.ContainsFunc(f.hosts, func(h *host) bool {
+			status, _ := h.get("/twice/popular")
+			return status != http.StatusOK
+		})
+	})
+	cancel()
+	calling.Wait()
+}
+
 // TestOtherFailuresAreNotCountedAsCrashes guards against counting a broken connection of a running backend server, or the
 // exit of a draining one, as a crash caused by the request.
 func TestOtherFailuresAreNotCountedAsCrashes(t *testing.T) {
