fix(ingress): an answer that breaks off no longer ends those behind it

What callers saw: requests sent ahead on one connection got no answer, although sound backend servers had run them, when an answer before them broke off. Cause: an answer of more than 64 KB, or a chunked one, is forwarded as it arrives; a truncated one can only be shown by closing the connection.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -18,6 +18,7 @@
 	"github.com/tideliftd/tidelift/internal/member"
 	"github.com/tideliftd/tidelift/internal/membership"
 	"github.com/tideliftd/tidelift/internal/metric"
+	"github.com/tideliftd/tidelift/internal/pipeline"
 	"github.com/tideliftd/tidelift/internal/record"
 	"github.com/tideliftd/tidelift/internal/retry"
 	"github.com/tideliftd/tidelift/internal/revision"
@@ -270,6 +271,7 @@
 		Local:                d.sidecar.Do,
 		LocalReservation:     d.sidecar.Reserve,
 		ShouldCompress:       d.shouldCompress,
+		AnswersWait:          func(ctx context.Context) bool { return pipeline.ConnOf(ctx).Unanswered() > 0 },
 		Ping:                 d.ping,
 		OnHostUnresponsive:   d.members.CheckGone,
 		OnSubrequestEvidence: d.sendSubrequestEvidence,
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -110,6 +110,8 @@
 	// ShouldCompress reports whether traffic to another daemon's address is compressed because
 	// bandwidth to it is expensive; nil if none is. It is ignored with TLS.
 	ShouldCompress func(address string) bool
+	// AnswersWait reports whether other answers wait on the connection of the request with the context; nil if none ever do.
+	AnswersWait func(ctx context.Context) bool
 	// Ping sends a request to another host's daemon and returns nil on any answer; nil disables
 	// pings.
 	Ping func(context.Context, fleet.Host) error
--- a/internal/ingress/send.go
+++ b/internal/ingress/send.go
@@ -16,12 +16,25 @@
 )
 
 // send sends the outgoing request to the target's sidecar, by a function call if the target is on
-// this host.
+// this host. If other answers wait on the caller's connection, the answer is read first, since a truncated one would
+// end the connection.
 func (a *attempt) send(ctx context.Context, out *http.Request) (sidecar.Answer, error) {
 	call := a.call()
 	if call.TimeLeft <= 0 {
 		return sidecar.Answer{}, result.New(result.DeadlineBeforeRun)
 	}
+	answer, err := a.sendTo(ctx, call, out)
+	if err != nil || a.in.config.AnswersWait == nil || !a.in.config.AnswersWait(ctx) {
+		return answer, err
+	}
+	if err := hop.BufferWhole(answer.Response); err != nil {
+		return sidecar.Answer{}, hop.Classify(ctx, true, result.PeerUnreachable, err)
+	}
+	return answer, nil
+}
+
+// sendTo sends the request to this host's sidecar or to that of another host.
+func (a *attempt) sendTo(ctx context.Context, call hop.Call, out *http.Request) (sidecar.Answer, error) {
 	if address, remote := a.in.remote(a.Target); remote {
 		return a.in.sendRemote(ctx, call, out, address)
 	}
--- a/test/integration/pipeline_test.go
+++ b/test/integration/pipeline_test.go
@@ -199,3 +199,47 @@
 	close(h.release)
 	c.wantAnswers(t, "0", "1", "2")
 }
+
+// TestTruncatedAnswerEndsNoOthers guards against requests sent ahead that sound backend servers have answered, and that get
+// no answer because one before them broke off in the middle of a long answer.
+func TestTruncatedAnswerEndsNoOthers(t *testing.T) {
+	const (
+		connections = 20
+		ahead       = 5
+		size        = 120_000
+		cutEvery    = 9
+	)
+	for _, framing := range []string{"length", "chunked"} {
+		t.Run(framing, func(t *testing.T) {
+			var count atomic.Int64
+			f := startWithSettings(t, pipelinedSettings, func(w http.ResponseWriter, r *http.Request) {
+				if framing == "length" {
+					w.Header().Set("Content-Length", fmt.Sprint(size))
+				}
+				if count.Add(1)%cutEvery == 0 {
+					_, _ = io.WriteString(w, strings.Repeat("x", size*2/3))
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = io.WriteString(w, strings.Repeat("x", size))
+			})
+			for range connections {
+				names := make([]string, ahead)
+				for n := range names {
+					names[n] = fmt.Sprint(n)
+				}
+				c := sendAhead(t, f, names...)
+				for _, name := range names {
+					response, err := http.ReadResponse(c.reader, nil)
+					if err != nil {
+						t.Fatalf("answer to %s: %v", name, err)
+					}
+					body, err := io.ReadAll(response.Body)
+					if err != nil || response.StatusCode == http.StatusOK && len(body) != size {
+						t.Fatalf("answer to %s: status %d, %d bytes, %v", name, response.StatusCode, len(body), err)
+					}
+				}
+			}
+		})
+	}
+}
