--- a/test/integration/pipeline_test.go
+++ b/test/integration/pipeline_test.go
@@ -212,7 +212,7 @@
 	for _, framing := range []string{"length", "chunked"} {
 		t.Run(framing, func(t *testing.T) {
 			var count atomic.Int64
-			f := startWithSettings(t, pipelinedSettings, func(w http.ResponseWriter, r *http.Request) {
+			f := startWithSettings(t, pipelinedSettings, func(w http.ResponseWriter, _ *http.Request) {
 				if framing == "length" {
 					w.Header().Set("Content-Length", fmt.Sprint(size))
 				}
