--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -56,8 +56,7 @@
 type Config struct {
 	// Address is the IP:port to listen at.
 	Address string
-	// OnCut is called for each connection that is closed before its peer has received everything; nil if nobody needs
-	// to know.
+	// OnCut is called for each connection that is closed before its peer has received everything; it may be nil.
 	OnCut func(Cut)
 }
 
--- a/internal/accept/conn_test.go
+++ b/internal/accept/conn_test.go
@@ -81,7 +81,7 @@
 	}
 }
 
-// TestCloseEndsPendingRead guards against a reader that goes on reading a connection that another goroutine has closed.
+// TestCloseEndsPendingRead guards against a read that continues after another goroutine has closed the connection.
 func TestCloseEndsPendingRead(t *testing.T) {
 	client, server, _ := connected(t)
 	ended := make(chan error, 1)
--- a/internal/control/bound_test.go
+++ b/internal/control/bound_test.go
@@ -18,7 +18,7 @@
 	"github.com/tideliftd/tidelift/internal/control"
 )
 
-// TestCallsAreBounded guards against a daemon that keeps what a peer sends without end as a call, or goes on with the
+// TestCallsAreBounded guards against a daemon that keeps what a peer sends without end as a call, or that reads the
 // connection after it.
 func TestCallsAreBounded(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/test/backendserver/backendserver.go
+++ b/test/backendserver/backendserver.go
@@ -91,7 +91,7 @@
 	_, _ = io.WriteString(w, Body(cmp.Or(key, "-"), size))
 }
 
-// Body returns the body of the response to a request with the key that asks for so many bytes.
+// Body returns the body of the response to a request with the key and that size.
 func Body(key string, size int) string {
 	if size <= len(key) {
 		return key
--- a/test/soak/garbled_test.go
+++ b/test/soak/garbled_test.go
@@ -13,9 +13,8 @@
 	"github.com/tideliftd/tidelift/test/harness"
 )
 
-// TestGarbledResponses guards against responses that are wrong or look whole, requests that run twice, and daemons that end
-// or fill the memory, while backend servers send anything in place of responses, callers read late and daemons
-// stop.
+// TestGarbledResponses guards against wrong or truncated responses, repeated runs, and daemons that end or fill the memory,
+// while backend servers send anything in place of responses, callers read late and a daemon stops.
 func TestGarbledResponses(t *testing.T) {
 	for text := range strings.SplitSeq(*seeds, ",") {
 		seed, err := strconv.ParseUint(text, 10, 64)
