--- a/test/registered/ends_test.go
+++ b/test/registered/ends_test.go
@@ -306,8 +306,11 @@
 	const down = 3 * time.Second
 	f := newFleet(t, quarantine.Limit)
 	f.stopConcurrently()
-	for _, h := range f.hosts {
+	running := make([]atomic.Int64, len(f.hosts))
+	for i, h := range f.hosts {
 		h.setHandler(func(w http.ResponseWriter, r *http.Request) {
+			running[i].Add(1)
+			defer running[i].Add(-1)
 			select {
 			case <-time.After(300 * time.Millisecond):
 				writeSigned(w, http.StatusOK, "done")
@@ -318,7 +321,9 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var calling sync.WaitGroup
 	f.callAtRate(ctx, &calling, 20, func(h *host) { h.get("/twice/popular") })
-	time.Sleep(time.Second)
+	for idle := true; idle; time.Sleep(time.Millisecond) {
+		idle = running[0].Load() == 0 || running[1].Load() == 0 || running[2].Load() == 0
+	}
 	for _, h := range f.hosts {
 		h.crashFor(down)
 	}
