--- a/review/5/main.go
+++ b/review/5/main.go
@@ -97,10 +97,10 @@
 		q := request(r, headers)
 		answer := r.Hosts[n%len(r.Hosts)].Send(q)
 		time.Sleep(20 * time.Millisecond) // the upstream's line is read
-		if r.Runs(q.ID) > 0 {
+		if len(r.Runs(q.ID)) > 0 {
 			run++
 		}
-		r.Log("client with %s: %s run %d times, %s", client, q.ID, r.Runs(q.ID), answer)
+		r.Log("client with %s: %s run %d times, %s", client, q.ID, len(r.Runs(q.ID)), answer)
 	}
 	return run
 }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -20,6 +20,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,6 +50,8 @@
 type Config struct {
 	// Hosts is the number of hosts, each with a daemon and an upstream.
 	Hosts int
+	// Services are the services of the hosts' upstreams, in the order of the hosts; lookup for those beyond.
+	Services []string
 	// Capacity is the capacity of each upstream.
 	Capacity int
 	// Garbling is how many of the upstreams send one in GarbleEach answers in the way that Garble names; see the
@@ -74,14 +77,18 @@
 	ids      atomic.Int64
 
 	mu   sync.Mutex
-	runs map[string]int // by request id
+	runs map[string][]string // the upstreams that ran a request, by its id
 }
 
 // Host is a host with its daemon and its upstream.
 type Host struct {
-	Name, Callers, checkIns, ready, upstreamAddress string
+	Name, Callers, CheckIns, UpstreamAddress string
+	// UpstreamID is the id of the upstream's latest lifetime.
+	UpstreamID string
 
 	rig        *Rig
+	ready      string
+	service    string
 	settings   string
 	garbleEach int
 
@@ -101,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Rig{config: config, Store: standin.New(), folder: folder, record: record, runs: make(map[string]int)}
+	r := &Rig{config: config, Store: standin.New(), folder: folder, record: record, runs: make(map[string][]string)}
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -129,14 +136,17 @@
 	for n := range r.config.Hosts {
 		address := func(port int) string { return fmt.Sprintf("%s:%d", hostIP(n), first+port) }
 		h := &Host{
-			Name: fmt.Sprintf("sidecar-hall-%d", n+1), Callers: address(0), checkIns: address(2), ready: address(3),
-			upstreamAddress: address(6), rig: r,
+			Name: fmt.Sprintf("sidecar-hall-%d", n+1), Callers: address(0), CheckIns: address(2), ready: address(3),
+			UpstreamAddress: address(6), rig: r, service: "lookup",
+		}
+		if n < len(r.config.Services) {
+			h.service = r.config.Services[n]
 		}
 		if n < r.config.Garbling {
 			h.garbleEach = r.config.GarbleEach
 		}
 		h.settings = filepath.Join(r.folder, h.Name+".yaml")
-		text := fmt.Sprintf(settings, h.Name, h.Callers, address(1), h.checkIns, h.ready, address(4), address(5), r.storeURL)
+		text := fmt.Sprintf(settings, h.Name, h.service, h.Callers, address(1), h.CheckIns, h.ready, address(4), address(5), r.storeURL)
 		if err := os.WriteFile(h.settings, []byte(text), filePermission); err != nil {
 			return err
 		}
@@ -179,7 +189,7 @@
 // settings is deploy/settings.yaml, filled in as for a small deployment.
 const settings = `name: %q
 data-centre: "hall"
-service: "lookup"
+service: %q
 first-start: true
 listen:
   callers: %q
@@ -226,6 +236,17 @@
 	}
 }
 
+// AddRoute adds an idempotent route to another service, and the service.
+func AddRoute(desired map[string]any, path, service string) {
+	route := map[string]any{
+		"name": "r-" + service, "host": "a.example", "path-prefix": path, "route-type": "idempotent", "timeout-s": 10, "target-latency-s": 2,
+		"priority": 1, "service": service, "attempts": 2, "public": false,
+	}
+	desired["routes"] = append(desired["routes"].([]any), route)
+	declared := map[string]any{"name": service, "health-path": "/healthz", "max-connections": 330, "protocol": "h1", "tls": false}
+	desired["services"] = append(desired["services"].([]any), declared)
+}
+
 // WriteDesired writes the desired state to the store, as the operator does.
 func (r *Rig) WriteDesired(desired map[string]any) error {
 	text, err := json.Marshal(desired)
@@ -289,16 +310,16 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.lives++
-	id := fmt.Sprintf("i-%s-%d", strings.TrimPrefix(h.Name, "sidecar-"), h.lives)
+	h.UpstreamID = fmt.Sprintf("i-%s-%d", strings.TrimPrefix(h.Name, "sidecar-"), h.lives)
 	//nolint:gosec // a stand-in of the review
-	command := exec.Command(h.rig.config.Upstream, h.upstreamAddress, id, "lookup", h.checkIns, strconv.Itoa(h.rig.config.Capacity),
+	command := exec.Command(h.rig.config.Upstream, h.UpstreamAddress, h.UpstreamID, h.service, h.CheckIns, strconv.Itoa(h.rig.config.Capacity),
 		h.rig.config.Garble, strconv.Itoa(h.garbleEach))
 	out, err := command.StdoutPipe()
 	if err != nil {
 		return err
 	}
 	h.upstream = command
-	go h.rig.follow(id, out)
+	go h.rig.follow(h.UpstreamID, out)
 	return command.Start()
 }
 
@@ -310,17 +331,17 @@
 		if id, ok := strings.CutPrefix(lines.Text(), "runs "); ok {
 			id, _, _ = strings.Cut(id, " ")
 			r.mu.Lock()
-			r.runs[id]++
+			r.runs[id] = append(r.runs[id], upstream)
 			r.mu.Unlock()
 		}
 	}
 }
 
-// Runs returns how often upstreams ran the request.
-func (r *Rig) Runs(id string) int {
+// Runs returns the upstreams that ran the request.
+func (r *Rig) Runs(id string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.runs[id]
+	return slices.Clone(r.runs[id])
 }
 
 // KillUpstream crashes the host's upstream.
--- a/review/rig/upstream/main.go
+++ b/review/rig/upstream/main.go
@@ -107,9 +107,10 @@
 
 // checkIn checks in until the process ends.
 func (u *upstream) checkIn() {
+	born := time.Now().UnixMilli()
 	for sequence := 1; ; sequence++ {
-		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"hall","version":"v1","capacity":%d,"state":"ready","cold-remaining-s":0,"call-seq":%d}`,
-			u.service, u.address, u.capacity, sequence)
+		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"hall","version":"v1","capacity":%d,"state":"ready","cold-remaining-s":0,"call-seq":%d,"born":%d}`,
+			u.service, u.address, u.capacity, sequence, born)
 		if err := u.put(body); err != nil {
 			u.say("check-in failed: %v", err)
 		}
