Add case 7 of the second review: uploads whose upstream stops reading for a while

Cause: an upload that is passed on to another host is broken off once its connection has had no room for 2 s, since Linux applies TCP_USER_TIMEOUT to a closed window too. In a planned stop that breaks LOST.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 go build -o target/review/upstream ./review/rig/upstream
-for number in 4 5 6 7; do
+for number in 4 5 6 7 8; do
 	go build -o target/review/$number ./review/$number
 done
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -19,12 +19,14 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/tideliftd/tidelift/test/standin"
@@ -38,6 +40,8 @@
 )
 
 const (
+	// timeLimit bounds a script.
+	timeLimit = 115 * time.Second
 	// startTimeout bounds the start of the deployment.
 	startTimeout = 20 * time.Second
 	// pollInterval is the interval of checks while something is waited for.
@@ -116,9 +120,22 @@
 	r.storeURL = "http://" + socket.Addr().String()
 	r.server = &http.Server{Handler: r.Store.Handler(), ReadHeaderTimeout: startTimeout}
 	go func() { _ = r.server.Serve(socket) }()
+	go r.endEarly()
 	return r, r.addHosts()
 }
 
+// endEarly ends all processes of the rig and the script if it is told to stop or takes too long.
+func (r *Rig) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(timeLimit):
+	}
+	r.End()
+	os.Exit(ExitNotShown)
+}
+
 // Log writes a line to the record.
 func (r *Rig) Log(format string, args ...any) {
 	r.mu.Lock()
@@ -352,6 +369,14 @@
 	end(h.upstream)
 }
 
+// StopDaemon sends the host's daemon SIGTERM.
+func (h *Host) StopDaemon() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rig.Log("the daemon of %s gets SIGTERM", h.Name)
+	return h.daemon.Process.Signal(syscall.SIGTERM)
+}
+
 // end kills a process that the rig started, and waits for its end.
 func end(command *exec.Cmd) {
 	if command == nil || command.Process == nil || command.ProcessState != nil {
--- a/review/rig/upstream/main.go
+++ b/review/rig/upstream/main.go
@@ -5,6 +5,7 @@
 //	bytes     size of the answer's body
 //	pieces    in how many pieces the body is sent, with pause-ms between them
 //	chunked   1: the answer's body is sent in chunks
+//	stall-ms  how long it stops reading after the first 64 KiB of the request's body, on which it works as it reads
 //
 // One in GARBLE-EACH of its answers, drawn at random, is special (0: none). With GARBLE unframed, it has no length and ends
 // with its connection. With early, it is sent before the request's body has been read; the connection is kept, and the body
@@ -38,6 +39,8 @@
 	checkInTimeout = time.Second
 	// resumeAfter is how long after an early answer the request's body is read.
 	resumeAfter = 500 * time.Millisecond
+	// beforeStall is how much of a body is read before the reading stops for a while, in bytes.
+	beforeStall = 64 << 10
 	// betweenChunks is the pause between the chunks of an answer.
 	betweenChunks = 5 * time.Millisecond
 	// queueTimeout is how long a request waits for a slot before it is rejected.
@@ -152,27 +155,34 @@
 		return false
 	}
 	if request.ContentLength <= 0 || !u.draws("early") {
-		return u.readBody(conn, request, true) && u.answer(conn, request, plan)
+		return u.readBody(conn, request, plan, true) && u.answer(conn, request, plan)
 	}
 	u.say("answers %s before its body has been read", request.Header.Get("Request-Id"))
 	if !u.answer(conn, request, plan) {
 		return false
 	}
 	time.Sleep(resumeAfter)
-	return u.readBody(conn, request, false)
+	return u.readBody(conn, request, plan, false)
 }
 
 // readBody reads the request's body. If it invites it, it asks for it first where the request expects that.
-func (u *upstream) readBody(conn net.Conn, request *http.Request, invites bool) bool {
+func (u *upstream) readBody(conn net.Conn, request *http.Request, plan url.Values, invites bool) bool {
 	if invites && request.Header.Get("Expect") != "" && !u.write(conn, "HTTP/1.1 100 Continue\r\n\r\n") {
 		return false
 	}
-	size, err := io.Copy(io.Discard, request.Body)
-	if err != nil {
-		u.say("the connection of %s ends after %d bytes of its body", request.Header.Get("Request-Id"), size)
+	id := request.Header.Get("Request-Id")
+	size := int64(0)
+	if stall := number(plan, "stall-ms", 0); stall > 0 {
+		u.say("begins to work on %s", id)
+		size, _ = io.CopyN(io.Discard, request.Body, beforeStall) // the next read tells of an error
+		time.Sleep(stall)
+	}
+	rest, err := io.Copy(io.Discard, request.Body)
+	if size += rest; err != nil {
+		u.say("the connection of %s ends after %d bytes of its body", id, size)
 		return false
 	}
-	u.say("has read %d bytes of %s", size, request.Header.Get("Request-Id"))
+	u.say("has read %d bytes of %s", size, id)
 	return true
 }
 
