fix(customers): without a customer left, no key is valid

Cause: an empty list of customers and no list were one value. The platform's decoder kept the customers only, and the ingress took none for "keys are not used".

--- a/internal/fleet/customer.go
+++ b/internal/fleet/customer.go
@@ -18,6 +18,10 @@
 	Burst    float64  `yaml:"burst" json:"burst,omitempty" jsonschema:"description=Requests that may come at once beyond the rate."`
 }
 
+// KeysRequired reports whether callers need a key on routes that are not public. They do if there is a list of customers, even an
+// empty one: the last customer may have been removed.
+func (d Declaration) KeysRequired() bool { return d.Customers != nil }
+
 // SameCustomers reports whether a and b are the same slice in memory, rather than equal lists. A
 // declaration is immutable, so anything derived from its customers remains valid when only hosts
 // were added or removed.
--- a/internal/fleet/customer_test.go
+++ b/internal/fleet/customer_test.go
@@ -26,6 +26,23 @@
 	}
 }
 
+// TestEmptyListOfCustomersIsNotNone guards against a list without entries that counts as no list, without which callers need no
+// key.
+func TestEmptyListOfCustomersIsNotNone(t *testing.T) {
+	for text, want := range map[string]bool{"": false, "customers:\n": false, "customers: []\n": true, "customers: [{name: a}]\n": true} {
+		d, err := fleet.Parse("fleet.yaml", []byte(validYAML+text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := d.KeysRequired(); got != want {
+			t.Errorf("%q: keys are required: %t, want %t", text, got, want)
+		}
+		if got := d.WithRegistered(nil, nil, nil).KeysRequired(); got != want {
+			t.Errorf("%q, with what has registered: keys are required: %t, want %t", text, got, want)
+		}
+	}
+}
+
 func TestParseInvalidCustomers(t *testing.T) {
 	tests := []struct{ name, customers, want string }{
 		{"no name", "{rate: 1}", `customers[0].name is empty; want the customer's name`},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -100,8 +100,9 @@
 	Hosts    []Host    `yaml:"hosts" json:"hosts" jsonschema:"description=The hosts that run a daemon."`
 	Services []Service `yaml:"services" json:"services" jsonschema:"description=The services and their backend servers."`
 	Routes   []Route   `yaml:"routes" json:"routes" jsonschema:"description=Which requests lead to which service."`
-	// Customers may be empty, in which case the customer header is accepted as sent by callers.
-	Customers []Customer `yaml:"customers" json:"customers,omitempty" jsonschema:"description=Who may ask and how much. With any of them callers need a key on routes that are not public."`
+	// Customers is nil if customers are not declared, in which case the customer header is accepted as sent by callers. An
+	// empty list means that no key is valid.
+	Customers []Customer `yaml:"customers" json:"customers,omitempty" jsonschema:"description=Who may ask and how much. With such a list callers need a key on routes that are not public; with an empty one no key is valid."`
 }
 
 // Callers names the headers of callers' requests.
--- a/internal/ingress/customer.go
+++ b/internal/ingress/customer.go
@@ -68,10 +68,10 @@
 	return "host " + in.config.Host
 }
 
-// customerTable returns the table of the declared customers. It reuses the current table while the
+// customerTable returns the table of the declared customers, or nil if callers need no key. It reuses the current table while the
 // customers are unchanged, since hosts change far more often.
 func (in *Ingress) customerTable(d fleet.Declaration) *customer.Table {
-	if len(d.Customers) == 0 {
+	if !d.KeysRequired() {
 		return nil
 	}
 	if last := in.state.Load(); last != nil && fleet.SameCustomers(last.index.Declaration.Customers, d.Customers) {
--- a/internal/ingress/customer_test.go
+++ b/internal/ingress/customer_test.go
@@ -94,6 +94,31 @@
 	}
 }
 
+// TestNoCustomerLeft guards against callers that need no key, and may name any customer, once the last customer was removed.
+func TestNoCustomerLeft(t *testing.T) {
+	in := customersIngress(t, Config{Host: "csepel-1"})
+	d := in.state.Load().index.Declaration
+	d.Customers = []fleet.Customer{}
+	in.Reconfigure(fleet.NewIndex(d))
+	for key, want := range map[string]result.Code{"": result.KeyMissing, "county-key": result.KeyUnknown} {
+		if _, err := in.admit(httptest.NewRecorder(), newCustomerRequest("/closed/x", key), time.Now()); err == nil || result.From(err).Code != want {
+			t.Errorf("key %q: got %v, want %s", key, err, want.Name)
+		}
+	}
+	admitted, err := in.admit(httptest.NewRecorder(), newCustomerRequest("/open/x", ""), time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := admitted.Header.Get(fleet.DefaultCustomerHeader); got != "" || admitted.queueCustomer != "host csepel-1" {
+		t.Errorf("public: the backend server receives customer %q, queued as %q; want none of the caller's", got, admitted.queueCustomer)
+	}
+	d.Customers = nil
+	in.Reconfigure(fleet.NewIndex(d))
+	if admitted, err = in.admit(httptest.NewRecorder(), newCustomerRequest("/closed/x", ""), time.Now()); err != nil || admitted.customer != "forged" {
+		t.Errorf("without a list of customers: got %v; want the caller's customer", err)
+	}
+}
+
 // TestCustomerRequestIsNotSubrequest guards against classifying a customer's request as a
 // subrequest because its failures coincide with those of the host's backend server.
 func TestCustomerRequestIsNotSubrequest(t *testing.T) {
--- a/internal/ingress/service.go
+++ b/internal/ingress/service.go
@@ -18,7 +18,7 @@
 	index    *fleet.Index
 	routes   *route.Table
 	services map[string]*service
-	// customers is nil if none are declared.
+	// customers is nil if callers need no key.
 	customers *customer.Table
 }
 
--- a/test/registered/customers_test.go
+++ b/test/registered/customers_test.go
@@ -273,6 +273,37 @@
 	f.waitForStatus("another-key", http.StatusOK)
 }
 
+// TestLastCustomerRemoved guards against requests that run without a valid key once the last customer was removed, also at a daemon
+// that starts afterwards.
+func TestLastCustomerRemoved(t *testing.T) {
+	f, seen := newCustomerFleet(t, 2, 0, 0)
+	text := fmt.Sprintf(desiredWithCustomersText, 3, "", 0.0, 0.0)
+	f.store.Write(platform.DesiredKey, []byte(text[:strings.Index(text, `"tenants":`)]+`"tenants":[]}`))
+	f.waitForStatus(keyOfSchool, http.StatusUnauthorized)
+	f.hosts[1].end()
+	f.hosts[1].start()
+	f.hosts[1].waitReady()
+	f.hosts[1].checkIn("ready")
+	seen.mu.Lock()
+	seen.names = make(map[string]int)
+	seen.mu.Unlock()
+	for _, h := range f.hosts {
+		for _, key := range []string{"", keyOfCounty, keyOfSchool, unknownKey} {
+			if status, _ := h.getWithKey(http.DefaultClient, "/twice/x", key, newID()); status != http.StatusUnauthorized {
+				t.Errorf("key %q: got status %d from %s, want 401", key, status, h.daemonName())
+			}
+		}
+		if status, _ := h.getWithKey(http.DefaultClient, "/open/x", "", newID()); status != http.StatusOK {
+			t.Errorf("public route: got status %d from %s, want 200", status, h.daemonName())
+		}
+	}
+	seen.mu.Lock()
+	defer seen.mu.Unlock()
+	if seen.names[""] < len(f.hosts) || len(seen.names) > 1 {
+		t.Errorf("backend servers received customers %v, want none", seen.names)
+	}
+}
+
 // TestKeysAreNotExposed guards against keys in the logs and operator pages of daemons.
 func TestKeysAreNotExposed(t *testing.T) {
 	f, _ := newCustomerFleet(t, 2, 1, 1)
