fix(heads): answers with invalid heads are refused

Callers saw: an answer with status 000, 099 or +20 gave a 200 with text of its body as the answer; 600 and 999 were passed on; a blank in a name passed on, or a body that was not the backend server's (Content-Length : 1, Transfer-Encoding : chunked).

Cause: net/http reads heads leniently, statuses below 200 counted as interim answers, and nothing else looked at heads.

Change: internal/heads checks each head of a backend server byte by byte, and the decoded heads of other daemons and the store. The pipeline's check of requests uses the same words.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -90,10 +90,15 @@
 		}
 		return nil, err
 	}
-	response.Body = &answerBody{ReadCloser: response.Body, empty: response.Body == http.NoBody, done: func(complete bool) {
-		stopped := stop()
-		p.putIdle(c, complete && stopped && c.reusable(response))
-	}}
+	response.Body = &answerBody{
+		ReadCloser: response.Body,
+		empty:      response.Body == http.NoBody,
+		check:      func() error { return checkTrailer(response) },
+		done: func(complete bool) {
+			stopped := stop()
+			p.putIdle(c, complete && stopped && c.reusable(response))
+		},
+	}
 	return response, nil
 }
 
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tideliftd/tidelift/internal/bound"
+	"github.com/tideliftd/tidelift/internal/heads"
 )
 
 const (
@@ -38,7 +39,8 @@
 // conn is one connection.
 type conn struct {
 	socket     net.Conn
-	source     *bound.Reader // of reader; bounds the heads of answers
+	source     *bound.Reader // of recorder; bounds the heads of answers
+	recorder   *recorder     // of reader
 	reader     *bufio.Reader
 	writer     *bufio.Writer
 	idleFor    time.Duration // how long the connection may stay idle
@@ -54,11 +56,13 @@
 // newConn returns a connection over the socket.
 func newConn(socket net.Conn) *conn {
 	source := bound.NewReader(socket)
+	recorder := &recorder{source: source}
 	return &conn{
-		socket: socket,
-		source: source,
-		reader: bufio.NewReaderSize(source, bufferSize),
-		writer: bufio.NewWriterSize(socket, bufferSize),
+		socket:   socket,
+		source:   source,
+		recorder: recorder,
+		reader:   bufio.NewReaderSize(recorder, bufferSize),
+		writer:   bufio.NewWriterSize(socket, bufferSize),
 	}
 }
 
@@ -119,7 +123,7 @@
 	c.source.Allow(bound.AnswerHead)
 	defer c.source.AllowAll()
 	for {
-		response, err := http.ReadResponse(c.reader, r)
+		response, err := c.readHead(r)
 		c.reportContinue(err == nil && response.StatusCode == http.StatusContinue)
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
@@ -130,6 +134,22 @@
 	}
 }
 
+// readHead reads and checks the head of the next answer.
+func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	begun, _ := c.reader.Peek(c.reader.Buffered()) // never fails
+	c.recorder.start(begun)
+	defer c.recorder.stop()
+	response, err := http.ReadResponse(c.reader, r)
+	if err != nil {
+		return nil, err
+	}
+	text := c.recorder.text
+	if err := heads.CheckAnswer(text[:len(text)-c.reader.Buffered()]); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
 // readError returns the error of reading a head. Those of net/http quote what was sent, which may be a whole head.
 func readError(err error) error {
 	if text := err.Error(); len(text) > maxErrorText {
--- /dev/null
+++ b/internal/backend/cut_test.go
@@ -0,0 +1,68 @@
+package backend_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/tideliftd/tidelift/internal/backend"
+)
+
+// acceptAll calls the function for each connection to a new listener.
+func acceptAll(t *testing.T, handle func(listener net.Listener, socket *net.TCPConn)) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go handle(listener, socket.(*net.TCPConn))
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// exchange sends a request and returns the body of its answer as far as it was read.
+func exchange(t *testing.T, address string, r *http.Request) (string, error) {
+	t.Helper()
+	pool, cleanUp := backend.New(backend.Config{Address: address, Dial: (&net.Dialer{}).DialContext})
+	defer cleanUp()
+	response, err := pool.Do(t.Context(), r, func(*http.Response) bool { return true })
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return string(data), err
+}
+
+// TestOddHeadsAreErrors guards against an answer whose head net/http reads although it is invalid, as the first or as an interim
+// one, and against invalid trailers.
+func TestOddHeadsAreErrors(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 000 X\r\nContent-Length: 43\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake",
+		"HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nok",
+		"HTTP/1.1 103 X\r\nX A: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX A: b\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 9_000) + "\r\nX A: b\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		address := acceptAll(t, func(_ net.Listener, socket *net.TCPConn) {
+			_, _ = http.ReadRequest(bufio.NewReader(socket))
+			_, _ = io.WriteString(socket, text)
+			_ = socket.CloseWrite()
+		})
+		r, _ := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
+		if body, err := exchange(t, address, r); err == nil {
+			t.Errorf("%.80q: got %q as an answer", text, body)
+		}
+	}
+}
--- a/internal/hop/trip.go
+++ b/internal/hop/trip.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tideliftd/tidelift/internal/heads"
 	"github.com/tideliftd/tidelift/internal/result"
 )
 
@@ -43,6 +44,10 @@
 	if err != nil {
 		return nil, Classify(ctx, connected, s.Unreachable, err)
 	}
+	if err := heads.CheckResponse(response); err != nil {
+		_ = response.Body.Close()
+		return nil, result.Wrap(result.ConnectionLost, err)
+	}
 	if err := CheckFraming(response); err != nil {
 		_ = response.Body.Close()
 		return nil, result.Wrap(result.UnframedAnswer, err)
--- a/internal/pipeline/head.go
+++ b/internal/pipeline/head.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"github.com/tideliftd/tidelift/internal/heads"
 )
 
 // headEnd ends a head.
@@ -67,30 +69,26 @@
 	for more {
 		line, rest, more = bytes.Cut(rest, headEnd[:2])
 		name, value, found := bytes.Cut(line, []byte(":"))
-		if !found || !isToken(name) || !isValue(value) {
+		if !found || !heads.IsToken(name) || !heads.IsValue(value) {
 			return shape{}, false
 		}
 		switch {
-		case isNamed(name, "Host"):
+		case heads.IsNamed(name, "Host"):
 			hosts++
-		case isNamed(name, "Transfer-Encoding"):
+		case heads.IsNamed(name, "Transfer-Encoding"):
 			return shape{}, false
-		case isNamed(name, "Content-Length"):
+		case heads.IsNamed(name, "Content-Length"):
 			lengths++
 			if s.length, ok = parseLength(value); !ok {
 				return shape{}, false
 			}
-		case isNamed(name, "Expect"), isNamed(name, "Upgrade"), isNamed(name, "Trailer"):
+		case heads.IsNamed(name, "Expect"), heads.IsNamed(name, "Upgrade"), heads.IsNamed(name, "Trailer"):
 			s.special = true
 		}
 	}
 	return s, hosts == 1 && lengths <= 1
 }
 
-func isNamed(name []byte, want string) bool {
-	return len(name) == len(want) && strings.EqualFold(string(name), want)
-}
-
 // parseLength reads a length that consists of digits only.
 func parseLength(value []byte) (int64, bool) {
 	digits := string(bytes.Trim(value, " \t"))
@@ -108,7 +106,7 @@
 func isRequestLine(line []byte) bool {
 	method, rest, _ := bytes.Cut(line, []byte(" "))
 	target, version, _ := bytes.Cut(rest, []byte(" "))
-	if !isToken(method) || string(method) == http.MethodConnect || string(version) != "HTTP/1.1" {
+	if !heads.IsToken(method) || string(method) == http.MethodConnect || string(version) != "HTTP/1.1" {
 		return false
 	}
 	for _, c := range target {
@@ -119,34 +117,10 @@
 	return len(target) > 0
 }
 
-// isToken reports whether the text is a token of RFC 9110.
-func isToken(text []byte) bool {
-	for _, c := range text {
-		if !isAlphanumeric(c) && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
-			return false
-		}
-	}
-	return len(text) > 0
-}
-
-func isAlphanumeric(c byte) bool {
-	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
-}
-
-// isValue reports whether the text has no control characters except tabs.
-func isValue(text []byte) bool {
-	for _, c := range text {
-		if c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
 // validHost reports whether the text can be a host name or address with a port.
 func validHost(host string) bool {
 	for _, c := range []byte(host) {
-		if !isAlphanumeric(c) && strings.IndexByte("-._:[]", c) < 0 {
+		if !heads.IsAlphanumeric(c) && strings.IndexByte("-._:[]", c) < 0 {
 			return false
 		}
 	}
--- a/test/integration/raw_test.go
+++ b/test/integration/raw_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -74,3 +75,18 @@
 		},
 	}), b
 }
+
+// startSigned is like startRaw, with a backend server that signs its answers: those without a length are accepted.
+func startSigned(t *testing.T, deadline time.Duration) (*harness.Fleet, *rawBackend) {
+	t.Helper()
+	f, backend := startRaw(t, deadline)
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	if _, err := f.Apply(ctx, 0, f.Declaration()+"answers: {signature-header: X-Signature}\n", 1, "signed"); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.WaitRevision(ctx, 2); err != nil {
+		t.Fatal(err)
+	}
+	return f, backend
+}
