fix(backend): a reset during an upload does not complete an answer

Callers saw: a part of an answer without a length as a complete answer, where the backend server reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. The write of the upload took it, and the read saw an ordinary end, which completed the answer.

Change: internal/complete decides whether an answer is complete; the end of a connection counts only if the request was sent without an error and the socket was closed in order. A failed write no longer closes the connection, so that a whole answer can be read.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -14,9 +14,9 @@
 // Do sends a request once and never retries it. An error that wraps ErrNotSent proves that no byte
 // was sent. The body of an answer must be closed; the end of ctx closes the connection.
 //
-// The pool is in backend.go, one connection in conn.go, the check of an idle connection in open.go,
-// the check whether the backend server has ended in ended.go, and the bodies of requests and
-// answers in body.go and answer.go.
+// The pool is in backend.go, one connection in conn.go, the sending of a request in sending.go, the state of a socket in
+// open.go, the check whether the backend server has ended in ended.go, and the bodies of requests and answers in body.go and
+// answer.go.
 package backend
 
 import (
@@ -93,10 +93,10 @@
 	response.Body = &answerBody{
 		ReadCloser: response.Body,
 		empty:      response.Body == http.NoBody,
-		check:      func() error { return checkTrailer(response) },
-		done: func(complete bool) {
+		check:      func() error { return checkEnd(c, response) },
+		done: func(whole bool) {
 			stopped := stop()
-			p.putIdle(c, complete && stopped && c.reusable(response))
+			p.putIdle(c, whole && stopped && c.reusable(response))
 		},
 	}
 	return response, nil
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tideliftd/tidelift/internal/bound"
+	"github.com/tideliftd/tidelift/internal/complete"
 	"github.com/tideliftd/tidelift/internal/heads"
 )
 
@@ -42,11 +43,12 @@
 	source     *bound.Reader // of recorder; bounds the heads of answers
 	recorder   *recorder     // of reader
 	reader     *bufio.Reader
+	sink       *sink // of writer
 	writer     *bufio.Writer
 	idleFor    time.Duration // how long the connection may stay idle
 	idleUntil  time.Time     // until when the connection may stay idle
 	mismatched bool          // an answer to another request was received
-	sent       chan error    // receives the result of sending the request
+	sending    *sending
 
 	// proceed receives true once the backend server requests the body (100 Continue), and false if
 	// it answers without; nil for a request that does not wait for that.
@@ -57,12 +59,14 @@
 func newConn(socket net.Conn) *conn {
 	source := bound.NewReader(socket)
 	recorder := &recorder{source: source}
+	sink := &sink{socket: socket}
 	return &conn{
 		socket:   socket,
 		source:   source,
 		recorder: recorder,
 		reader:   bufio.NewReaderSize(recorder, bufferSize),
-		writer:   bufio.NewWriterSize(socket, bufferSize),
+		sink:     sink,
+		writer:   bufio.NewWriterSize(sink, bufferSize),
 	}
 }
 
@@ -76,28 +80,31 @@
 		c.proceed = make(chan bool, 1)
 		r.Body = &delayedBody{ReadCloser: r.Body, conn: c}
 	}
-	c.sent = make(chan error, 1)
+	c.sending = newSending()
 	if r.Body == nil || r.Body == http.NoBody {
-		c.sent <- c.write(r)
+		c.sending.end(c.write(r))
 		return
 	}
-	go func() { c.sent <- c.write(r) }()
+	go func(s *sending) { s.end(c.write(r)) }(c.sending)
 }
 
-// write writes the request to the connection.
+// write writes the request to the connection. If the caller's body fails, it closes the connection, since a truncated request must
+// not be taken for a complete one. If the socket fails, or the backend server does not want the body, an answer may
+// still be there to be read.
 func (c *conn) write(r *http.Request) error {
 	err := r.Write(c.writer)
-	if errors.Is(err, errNotContinued) {
-		return err // the answer is being read, and the connection is not reused
-	}
-	if err != nil {
-		c.close() // a truncated request must not be taken for a complete one
-		return errors.Wrap(err, "send request")
+	if err == nil {
+		err = c.writer.Flush()
 	}
-	if err := c.writer.Flush(); err != nil {
-		return errors.Wrap(err, "send request")
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errNotContinued):
+		return err // the answer is being read, and the connection is not reused
+	case c.sink.err == nil:
+		c.close()
 	}
-	return nil
+	return errors.Wrap(err, "send request")
 }
 
 // receive reads the head of the request's answer and discards answers to other requests.
@@ -161,7 +168,7 @@
 // discard reads an answer to its end. It returns an error, after which the connection is closed, if
 // the answer ends with its connection or its body is too long.
 func discard(response *http.Response) error {
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if complete.FramingOf(response) == complete.FramingClose {
 		return errMismatchedAnswer
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBody+1))
@@ -177,7 +184,7 @@
 // reusable reports whether the connection can be reused after a complete answer, and records for
 // how long.
 func (c *conn) reusable(response *http.Response) bool {
-	if !c.sentCompletely() || c.mismatched || response.Close || c.reader.Buffered() > 0 {
+	if !c.sending.succeeded() || c.mismatched || response.Close || c.reader.Buffered() > 0 {
 		return false
 	}
 	c.setIdle(time.Now(), idleTimeFrom(response.Header.Get("Keep-Alive")))
@@ -189,16 +196,6 @@
 	c.idleFor, c.idleUntil = idle, now.Add(idle)
 }
 
-// sentCompletely reports whether the request was sent to its end.
-func (c *conn) sentCompletely() bool {
-	select {
-	case err := <-c.sent:
-		return err == nil
-	default: // still being sent
-		return false
-	}
-}
-
 // idleTimeFrom returns how long a connection may stay idle according to the Keep-Alive header.
 func idleTimeFrom(header string) time.Duration {
 	for field := range strings.SplitSeq(header, ",") {
--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/tideliftd/tidelift/internal/backend"
 )
@@ -45,6 +46,51 @@
 	return string(data), err
 }
 
+// newUpload returns a request whose body fills the buffers of its connection.
+func newUpload(address string) *http.Request {
+	const size = 16 << 20
+	r, _ := http.NewRequest(http.MethodPost, "http://"+address+"/", io.LimitReader(zeros{}, size))
+	r.ContentLength = size
+	return r
+}
+
+type zeros struct{}
+
+// Read fills p.
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestResetDuringUploadIsNoEnd guards against a reset that is reported to the write of the request, so that the read of an answer
+// without a length sees an ordinary end.
+func TestResetDuringUploadIsNoEnd(t *testing.T) {
+	const tries = 40
+	address := acceptAll(t, func(_ net.Listener, socket *net.TCPConn) {
+		_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\n\r\npart")
+		time.Sleep(5 * time.Millisecond)
+		_ = socket.SetLinger(0)
+		_ = socket.Close()
+	})
+	for range tries {
+		if body, err := exchange(t, address, newUpload(address)); err == nil {
+			t.Fatalf("%q counts as the whole answer", body)
+		}
+	}
+}
+
+// TestAnswerOfClosedUploadIsRead guards against a whole answer that is dropped because the rest of the request cannot be sent.
+func TestAnswerOfClosedUploadIsRead(t *testing.T) {
+	const tries = 40
+	address := acceptAll(t, func(_ net.Listener, socket *net.TCPConn) {
+		_, _ = io.WriteString(socket, "HTTP/1.1 413 Content Too Large\r\nContent-Length: 5\r\n\r\nwhole")
+		time.Sleep(5 * time.Millisecond)
+		_ = socket.Close() // with unread bytes, so that it is reset
+	})
+	for range tries {
+		if body, err := exchange(t, address, newUpload(address)); body != "whole" || err != nil {
+			t.Fatalf("got %q, %v", body, err)
+		}
+	}
+}
+
 // TestOddHeadsAreErrors guards against an answer whose head net/http reads although it is invalid, as the first or as an interim
 // one, and against invalid trailers.
 func TestOddHeadsAreErrors(t *testing.T) {
--- a/internal/hop/forward.go
+++ b/internal/hop/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tideliftd/tidelift/internal/complete"
 	"github.com/tideliftd/tidelift/internal/route"
 )
 
@@ -97,16 +98,10 @@
 
 // CheckFraming returns ErrUnframed if a truncated answer would look complete.
 func CheckFraming(response *http.Response) error {
-	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
-		return nil
-	}
-	if response.Request != nil && response.Request.Method == http.MethodHead {
-		return nil
-	}
-	if !hasBody(response.StatusCode) {
-		return nil
+	if complete.FramingOf(response) == complete.FramingClose {
+		return ErrUnframed
 	}
-	return ErrUnframed
+	return nil
 }
 
 // WriteAnswer forwards an answer, including its body and trailers. An error means that the answer
@@ -114,7 +109,7 @@
 // by panicking with http.ErrAbortHandler.
 func WriteAnswer(w http.ResponseWriter, response *http.Response) error {
 	CopyEndToEnd(w.Header(), response.Header)
-	if response.ContentLength >= 0 && response.Request != nil && response.Request.Method != http.MethodHead && hasBody(response.StatusCode) {
+	if response.ContentLength >= 0 && response.Request != nil && complete.HasBody(response) {
 		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	announceTrailers(w.Header(), response.Trailer)
@@ -128,11 +123,6 @@
 	return nil
 }
 
-// hasBody reports whether an answer with that status may have a body.
-func hasBody(status int) bool {
-	return status != http.StatusNoContent && status != http.StatusNotModified
-}
-
 func announceTrailers(h, trailer http.Header) {
 	for name := range trailer {
 		h.Add("Trailer", name)
--- a/internal/hop/hold.go
+++ b/internal/hop/hold.go
@@ -18,7 +18,7 @@
 
 // BufferShort reads a short answer completely, so that a truncated one can still be replaced by an
 // error or by another attempt. Longer and chunked answers are left to be forwarded as they arrive.
-// An answer without a length is complete if its connection is closed in order.
+// Whether an answer without a length is complete, its body says at its end.
 func BufferShort(response *http.Response) error {
 	if len(response.TransferEncoding) > 0 {
 		return nil
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -98,7 +98,7 @@
 }
 
 // checkSigned checks an answer of a backend server that signs its answers. An answer that ends with
-// its connection is complete if the connection was closed in order, which reading its body shows.
+// its connection may be incomplete, which reading its body to its end shows (package complete).
 func (h *headers) checkSigned(response *http.Response) *result.Error {
 	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
 	if success && response.Header.Get(h.SignatureHeader) == "" {
--- /dev/null
+++ b/test/integration/cut_test.go
@@ -0,0 +1,89 @@
+package integration
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// signedAnswer begins an answer without a length whose backend server signs its answers.
+const signedAnswer = "HTTP/1.1 200 OK\r\nX-Signature: sum\r\n\r\n"
+
+// pieces hides the length and the kind of a body, so that it is sent in chunks.
+type pieces struct{ io.Reader }
+
+// upload sends a body, in chunks or with a length, and returns the status and body of a whole answer, and 0 for any other.
+func upload(url string, size int, chunked bool) (status int, body string) {
+	var sent io.Reader = strings.NewReader(strings.Repeat("x", size))
+	if chunked {
+		sent = pieces{sent}
+	}
+	r, err := http.NewRequest(http.MethodPost, url, sent)
+	if err != nil {
+		return 0, ""
+	}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(data)
+}
+
+// TestAnswerCutDuringUploadIsNeverWhole guards against a part of an answer without a length that counts as whole because its
+// connection was reset while the request was still being sent.
+func TestAnswerCutDuringUploadIsNeverWhole(t *testing.T) {
+	const (
+		uploadSize = 900_000
+		callers    = 12
+		rounds     = 3
+	)
+	f, backend := startSigned(t, 2*time.Second)
+	for _, end := range []struct {
+		name   string
+		finish func(*net.TCPConn)
+		waits  []time.Duration // before the end
+	}{
+		{"reset", func(conn *net.TCPConn) { _ = conn.SetLinger(0) }, []time.Duration{0, 20 * time.Millisecond}},
+		// Without a wait nothing is unread yet, so that the connection is closed in order.
+		{"close with unread bytes", func(*net.TCPConn) {}, []time.Duration{20 * time.Millisecond}},
+	} {
+		for _, wait := range end.waits {
+			for _, size := range []int{5, 5_000, 100_000} {
+				t.Run(fmt.Sprintf("%s after %d bytes and %s", end.name, size, wait), func(t *testing.T) {
+					backend.setAnswer(func(conn *net.TCPConn, _ *http.Request) bool {
+						_, _ = io.WriteString(conn, signedAnswer+strings.Repeat("y", size))
+						time.Sleep(wait)
+						end.finish(conn)
+						return false
+					})
+					runUploads(rounds, callers, func(number int) {
+						if status, body := upload(f.URL(number%2, "antraege", "/x"), uploadSize, number/2%2 == 0); status/100 == 2 {
+							t.Errorf("upload %d got %d and %d bytes as whole", number, status, len(body))
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// runUploads runs the function concurrently, in rounds.
+func runUploads(rounds, callers int, run func(number int)) {
+	for range rounds {
+		var running sync.WaitGroup
+		for number := range callers {
+			running.Go(func() { run(number) })
+		}
+		running.Wait()
+	}
+}
