fix(backend): the end of a process does not complete an answer

Cause: the kernel closes the connections of a process that ends in order; nothing asked whether the backend server is still there.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -48,7 +48,7 @@
 }
 
 // checkEnd returns an error if an answer that was read to its end may be incomplete.
-func checkEnd(c *conn, response *http.Response) error {
+func (p *Pool) checkEnd(c *conn, response *http.Response) error {
 	if err := heads.CheckFields(response.Trailer); err != nil {
 		return errors.Wrap(err, "trailer")
 	}
@@ -57,5 +57,9 @@
 		return nil
 	}
 	end.Request, end.Stream = c.sending.state(), c.stream()
+	if err := complete.Check(end); err != nil {
+		return err
+	}
+	end.ServerEnded = p.hasEnded()
 	return complete.Check(end)
 }
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -93,7 +93,7 @@
 	response.Body = &answerBody{
 		ReadCloser: response.Body,
 		empty:      response.Body == http.NoBody,
-		check:      func() error { return checkEnd(c, response) },
+		check:      func() error { return p.checkEnd(c, response) },
 		done: func(whole bool) {
 			stopped := stop()
 			p.putIdle(c, whole && stopped && c.reusable(response))
--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -91,6 +92,28 @@
 	}
 }
 
+// TestAnswerOfCrashedServerIsNotComplete guards against an answer without a length whose end is that of a process, whose kernel
+// closes its sockets in order, one after the other.
+func TestAnswerOfCrashedServerIsNotComplete(t *testing.T) {
+	ended, end := context.WithCancel(t.Context())
+	address := acceptAll(t, func(listener net.Listener, socket *net.TCPConn) {
+		defer func() { _ = socket.Close() }()
+		context.AfterFunc(ended, func() { _ = socket.Close() })
+		if _, err := http.ReadRequest(bufio.NewReader(socket)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = socket.Close()
+		time.Sleep(10 * time.Millisecond)
+		_ = listener.Close()
+		end()
+	})
+	r, _ := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
+	if body, err := exchange(t, address, r); err == nil {
+		t.Fatalf("%q counts as the whole answer", body)
+	}
+}
+
 // TestOddHeadsAreErrors guards against an answer whose head net/http reads although it is invalid, as the first or as an interim
 // one, and against invalid trailers.
 func TestOddHeadsAreErrors(t *testing.T) {
--- a/internal/backend/ended.go
+++ b/internal/backend/ended.go
@@ -39,6 +39,16 @@
 	return refused
 }
 
+// hasEnded reports whether the backend server has ended, after the time in which a process that ends closes all its sockets.
+func (p *Pool) hasEnded() bool {
+	if _, refused := p.checkListening(); refused {
+		return true
+	}
+	time.Sleep(endRecheckDelay)
+	_, refused := p.checkListening()
+	return refused
+}
+
 // checkListening reports whether an idle or a new connection is open, or whether a new one was
 // refused; both are false on a timeout or another error.
 func (p *Pool) checkListening() (open, refused bool) {
