fix(backend): an answer in place of 100 Continue is read to its end

Cause: net/http hides the error of a body in a type of its own, so that the client took the unwanted body for a failure and closed the connection while the answer was read.

Change: the delayed body remembers that it was not wanted.

--- a/internal/backend/body.go
+++ b/internal/backend/body.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bufio"
 	"io"
 	"time"
 
@@ -14,24 +15,31 @@
 // errNotContinued means that the backend server answered without requesting the body.
 var errNotContinued = errors.New("backend server answered without requesting the body")
 
-// reportContinue notifies the request's delayed body whether it is to be sent.
-func (c *conn) reportContinue(requested bool) {
-	if c.proceed == nil {
+// delayedBody is a body that is sent once the backend server requests it.
+type delayedBody struct {
+	io.ReadCloser
+	head    *bufio.Writer // holds the head of the request
+	proceed chan bool     // receives true once the body is requested, and false on an answer without a request
+	started bool
+	// unwanted is set before Read fails because the backend server does not request the body. net/http hides the error.
+	unwanted bool
+}
+
+func newDelayedBody(body io.ReadCloser, head *bufio.Writer) *delayedBody {
+	return &delayedBody{ReadCloser: body, head: head, proceed: make(chan bool, 1)}
+}
+
+// report notifies the body whether it is to be sent. It may be called on nil.
+func (b *delayedBody) report(requested bool) {
+	if b == nil {
 		return
 	}
 	select {
-	case c.proceed <- requested:
+	case b.proceed <- requested:
 	default: // already reported
 	}
 }
 
-// delayedBody is a body that is sent once the backend server requests it.
-type delayedBody struct {
-	io.ReadCloser
-	conn    *conn
-	started bool
-}
-
 // Read waits before the first read until the backend server requests the body or continueTimeout
 // has passed.
 func (b *delayedBody) Read(p []byte) (int, error) {
@@ -46,14 +54,15 @@
 
 // wait sends the head and waits until the body is requested, refused or due.
 func (b *delayedBody) wait() error {
-	if err := b.conn.writer.Flush(); err != nil {
+	if err := b.head.Flush(); err != nil {
 		return err
 	}
 	timer := time.NewTimer(continueTimeout)
 	defer timer.Stop()
 	select {
-	case requested := <-b.conn.proceed:
+	case requested := <-b.proceed:
 		if !requested {
+			b.unwanted = true
 			return errNotContinued
 		}
 	case <-timer.C:
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -50,9 +50,8 @@
 	mismatched bool          // an answer to another request was received
 	sending    *sending
 
-	// proceed receives true once the backend server requests the body (100 Continue), and false if
-	// it answers without; nil for a request that does not wait for that.
-	proceed chan bool
+	// delayed is the body that waits until the backend server requests it; nil for a request that does not.
+	delayed *delayedBody
 }
 
 // newConn returns a connection over the socket.
@@ -75,10 +74,10 @@
 // send writes the request. A body is sent concurrently with reading the answer, since a backend
 // server may answer before it has read all of it.
 func (c *conn) send(r *http.Request) {
-	c.proceed = nil
+	c.delayed = nil
 	if r.Header.Get("Expect") != "" && r.Body != nil {
-		c.proceed = make(chan bool, 1)
-		r.Body = &delayedBody{ReadCloser: r.Body, conn: c}
+		c.delayed = newDelayedBody(r.Body, c.writer)
+		r.Body = c.delayed
 	}
 	c.sending = newSending()
 	if r.Body == nil || r.Body == http.NoBody {
@@ -99,8 +98,8 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, errNotContinued):
-		return err // the answer is being read, and the connection is not reused
+	case c.delayed != nil && c.delayed.unwanted:
+		return errNotContinued
 	case c.sink.err == nil:
 		c.close()
 	}
@@ -131,7 +130,7 @@
 	defer c.source.AllowAll()
 	for {
 		response, err := c.readHead(r)
-		c.reportContinue(err == nil && response.StatusCode == http.StatusContinue)
+		c.delayed.report(err == nil && response.StatusCode == http.StatusContinue)
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -114,6 +114,22 @@
 	}
 }
 
+// TestAnswerInPlaceOfContinueIsRead guards against an answer that is lost because the body was not requested.
+func TestAnswerInPlaceOfContinueIsRead(t *testing.T) {
+	body := strings.Repeat("y", 30_000)
+	address := acceptAll(t, func(_ net.Listener, socket *net.TCPConn) {
+		_, _ = http.ReadRequest(bufio.NewReader(socket))
+		_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\nContent-Length: 30000\r\n\r\n"+body[:10_000])
+		time.Sleep(5 * time.Millisecond)
+		_, _ = io.WriteString(socket, body[10_000:])
+	})
+	r := newUpload(address)
+	r.Header.Set("Expect", "100-continue")
+	if got, err := exchange(t, address, r); got != body || err != nil {
+		t.Fatalf("got %d bytes, %v", len(got), err)
+	}
+}
+
 // TestOddHeadsAreErrors guards against an answer whose head net/http reads although it is invalid, as the first or as an interim
 // one, and against invalid trailers.
 func TestOddHeadsAreErrors(t *testing.T) {
