fix(body): an answer before the end of an upload announces the close

Callers saw: 503 (2015, not run) for uploads through another host, after uploads that were answered before their end.

Cause: such a connection is closed after its answer, and the head of the answer did not say so; the next request on it got none.

Change: ingress and sidecar announce the close where the body was not read to its end.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -278,6 +278,14 @@
 	b.closeAfterResponse()
 }
 
+// AnnounceClose announces in the headers of a response that the connection is closed after it, as Finish does if the body was not
+// read to its end by then.
+func (b *Body) AnnounceClose(h http.Header) {
+	if b != nil && !b.complete.Load() && !b.ended.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 // closeAfterResponse makes net/http close the connection after the response. In full duplex, net/http reuses a
 // connection whose request body could not be read to its end, and takes the rest of the body for the next request.
 // It closes one whose body exceeds the limit of a MaxBytesReader.
--- a/internal/body/body_test.go
+++ b/internal/body/body_test.go
@@ -301,3 +301,33 @@
 	}
 	b.Finish()
 }
+
+// TestCloseAfterUnreadBodyIsAnnounced guards against a caller that sends its next request on a connection that is closed because the
+// body was not read to its end.
+func TestCloseAfterUnreadBodyIsAnnounced(t *testing.T) {
+	const size = 1 << 20
+	for name, read := range map[string]bool{"read": true, "not read": false} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			b := body.New(w, r, size)
+			defer b.Finish()
+			if err := b.Prepare(time.Now().Add(time.Minute)); err != nil {
+				t.Error(err)
+			}
+			own := *r
+			b.Rewind(&own)
+			if read {
+				_, _ = io.Copy(io.Discard, own.Body)
+			}
+			b.AnnounceClose(w.Header())
+		}))
+		response, err := http.Post(server.URL, "text/plain", strings.NewReader(strings.Repeat("x", size)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if response.Close == read {
+			t.Errorf("%s: the response announces the close: %t", name, response.Close)
+		}
+		_ = response.Body.Close()
+		server.Close()
+	}
+}
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -32,6 +32,7 @@
 	defer cancel()
 	response, err := in.tryAll(ctx, request)
 	answered()
+	request.body.AnnounceClose(w.Header())
 	if err != nil {
 		failure := finalFailure(ctx, err)
 		if failure.Code.Ran == result.RanNo {
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -72,6 +72,7 @@
 // serveRun runs the request and forwards the answer.
 func (s *Sidecar) serveRun(ctx context.Context, w http.ResponseWriter, call hop.Call, r *http.Request) {
 	answer, err := s.Do(ctx, call, r)
+	call.Body.AnnounceClose(w.Header())
 	if err != nil {
 		writeRefusal(w, result.From(err))
 		return
--- a/test/integration/cut_test.go
+++ b/test/integration/cut_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -87,3 +88,34 @@
 		running.Wait()
 	}
 }
+
+// TestEarlyAnswerToUploadIsDelivered guards against whole answers that are lost because the rest of the upload cannot be sent, or
+// because their end is the end of a connection on which the upload is still being sent.
+func TestEarlyAnswerToUploadIsDelivered(t *testing.T) {
+	const (
+		uploadSize = 900_000
+		callers    = 12
+		rounds     = 2
+	)
+	f, backend := startSigned(t, 2*time.Second)
+	body := strings.Repeat("y", 30_000)
+	for name, head := range map[string]string{
+		"with a length":    fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Signature: sum\r\nContent-Length: %d\r\n\r\n", len(body)),
+		"without a length": signedAnswer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			backend.setAnswer(func(conn *net.TCPConn, r *http.Request) bool {
+				_, _ = io.WriteString(conn, head+body)
+				_ = conn.CloseWrite()
+				_, _ = io.Copy(io.Discard, r.Body)
+				return false
+			})
+			runUploads(rounds, callers, func(number int) {
+				status, got := upload(f.URL(number%2, "antraege", "/x"), uploadSize, number/2%2 == 0)
+				if status != http.StatusOK || !bytes.Equal([]byte(got), []byte(body)) {
+					t.Errorf("upload %d got %d and %d bytes: %.300s", number, status, len(got), got)
+				}
+			})
+		})
+	}
+}
