--- a/test/harness/backend.go
+++ b/test/harness/backend.go
@@ -61,7 +61,7 @@
 // Start starts the backend server, or restarts it after it has ended, and waits
 // until it accepts connections.
 func (b *Backend) Start() error {
-	err := b.start(b.fleet, b.Name, "testbackend", "-work", b.Address(), "-control", b.mode())
+	err := b.start(b.fleet, processSpec{name: b.Name, program: "testbackend"}, "-work", b.Address(), "-control", b.mode())
 	if err != nil {
 		return err
 	}
--- a/test/harness/daemon.go
+++ b/test/harness/daemon.go
@@ -39,6 +39,9 @@
 // OperatorsAddress returns the IP:port of the operator API.
 func (d *Daemon) OperatorsAddress() string { return d.fleet.net.address(d.number, portOperators) }
 
+// ReadyAddress returns the IP:port of the readiness check.
+func (d *Daemon) ReadyAddress() string { return d.fleet.net.address(d.number, portReady) }
+
 // peersFrom returns the address of the proxy for requests from the data centre of that number.
 func (d *Daemon) peersFrom(dataCentre int) string {
 	return d.fleet.net.address(d.number, portPeers+100*(dataCentre+1))
@@ -89,11 +92,12 @@
   peers: %s
   control: %s
   operators: %s
+  ready: %s
 platform:
   address: http://%s
 seeds: %s
 first-start: true
-%s`, d.Name, d.DataCentre, d.CallersAddress(), d.PeersAddress(), d.ControlAddress(), d.OperatorsAddress(), d.fleet.PlatformAddress(), d.seeds(), d.fleet.Spec.Settings)
+%s`, d.Name, d.DataCentre, d.CallersAddress(), d.PeersAddress(), d.ControlAddress(), d.OperatorsAddress(), d.ReadyAddress(), d.fleet.PlatformAddress(), d.seeds(), d.fleet.Spec.Settings)
 }
 
 func (f *Fleet) startDaemon(d *Daemon) error {
@@ -101,7 +105,7 @@
 	if err := os.WriteFile(file, []byte(d.settings()), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
-	return d.start(f, d.Name, "tideliftd", "--settings", file)
+	return d.start(f, processSpec{name: d.Name, program: "tideliftd", descriptors: f.Spec.Descriptors}, "--settings", file)
 }
 
 // Restart starts the daemon again after it has ended, without its earlier state, and
--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -41,6 +41,7 @@
 	portPeers        = 7401
 	portControl      = 7402
 	portOperators    = 7403
+	portReady        = 7404
 	portPlatform     = 8500
 	portBackend      = 9000
 	portBackendProxy = 9300
@@ -65,6 +66,8 @@
 	Proxied bool
 	// Settings is YAML that is appended to each daemon's settings.
 	Settings string
+	// Descriptors is how many descriptors each daemon may open. If 0, it is as many as the test may.
+	Descriptors int
 	// Token is the operator token that the harness uses.
 	Token string
 	// Dir is the folder of the logs. If empty, it is the programs' folder.
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -21,17 +21,33 @@
 	ended chan struct{}
 }
 
-func (p *process) start(f *Fleet, name, program string, args ...string) error {
-	log, err := f.logFile(name)
+// processSpec describes a process to start.
+type processSpec struct {
+	name, program string
+	descriptors   int // how many it may open; 0 for as many as the test
+}
+
+// command returns the command of the process. A shell that becomes the program sets the limit.
+func (s processSpec) command(f *Fleet, args []string) *exec.Cmd {
+	path := f.Spec.Programs.Path(s.program)
+	if s.descriptors == 0 {
+		return exec.Command(path, args...)
+	}
+	limited := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, s.descriptors)
+	return exec.Command("/bin/sh", append([]string{"-c", limited, path}, args...)...)
+}
+
+func (p *process) start(f *Fleet, spec processSpec, args ...string) error {
+	log, err := f.logFile(spec.name)
 	if err != nil {
-		return errors.Wrapf(err, "open log of %s", name)
+		return errors.Wrapf(err, "open log of %s", spec.name)
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command(f.Spec.Programs.Path(program), args...)
+	cmd := spec.command(f, args)
 	cmd.Stdout = log
 	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
-		return errors.Wrapf(err, "start %s", name)
+		return errors.Wrapf(err, "start %s", spec.name)
 	}
 	ended := make(chan struct{})
 	go func() {
--- a/test/harness/usage.go
+++ b/test/harness/usage.go
@@ -32,14 +32,14 @@
 	return time.Duration(u+s) * clockTick, nil
 }
 
-// residentMB returns the resident memory of a process, in MB.
-func residentMB(pid int) (float64, error) {
+// memoryMB returns a field of /proc/PID/status that tells memory, in MB.
+func memoryMB(pid int, field string) (float64, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0, errors.Wrap(err, "read memory")
 	}
 	for line := range strings.SplitSeq(string(data), "\n") {
-		rest, ok := strings.CutPrefix(line, "VmRSS:")
+		rest, ok := strings.CutPrefix(line, field+":")
 		if !ok {
 			continue
 		}
@@ -49,7 +49,7 @@
 		}
 		return kilobytes / 1024, nil
 	}
-	return 0, errors.New("read memory: no VmRSS in /proc/PID/status")
+	return 0, errors.Errorf("read memory: no %s in /proc/PID/status", field)
 }
 
 // ProcessorTimes returns the total processor time of the processes.
@@ -75,4 +75,16 @@
 }
 
 // ResidentMB returns the resident memory of the process, in MB.
-func (p *process) ResidentMB() (float64, error) { return residentMB(p.Pid()) }
+func (p *process) ResidentMB() (float64, error) { return memoryMB(p.Pid(), "VmRSS") }
+
+// PeakMB returns the most resident memory that the process has had, in MB.
+func (p *process) PeakMB() (float64, error) { return memoryMB(p.Pid(), "VmHWM") }
+
+// OpenDescriptors returns how many descriptors the process has open.
+func (p *process) OpenDescriptors() (int, error) {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Pid()))
+	if err != nil {
+		return 0, errors.Wrap(err, "read descriptors")
+	}
+	return len(entries), nil
+}
