fix(serve): what clients take together is bounded

Callers saw: crowds of clients took a daemon's memory (up to 1,543 MB of 120) or all its descriptors, so that ordinary callers were not served or the host would have ended the process.

Cause: each bound was on one request or one connection. Connections, heads (a short field takes some hundred bytes), requests sent ahead and unread answers had none on their sum, and nothing made room.

Change: internal/guard, one for each listener but control. At a bound, the connection that has waited longest for its client is closed; what finds no room is refused with 2030 (crowded, 503, not run). limits.descriptors is new. make test runs test/crowd after all others, alone.

--- a/Makefile
+++ b/Makefile
@@ -12,9 +12,15 @@
 # The tests that KNOWN-RED.txt names, as a pattern.
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 
+PASS_OVER := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+
+# The tests that run apart from all others: they measure what a process takes.
+ALONE := /test/crowd
+
 test: ## Run every test but those known to be red; never from the cache, which does not see the programs that some build.
 	@if [ -n "$(KNOWN_RED)" ]; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
-	$(GO) test -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	$(GO) test -count=1 $(PASS_OVER) $$($(GO) list ./... | grep -v $(ALONE))
+	$(GO) test -count=1 $(PASS_OVER) .$(ALONE)
 
 build: ## Build the programs into bin.
 	$(GO) build -o $(BIN)/ ./cmd/...
--- a/internal/accept/conn.go
+++ b/internal/accept/conn.go
@@ -37,6 +37,19 @@
 	listener *Listener
 	closed   atomic.Bool
 	brief    atomic.Bool // Close waits for lingerTimeout, whatever the peer has received
+	onClosed func()      // called when the socket is closed; it may be nil
+}
+
+// OnClosed sets a function that is called when the socket is closed, which Close does later. It must be called before Close.
+func (c *Conn) OnClosed(closed func()) { c.onClosed = closed }
+
+// Reset closes the connection at once, also while Close waits for the peer. What the peer has not received is lost.
+func (c *Conn) Reset() {
+	unreceived := c.unreceived()
+	_ = c.SetLinger(0) // fails only on a closed socket
+	_ = c.TCPConn.Close()
+	c.reportCut(unreceived)
+	_ = c.Close() // fails if it was called before
 }
 
 // Of returns the accepted connection below c, which may be wrapped in connections with a method NetConn, as that of tls.Conn;
@@ -109,6 +122,9 @@
 	c.listener.lingering.Add(1)
 	go func() {
 		defer c.listener.lingering.Add(-1)
+		if c.onClosed != nil {
+			defer c.onClosed()
+		}
 		defer func() { _ = c.TCPConn.Close() }()
 		c.linger()
 	}()
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -33,9 +33,13 @@
 )
 
 const (
-	// memoryLimit is the soft memory limit of the Go runtime, which leaves a
+	// defaultMemoryLimit is the soft memory limit of the Go runtime, which leaves a
 	// margin to the 256 MB that a daemon may use.
-	memoryLimit = 192 << 20
+	defaultMemoryLimit = 192 << 20
+	// memoryLimitPercent is the soft limit as a share of the memory that the settings name.
+	memoryLimitPercent = 75
+	// minMemoryLimit keeps the runtime from collecting without end where the settings name too little.
+	minMemoryLimit = 64 << 20
 )
 
 // newDaemon returns the root command of tideliftd.
@@ -108,7 +112,16 @@
 func limitResources(s settings.Settings) {
 	runtime.GOMAXPROCS(s.Processors)
 	debug.SetGCPercent(s.HeapGrowth)
-	debug.SetMemoryLimit(memoryLimit)
+	debug.SetMemoryLimit(memoryLimit(s.Limits.MemoryMB))
+}
+
+// memoryLimit returns the soft memory limit of a process to which the host grants that many MB; 0 if that is not known.
+func memoryLimit(granted int) int64 {
+	if granted == 0 {
+		return defaultMemoryLimit
+	}
+	const megabyte = 1_000_000
+	return max(minMemoryLimit, int64(granted)*megabyte/100*memoryLimitPercent)
 }
 
 // DaemonConfig returns the configuration of a daemon with these settings on the users'
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -215,15 +215,11 @@
 // newBodyMemory returns the memory for bodies, which the ingress and the sidecar share; nil if the
 // settings do not name the memory of the daemon.
 func (d *daemon) newBodyMemory() *body.Memory {
-	const (
-		megabyte = 1_000_000
-		divisor  = 4 // the rest is for answers, copying, connections, and the heap's growth between collections
-	)
 	granted := int64(d.config.Settings.Limits.MemoryMB) * megabyte
 	if granted == 0 {
 		return nil
 	}
-	return body.NewMemory(body.MemoryConfig{Limit: granted / divisor, Scope: d.metrics.Scope})
+	return body.NewMemory(body.MemoryConfig{Limit: granted / bodyShare, Scope: d.metrics.Scope})
 }
 
 func (d *daemon) buildSidecar() {
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -32,6 +32,7 @@
 		Pipelined:   s.LongRequests.Pipelined,
 		MayPipeline: d.ingress.MayPipeline,
 		Scope:       d.metrics.Scope,
+		Bounds:      boundsOf(s.Limits),
 		DaemonsOnly: d.daemonsOnly,
 		Logger:      d.config.Logger,
 	})
--- a/internal/failures/failures_test.go
+++ b/internal/failures/failures_test.go
@@ -69,6 +69,7 @@
 2027 no-work refusal
 2028 refusal passed-over
 2029 full refusal passed-over
+2030 full refusal passed-over
 3001 final reached evidence:timed-out
 3002 reached evidence:lost
 3003 reached evidence:lost
--- a/internal/failures/table.go
+++ b/internal/failures/table.go
@@ -44,6 +44,7 @@
 	result.QueueFull.Number:    {Target: QueueFull, NeedsRetryAfter: true},
 	result.QueueTooSlow.Number: {Target: QueueFull, NeedsRetryAfter: true},
 	result.BodyMemory.Number:   {Target: QueueFull, NeedsRetryAfter: true},
+	result.Crowded.Number:      {Target: QueueFull, NeedsRetryAfter: true},
 	result.Suspected.Number:    {Target: Suspected, NeedsRetryAfter: true},
 	result.Unproven.Number:     {Target: Hanging, NeedsRetryAfter: true},
 	result.RetryLimit.Number:   {Target: NoRetryBudget, NeedsRetryAfter: true},
--- a/internal/ingress/failures_test.go
+++ b/internal/ingress/failures_test.go
@@ -24,6 +24,7 @@
 2027 tried paused
 2028 tried paused
 2029 tried full
+2030 tried full
 2017 tried sent
 2018 tried sent
 2019 suspected
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// SetAccount sets the bound on what the connection holds. It must be called before the connection is used; c may be nil.
+func (c *Conn) SetAccount(account Account) {
+	if c != nil {
+		c.stream.account, c.memory.account = account, account
+	}
+}
+
 // NetConn returns the connection that the listener given to Listen accepted.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
@@ -174,6 +181,7 @@
 // remove forgets a request that was started ahead. The mutex must be held.
 func (c *Conn) remove(position int64, e *execution) {
 	delete(c.executions, position)
+	c.stream.account.give(e.cost)
 	c.pipeline.unanswered.Add(-1)
 	if !e.delivered || c.readErr != nil {
 		c.pipeline.discarded.Inc(1)
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -57,6 +57,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/tideliftd/tidelift/internal/guard"
 	"github.com/tideliftd/tidelift/internal/wait"
 )
 
@@ -85,6 +86,25 @@
 	Scope tally.Scope
 }
 
+// Account bounds what a connection holds beside what net/http does. The zero value has no bound.
+type Account struct {
+	// Take reports whether there is room for that many bytes more.
+	Take func(size int64) bool
+	// Give gives back what was taken.
+	Give func(size int64)
+}
+
+func (a Account) take(size int64) bool { return a.Take == nil || a.Take(size) }
+
+func (a Account) give(size int64) {
+	if a.Give != nil && size > 0 {
+		a.Give(size)
+	}
+}
+
+// aheadCost is what a request that was started ahead takes beside its head: its answer may be read to memory before its turn.
+const aheadCost = guard.RequestCost + 256<<10
+
 // Pipeline serves the connections of a server.
 type Pipeline struct {
 	config     Config
--- a/internal/pipeline/stream.go
+++ b/internal/pipeline/stream.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"net/http"
+
+	"github.com/tideliftd/tidelift/internal/guard"
 )
 
 // maxStartedHead is the size of the largest head that is started ahead, in bytes. Larger ones may exceed the server's
@@ -40,6 +42,7 @@
 	position int64 // the number of requests before it on the connection
 	head     []byte
 	request  *http.Request
+	cost     int64 // taken for it
 }
 
 // stream follows what a caller sends on a connection, request by request. It decides what net/http may read and which
@@ -47,6 +50,8 @@
 type stream struct {
 	limit    int
 	mayStart func(*http.Request) bool
+	account  Account
+	reserved int64 // taken for what the buffer holds beyond its first piece
 
 	buffer bytes.Buffer // read from the caller and not passed on
 	phase  phase
@@ -69,8 +74,19 @@
 	return &stream{limit: limit, mayStart: mayStart, phase: phaseHead, eligibility: eligibilityUnknown}
 }
 
-// room returns how much may be added.
-func (s *stream) room() int { return maxBuffered - s.buffer.Len() }
+// room returns how much may be added. The first piece needs no room in the account.
+func (s *stream) room() int {
+	room := maxBuffered - s.buffer.Len()
+	missing := int64(s.buffer.Len()) - s.reserved
+	if room == 0 || missing <= 0 {
+		return room
+	}
+	if !s.account.take(missing) {
+		return 0
+	}
+	s.reserved += missing
+	return min(room, pieceSize)
+}
 
 // add adds what was read from the caller.
 func (s *stream) add(piece []byte) { s.buffer.Write(piece) }
@@ -113,12 +129,21 @@
 	n := copy(p, s.buffer.Bytes()[:allowed])
 	s.passOn(s.buffer.Next(n))
 	s.scanned = max(0, s.scanned-n)
-	if s.buffer.Len() == 0 && s.buffer.Cap() > pieceSize {
-		s.buffer = bytes.Buffer{} // an idle connection holds little memory
+	if s.buffer.Len() == 0 {
+		s.release()
 	}
 	return n
 }
 
+// release gives back what an empty buffer holds: an idle connection holds little memory.
+func (s *stream) release() {
+	if s.buffer.Cap() > pieceSize {
+		s.buffer = bytes.Buffer{}
+	}
+	s.account.give(s.reserved)
+	s.reserved = 0
+}
+
 // passOn records what net/http reads.
 func (s *stream) passOn(piece []byte) {
 	switch s.phase {
@@ -221,9 +246,14 @@
 		s.barrier = true
 		return started{}, false
 	}
+	cost := aheadCost + guard.HeadersCost(h.request)
+	if !s.account.take(cost) {
+		s.barrier = true
+		return started{}, false
+	}
 	s.barrier = h.last
 	s.scanned += len(text)
-	next := started{position: s.position + int64(s.behind()) + 1, head: bytes.Clone(text), request: h.request}
+	next := started{position: s.position + int64(s.behind()) + 1, head: bytes.Clone(text), request: h.request, cost: cost}
 	s.ahead = append(s.ahead, next)
 	return next, true
 }
@@ -273,6 +303,7 @@
 // drop discards what net/http has not read.
 func (s *stream) drop() {
 	s.buffer = bytes.Buffer{}
+	s.release()
 	s.forget()
 }
 
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -50,6 +50,7 @@
 	Evacuated             = Code{2027, "evacuated", http.StatusServiceUnavailable, RanNo, "An operator evacuated the backend server's data centre; it takes no new work."}
 	Limited               = Code{2028, "limited", http.StatusServiceUnavailable, RanNo, "The backend server names a limit on its requests, which is used up for the moment."}
 	BodyMemory            = Code{2029, "body-memory", http.StatusServiceUnavailable, RanNo, "The daemon has no memory left for the request's body, or the customer has its share of it; requests without a body are taken."}
+	Crowded               = Code{2030, "crowded", http.StatusServiceUnavailable, RanNo, "The daemon has no room left for the connection or the request: all clients together take the memory or the connections that they may have."}
 	ReservationUnanswered = Code{2015, "reservation-unanswered", http.StatusServiceUnavailable, RanNo, "The backend server's daemon did not grant a reservation in time; the request was never sent."}
 )
 
@@ -89,7 +90,7 @@
 	return []Code{
 		MalformedRequest, NoRoute, AmbiguousFraming, HeadersTooLarge, BodyTooLarge, BadDeadline, UpgradeRefused, ProtocolVersion, KeyMissing, KeyUnknown,
 		NotReady, Stopping, NoneAble, QueueFull, QueueTooSlow, CustomerShare, Draining, Ejected, PeerUnreachable, ServerUnreachable,
-		ReservationExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, ReservationUnanswered, PlaceLost, NotTaken, Misdirected, Suspected, Busy, Unproven, MovedOn, RetryLimit, CustomerLimit, Quarantined, ConnectionUnused, Evacuated, Limited, BodyMemory,
+		ReservationExpired, DeadlineBeforeRun, UnknownServer, CancelledBefore, ReservationUnanswered, PlaceLost, NotTaken, Misdirected, Suspected, Busy, Unproven, MovedOn, RetryLimit, CustomerLimit, Quarantined, ConnectionUnused, Evacuated, Limited, BodyMemory, Crowded,
 		DeadlineWhileRunning, ConnectionLost, UnframedAnswer, CallerGone, AnswerCut, AttemptOverdue, StoppedWhileRunning, SpoiltAnswer, ServerFailed, ServerError,
 		BadDeclaration, RevisionChanged, PlatformDown, NotDeclared, ChangeUnknown, ValueTooLarge, MalformedCall, PeerSilent, ChangeIDReused, TokenRefused, RoleRefused, DeclaredElsewhere, NoneLeft,
 	}
--- a/internal/retryafter/retryafter.go
+++ b/internal/retryafter/retryafter.go
@@ -15,6 +15,7 @@
 //   - The daemon has no declaration, or is stopping: NotReady.
 //   - No backend server of the service accepts requests: NoneAble.
 //   - The daemon has no memory left for the request's body: BodyMemory.
+//   - The daemon has no room left for the connection or the request: Crowded.
 //   - The request is quarantined: never, so the answer has no Retry-After.
 //   - Any other refusal that promises that the request was not run: Unspecified.
 //
@@ -36,6 +37,9 @@
 	// BodyMemory is the delay after a refusal for lack of memory for the request's body. Bodies are held
 	// until their requests are answered, which takes up to a few seconds.
 	BodyMemory = time.Second
+	// Crowded is the delay after a refusal for lack of room for a connection or a request. What others hold is given up within
+	// some seconds.
+	Crowded = time.Second
 	// Unspecified is the delay after a refusal without a more specific one.
 	Unspecified = 250 * time.Millisecond
 	// Probation is the time for which an ingress passes a backend server over while a probation
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -10,11 +11,14 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/tideliftd/tidelift/internal/accept"
 	"github.com/tideliftd/tidelift/internal/framing"
+	"github.com/tideliftd/tidelift/internal/guard"
 	"github.com/tideliftd/tidelift/internal/pipeline"
 	"github.com/tideliftd/tidelift/internal/result"
+	"github.com/tideliftd/tidelift/internal/retryafter"
 )
 
 // writeTimeout bounds the writing of the response on a connection that closes. The response fits into the socket's
@@ -41,6 +45,8 @@
 	net.Conn
 	closing   *atomic.Int64  // connections whose close has begun and not finished
 	pipelined *pipeline.Conn // nil if the connection's requests are served one after the other
+	guarded   *guard.Conn    // set before the connection is used
+	counts    crowdCounts
 
 	mu         sync.Mutex
 	phase      phase
@@ -48,23 +54,88 @@
 	peerClosed bool // the peer has closed the connection
 	postponed  bool // closed while a handler ran; closes after the response
 	closed     bool
+	taken      int64 // for the current request: its head while it is read, then all of it until net/http is done with it
 }
 
-// connListener accepts connections as conns.
+// connListener accepts connections as conns, within the bounds of its guard.
 type connListener struct {
 	net.Listener
 	closing *atomic.Int64
+	guard   *guard.Guard
+	counts  crowdCounts
 }
 
-// Accept returns the next connection, wrapped as a conn.
+// Accept returns the next connection, wrapped as a conn. It refuses those for which there is no room.
 func (l connListener) Accept() (net.Conn, error) {
-	socket, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		socket, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: socket, closing: l.closing, counts: l.counts, pipelined: pipeline.From(framing.Unwrap(socket)), phase: phaseIdle}
+		if c.open(l.guard) {
+			return c, nil
+		}
+		l.counts.refused.Inc(1)
+		c.reject()
+	}
+}
+
+// open adds the connection to the guard, and reports whether there is room for it.
+func (c *conn) open(g *guard.Guard) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	guarded, ok := g.Open(time.Now(), func(phase guard.Phase) { go c.evict(phase) })
+	if !ok {
+		return false
+	}
+	c.guarded = guarded
+	if accepted := accept.Of(c.Conn); accepted != nil {
+		accepted.OnClosed(guarded.Close)
+	}
+	c.pipelined.SetAccount(pipeline.Account{
+		Take: func(size int64) bool { return guarded.Take(time.Now(), size) },
+		Give: guarded.Give,
+	})
+	return true
+}
+
+// reject refuses a connection for which there is no room. The answer arrives if the client has not sent anything yet.
+func (c *conn) reject() {
+	_ = c.SetWriteDeadline(time.Now()) // the answer fits into the socket's buffer
+	_ = result.WriteConn(c.Conn, crowded())
+	if accepted := accept.Of(c.Conn); accepted != nil {
+		accepted.LingerBriefly()
+	}
+	_ = c.Conn.Close()
+}
+
+// evict closes the connection, which waits for its peer, to make room.
+func (c *conn) evict(phase guard.Phase) {
+	c.mu.Lock() // waits until the connection is set up
+	accepted := accept.Of(c.Conn)
+	c.mu.Unlock()
+	c.counts.evicted.Inc(1)
+	if phase == guard.PhaseUnread && accepted != nil {
+		accepted.Reset()
+		return
 	}
-	return &conn{Conn: socket, closing: l.closing, pipelined: pipeline.From(framing.Unwrap(socket)), phase: phaseIdle}, nil
+	_ = c.Close() // fails only if the peer has disconnected
 }
 
+// crowdCounts counts what a listener's guard has decided.
+type crowdCounts struct {
+	evicted tally.Counter // connections that were closed to make room
+	refused tally.Counter // connections, heads and requests without room
+}
+
+func newCrowdCounts(scope tally.Scope, listener string) crowdCounts {
+	tagged := scope.Tagged(map[string]string{"listener": listener})
+	return crowdCounts{evicted: tagged.Counter("connections_evicted"), refused: tagged.Counter("crowd_refused")}
+}
+
+func crowded() *result.Error { return result.New(result.Crowded).WithRetryAfter(retryafter.Crowded) }
+
 // beginRequest records that a request has begun. It returns false if the connection was closed before, in which case
 // the request must not run.
 func (c *conn) beginRequest() bool {
@@ -78,6 +149,43 @@
 	return true
 }
 
+// takeRequest takes room for a request in place of that for its head as it was read, and reports whether there was room.
+func (c *conn) takeRequest(r *http.Request) bool {
+	c.guarded.Enter(time.Now(), guard.PhaseServing)
+	c.giveBack()
+	if c.take(guard.RequestCost + guard.HeadersCost(r)) {
+		return true
+	}
+	c.counts.refused.Inc(1)
+	return false
+}
+
+// takeHead takes room for a piece of a head, and reports whether there was room.
+func (c *conn) takeHead(piece []byte) bool {
+	c.guarded.Enter(time.Now(), guard.PhaseSending)
+	return c.take(guard.HeadCost(len(piece), bytes.Count(piece, []byte("\n"))))
+}
+
+// take takes room for the current request, and reports whether there was room.
+func (c *conn) take(cost int64) bool {
+	if !c.guarded.Take(time.Now(), cost) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taken += cost
+	return true
+}
+
+// giveBack gives back what was taken for the current request.
+func (c *conn) giveBack() {
+	c.mu.Lock()
+	taken := c.taken
+	c.taken = 0
+	c.mu.Unlock()
+	c.guarded.Give(taken)
+}
+
 // endRequest records that the request's handler has returned; last reports whether its response announces the close
 // of the connection. net/http writes the rest of the response afterwards, and only then closes the connection.
 func (c *conn) endRequest(last bool) {
@@ -96,18 +204,42 @@
 	c.responding = false
 }
 
-// Read reads from the connection. It fails once the connection is closed.
+// Read reads from the connection. It fails once the connection is closed. What is read while no request is served belongs to a head;
+// one for which there is no room is refused.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	ofHead, closed := c.hasRead(err)
+	if closed {
+		return 0, net.ErrClosed
+	}
+	if ofHead && n > 0 && !c.takeHead(p[:n]) {
+		c.refuseHead()
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// hasRead records the result of a read. It reports whether what was read belongs to a head, and whether the connection is closed.
+func (c *conn) hasRead(err error) (ofHead, closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.peerClosed = true
 	}
-	if c.closed {
-		return 0, net.ErrClosed
+	return c.phase != phaseBusy, c.closed
+}
+
+// refuseHead refuses the request whose head is being read, unless requests have been started ahead, which are answered first.
+func (c *conn) refuseHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.phase == phaseBusy || c.postponed {
+		return
 	}
-	return n, err
+	c.closed = true
+	c.closing.Add(1)
+	c.counts.refused.Inc(1)
+	go c.refuse(crowded())
 }
 
 // Write writes to the connection. It fails once the connection is closed. Data written while no handler is running is
@@ -116,7 +248,20 @@
 	if !c.beginWrite() {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(p)
+	c.guarded.BeginAnswer(time.Now())
+	n, err := c.Conn.Write(p)
+	c.guarded.EndAnswer(time.Now(), c.waitsFor())
+	return n, err
+}
+
+// waitsFor returns what the connection waits for while it does not write.
+func (c *conn) waitsFor() guard.Phase {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseBusy {
+		return guard.PhaseServing
+	}
+	return guard.PhaseSending // what is left of a body
 }
 
 func (c *conn) beginWrite() bool {
@@ -161,7 +306,7 @@
 		return c.Conn.Close()
 	}
 	c.closing.Add(1)
-	go c.refuse()
+	go c.refuse(result.New(result.ConnectionUnused))
 	return nil
 }
 
@@ -173,8 +318,8 @@
 	}
 }
 
-// refuse writes the response that no request was run, and closes the connection.
-func (c *conn) refuse() {
+// refuse writes the response, which says that no request was run, and closes the connection.
+func (c *conn) refuse(refusal *result.Error) {
 	defer c.closing.Add(-1)
 	defer func() { _ = c.Conn.Close() }()
 	accept.Of(c.Conn).LingerBriefly()
@@ -182,7 +327,7 @@
 	if err := errors.Join(c.Conn.SetReadDeadline(time.Now()), c.SetWriteDeadline(time.Now().Add(writeTimeout))); err != nil {
 		return // the connection has ended
 	}
-	_ = result.WriteConn(c.Conn, result.New(result.ConnectionUnused)) // fails if the peer has disconnected
+	_ = result.WriteConn(c.Conn, refusal) // fails if the peer has disconnected
 }
 
 // unwrap returns the connection that the underlying listener accepted.
@@ -203,12 +348,36 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// trackIdle records when the connection's responses end. It is called from http.Server.ConnState.
-func trackIdle(c net.Conn, state http.ConnState) {
-	if tracked, ok := c.(*conn); ok && state == http.StateIdle {
+// trackGuarded records when the connection's responses end, and when net/http is done with it. It is called from
+// http.Server.ConnState.
+func trackGuarded(c net.Conn, state http.ConnState) {
+	tracked, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
 		tracked.endResponse()
+		tracked.becomeIdle()
 		pipeline.ConnState(tracked.pipelined, state)
+	case http.StateClosed:
+		tracked.giveBack()
+		tracked.guarded.Enter(time.Now(), guard.PhaseUnread) // until the peer has received the last response
+		if accept.Of(tracked.Conn) == nil {
+			tracked.guarded.Close()
+		}
+	case http.StateNew, http.StateActive, http.StateHijacked:
+	}
+}
+
+// becomeIdle records that the connection waits for a request, unless one behind the last has been started.
+func (c *conn) becomeIdle() {
+	c.giveBack()
+	phase := guard.PhaseIdle
+	if c.pipelined.Unanswered() > 0 {
+		phase = guard.PhaseServing
 	}
+	c.guarded.Enter(time.Now(), phase)
 }
 
 // trackRequests records the start and end of each request on its connection, and aborts requests on closed
@@ -224,7 +393,15 @@
 			panic(http.ErrAbortHandler)
 		}
 		last := true // stays true if the handler panics, since net/http then closes the connection
-		defer func() { c.endRequest(last) }()
+		defer func() {
+			c.endRequest(last)
+			c.guarded.Enter(time.Now(), guard.PhaseSending) // what is left of a body
+		}()
+		if !c.takeRequest(r) {
+			w.Header().Set("Connection", "close")
+			result.Write(w, crowded())
+			return
+		}
 		handler.ServeHTTP(w, r)
 		last = r.Close || w.Header().Get("Connection") == "close"
 	})
--- a/internal/serve/pipeline_test.go
+++ b/internal/serve/pipeline_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/framing"
+	"github.com/tideliftd/tidelift/internal/guard"
 	"github.com/tideliftd/tidelift/internal/pipeline"
 	"github.com/tideliftd/tidelift/internal/settings"
 )
@@ -67,6 +68,7 @@
 func startLimited(t *testing.T, limit int, limits settings.Limits, handler http.HandlerFunc) (*Servers, string) {
 	t.Helper()
 	none := http.NotFoundHandler()
+	ample := guard.Config{Connections: 1000, Memory: 1 << 30}
 	servers, cleanUp, err := New(Config{
 		Listen:      settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0", Control: "127.0.0.1:0"},
 		Limits:      limits,
@@ -77,6 +79,7 @@
 		Pipelined:   limit,
 		MayPipeline: func(r *http.Request) bool { return r.Method == http.MethodGet },
 		Scope:       tally.NoopScope,
+		Bounds:      Bounds{Callers: ample, Peers: ample, Local: ample},
 		DaemonsOnly: func(l net.Listener) net.Listener { return l },
 		Logger:      slog.New(slog.DiscardHandler),
 	})
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -42,6 +42,7 @@
 	"github.com/tideliftd/tidelift/internal/control"
 	"github.com/tideliftd/tidelift/internal/event"
 	"github.com/tideliftd/tidelift/internal/framing"
+	"github.com/tideliftd/tidelift/internal/guard"
 	"github.com/tideliftd/tidelift/internal/pipeline"
 	"github.com/tideliftd/tidelift/internal/settings"
 	"github.com/tideliftd/tidelift/internal/wait"
@@ -79,14 +80,23 @@
 	// MayPipeline reports whether a caller's request without a body may be served beside others of its connection. It is
 	// required if Pipelined is at least 2.
 	MayPipeline func(*http.Request) bool
-	// Scope receives the metrics. It is required if Pipelined is at least 2.
+	// Scope receives the metrics.
 	Scope tally.Scope
+	// Bounds bound what the connections of each listener take.
+	Bounds Bounds
 	// DaemonsOnly returns a listener that accepts connections from daemons only.
 	DaemonsOnly func(net.Listener) net.Listener
 	// Logger receives the errors that net/http logs.
 	Logger *slog.Logger
 }
 
+// Bounds are the bounds of the listeners.
+type Bounds struct {
+	// Callers and Peers are those of the listeners of the same name, and Local those of each listener for operators, check-ins and
+	// readiness.
+	Callers, Peers, Local guard.Config
+}
+
 // Servers are the daemon's servers.
 type Servers struct {
 	config    Config
@@ -217,9 +227,9 @@
 	}
 	s.public = sockets[:2]
 	s.operatorListener = sockets[2]
-	s.serve(s.callers, framing.Listen(s.pipelined(sockets[0])))
-	s.serve(s.peers, s.config.DaemonsOnly(sockets[1]))
-	s.serve(s.operators, sockets[2])
+	s.serve(s.callers, framing.Listen(s.pipelined(sockets[0])), bounds{"callers", s.config.Bounds.Callers})
+	s.serve(s.peers, s.config.DaemonsOnly(sockets[1]), bounds{"peers", s.config.Bounds.Peers})
+	s.serve(s.operators, sockets[2], bounds{"operators", s.config.Bounds.Local})
 	calls := s.config.DaemonsOnly(sockets[3])
 	s.cleanUps = append(s.cleanUps, control.Serve(control.ServerConfig{Listener: calls, Handle: s.config.Control}))
 	return nil
@@ -286,6 +296,8 @@
 	return s.makeServer(&http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: peerHeaderTimeout,
+		IdleTimeout:       s.config.Limits.IdleTimeout,
+		MaxHeaderBytes:    s.config.Limits.HeaderBytes + headerSlack,
 		ConnContext:       withConn,
 		ConnState:         s.track,
 	})
@@ -301,7 +313,7 @@
 
 // track updates the recorded state of a connection.
 func (s *Servers) track(c net.Conn, state http.ConnState) {
-	trackIdle(c, state)
+	trackGuarded(c, state)
 	s.unused.track(c, state)
 }
 
@@ -332,17 +344,24 @@
 			return err
 		}
 		server := s.makeSmallServer(handler)
-		s.serve(server, sockets[0])
+		s.serve(server, sockets[0], bounds{"local", s.config.Bounds.Local})
 		s.local = append(s.local, localServer{listener: sockets[0], server: server})
 		s.cleanUps = append(s.cleanUps, func() { _ = server.Close() })
 	}
 	return nil
 }
 
+// bounds are the bounds of a listener, with its name in metrics.
+type bounds struct {
+	listener string
+	config   guard.Config
+}
+
 // serve serves the socket in the background. Failures that are not caused by a stop are sent to Failed.
-func (s *Servers) serve(server *http.Server, socket net.Listener) {
+func (s *Servers) serve(server *http.Server, socket net.Listener, b bounds) {
+	listener := connListener{Listener: socket, closing: &s.closing, guard: guard.New(b.config), counts: newCrowdCounts(s.config.Scope, b.listener)}
 	go func() {
-		err := server.Serve(connListener{Listener: socket, closing: &s.closing})
+		err := server.Serve(listener)
 		if !errors.Is(err, http.ErrServerClosed) && !s.refusing.Load() {
 			s.failed <- errors.Wrapf(err, "serve %s", socket.Addr())
 		}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -12,6 +12,9 @@
 	"github.com/tideliftd/tidelift/internal/yamlfile"
 )
 
+// minDescriptors leaves some for each listener, the store and other daemons.
+const minDescriptors = 128
+
 // check collects all problems of the settings.
 func (s *Settings) check(c *yamlfile.Checker) error {
 	required(c, "$.name", s.Name, "the name of a declared host")
@@ -69,6 +72,9 @@
 	if l.HeaderBytes < 1024 {
 		c.Add("$.limits.header-bytes", fmt.Sprintf("is %d", l.HeaderBytes), "1024 or more")
 	}
+	if l.Descriptors != 0 && l.Descriptors < minDescriptors {
+		c.Add("$.limits.descriptors", fmt.Sprintf("is %d", l.Descriptors), fmt.Sprintf("0, or %d or more", minDescriptors))
+	}
 	if l.MemoryMB < 0 {
 		c.Add("$.limits.memory-mb", fmt.Sprintf("is %d", l.MemoryMB), "0 or more")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -138,7 +138,8 @@
 	HeaderBytes   int           `yaml:"header-bytes" json:"header-bytes,omitempty" jsonschema:"description=The largest size of a request's headers. Default 32768."`
 	HeaderTimeout time.Duration `yaml:"header-timeout" json:"header-timeout,omitempty" jsonschema:"type=string,description=How long a caller may take to send its headers. Default 5s."`
 	IdleTimeout   time.Duration `yaml:"idle-timeout" json:"idle-timeout,omitempty" jsonschema:"type=string,description=How long a caller's idle connection is kept. Default 60s."`
-	MemoryMB      int           `yaml:"memory-mb" json:"memory-mb,omitempty" jsonschema:"description=The memory that the host grants the daemon in MB; a quarter of it may hold the bodies of requests. Default 0: bodies are bounded one by one only."`
+	MemoryMB      int           `yaml:"memory-mb" json:"memory-mb,omitempty" jsonschema:"description=The memory that the host grants the daemon in MB; a quarter of it may hold the bodies of requests\\, and another quarter what callers' connections take. Default 0: bodies are bounded one by one only\\, and connections as if it were 1024."`
+	Descriptors   int           `yaml:"descriptors" json:"descriptors,omitempty" jsonschema:"description=How many descriptors the host grants the daemon; three eighths of them may be callers' connections\\, a quarter other daemons'. Default 0: as many as the process may open."`
 }
 
 // Log configures logging.
