--- a/test/integration/http_test.go
+++ b/test/integration/http_test.go
@@ -390,3 +390,30 @@
 		})
 	}
 }
+
+// TestRefusalDoesNotWaitForTheBody guards against a refusal that a caller gets only once it has sent the body of its request.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	f := startWithHandler(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	d := f.Daemons[0]
+	for _, test := range []struct{ name, address, head, want string }{
+		{"no route", d.CallersAddress(), "POST /nowhere HTTP/1.1\r\nHost: a\r\n", "404"},
+		{"an invalid deadline", d.CallersAddress(), "POST /antraege/x HTTP/1.1\r\nHost: a\r\nX-Request-Timeout-Ms: soon\r\n", "400"},
+		{"readiness", d.ReadyAddress(), "GET /ready HTTP/1.1\r\nHost: a\r\n", "200"},
+	} {
+		for framing, body := range map[string]string{"a length": "Content-Length: 1000\r\n\r\nx", "chunks": "Transfer-Encoding: chunked\r\n\r\n5\r\nx"} {
+			t.Run(test.name+" with "+framing, func(t *testing.T) {
+				conn, err := net.Dial("tcp", test.address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = conn.Close() }()
+				_ = conn.SetDeadline(time.Now().Add(waitTimeout / 4))
+				_, _ = io.WriteString(conn, test.head+body)
+				line, err := bufio.NewReader(conn).ReadString('\n')
+				if !strings.HasPrefix(line, "HTTP/1.1 "+test.want+" ") {
+					t.Errorf("got %q, %v; want %s", line, err, test.want)
+				}
+			})
+		}
+	}
+}
