fix(sidecar): a slot is given back when its request ends

Callers saw: 504 for all requests to a backend server while a few other callers did not read long answers of it.

Cause: the slot was given back with the body of the answer, which its caller's connection held for as long as the caller did not read.

Change: the end of the request, its deadline at the latest, gives the slot back; its connection to the backend server is closed then.

Measured: TestUnreadAnswersLeaveSlots fails before at the backend server's host (20 s without a served request), and passes.

--- a/internal/sidecar/do.go
+++ b/internal/sidecar/do.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/tideliftd/tidelift/internal/detect"
@@ -65,10 +66,15 @@
 	slot.answered(response)
 	s.reportAnswered(response)
 	s.recordAnswered(server, call, in)
-	response.Body = hop.OnClose(response.Body, func() {
+	release := sync.OnceFunc(func() {
 		slot.release()
 		end(showsCalls(response))
 	})
+	detach := context.AfterFunc(ctx, release) // the connection is closed then, although the caller may not have read the answer
+	response.Body = hop.OnClose(response.Body, func() {
+		detach()
+		release()
+	})
 	return Answer{Response: response, Load: server.load(), Failing: server.failureRate(), Limit: server.limit(), Waited: slot.waited}, nil
 }
 
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -279,3 +279,46 @@
 		})
 	}
 }
+
+// TestUnreadAnswersLeaveSlots guards against callers that do not read long answers, and so keep the slots of a backend server after
+// their deadlines.
+func TestUnreadAnswersLeaveSlots(t *testing.T) {
+	const (
+		clients = 16 // more than the slots and places in the queue
+		size    = 64 << 20
+	)
+	deadline := 2 * time.Second
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/antraege/endless" {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		w.Header().Set("Content-Length", fmt.Sprint(size))
+		piece := bytes.Repeat([]byte("y"), 1<<20)
+		for sent := 0; sent < size; sent += len(piece) {
+			if _, err := w.Write(piece); err != nil {
+				return
+			}
+		}
+	}))
+	t.Cleanup(backend.Close)
+	f := harness.StartForTest(t, harness.Spec{
+		Programs:    programs,
+		DataCentres: []string{"muenchen-nord", "rosenheim"},
+		HostsEach:   1,
+		Settings:    limitedSettings,
+		Services: []harness.Service{
+			{Name: "akten", Floor: 1, Servers: 1},
+			{Name: "antraege", Floor: 1, Servers: 1, Slots: 2, Queue: 4, Addresses: []string{backend.Listener.Addr().String()}, Deadline: deadline},
+		},
+	})
+	for number, d := range f.Daemons {
+		t.Run([]string{"through another host", "at the backend server's host"}[number], func(t *testing.T) {
+			c := &crowd{t: t, fleet: f, daemon: d}
+			c.gather(d.CallersAddress(), clients, []client{text("GET /antraege/endless HTTP/1.1\r\nHost: a\r\n\r\n")}, func() {
+				time.Sleep(deadline)
+				c.checkServed("beside the crowd")
+			})
+		})
+	}
+}
