fix(dial): a peer that lives and does not read is awaited

Cause: TCP_USER_TIMEOUT also ends a connection whose peer acknowledges but has closed its window.

Change: while data waits to be sent, the state of the socket says whether the peer is silent or has no room; the limit applies to a silent one only.

--- a/internal/backend/open.go
+++ b/internal/backend/open.go
@@ -1,7 +1,7 @@
 package backend
 
 import (
-	"net"
+	"syscall"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
@@ -18,7 +18,7 @@
 // open reports whether an idle connection is open and has nothing to read. Unsolicited bytes
 // belong to no request.
 func (c *conn) open() bool {
-	if _, ok := c.socket.(*net.TCPConn); !ok {
+	if _, ok := c.socket.(syscall.Conn); !ok {
 		return c.reader.Buffered() == 0
 	}
 	open := false
@@ -28,11 +28,11 @@
 
 // control calls the function with the descriptor of the socket.
 func (c *conn) control(f func(fd int)) error {
-	tcp, ok := c.socket.(*net.TCPConn)
+	system, ok := c.socket.(syscall.Conn)
 	if !ok {
-		return errors.New("not a TCP connection")
+		return errors.New("not a socket")
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := system.SyscallConn()
 	if err != nil {
 		return err
 	}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -98,7 +98,7 @@
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := dial.New(dial.ToDaemons())
 	if c.config.TLS == nil {
-		return dial.Compressed(dialer, c.config.ShouldCompress)(ctx, "tcp", address)
+		return dial.Compressed(dialer.DialContext, c.config.ShouldCompress)(ctx, "tcp", address)
 	}
 	secure := tls.Dialer{NetDialer: dialer, Config: c.config.TLS}
 	return secure.DialContext(ctx, "tcp", address)
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -8,7 +8,8 @@
 //	dialer := dial.New(dial.Config{ConnectTimeout: 500 * time.Millisecond, UserTimeout: 2 * time.Second})
 //	transport := &http.Transport{DialContext: dialer.DialContext}
 //
-//	toDaemons := dial.Compressed(dial.New(dial.ToDaemons()), shouldCompress) // compressed to other data centres
+//	requests := dial.Patient(dial.ToDaemons())                      // wait for a peer that does not read
+//	requests = dial.Compressed(requests, shouldCompress)            // compressed to other data centres
 package dial
 
 import (
@@ -68,11 +69,11 @@
 // Func opens a connection, as http.Transport's DialContext does.
 type Func func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Compressed returns a function that opens connections through the dialer and compresses those to the addresses for
+// Compressed returns a function that opens connections with open and compresses those to the addresses for
 // which shouldCompress reports true. If shouldCompress is nil, none are compressed.
-func Compressed(dialer *net.Dialer, shouldCompress func(address string) bool) Func {
+func Compressed(open Func, shouldCompress func(address string) bool) Func {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		socket, err := dialer.DialContext(ctx, network, address)
+		socket, err := open(ctx, network, address)
 		if err != nil || shouldCompress == nil || !shouldCompress(address) {
 			return socket, err
 		}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -221,7 +221,7 @@
 	if config.TLS != nil {
 		far = nil // compressed lengths leak information about encrypted content
 	}
-	return dial.Compressed(dial.New(dial.ToDaemons()), far)
+	return dial.Compressed(dial.Patient(dial.ToDaemons()), far)
 }
 
 // close stops the outlier detectors and closes idle connections.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -50,10 +50,9 @@
 		limitGauge:        config.Scope.Tagged(map[string]string{"service": d.Service.Name}).Gauge("sidecar_server_limit"),
 	}
 	s.declared.Store(d)
-	dialer := dial.New(dial.Config{ConnectTimeout: connectTimeout, UserTimeout: unacknowledgedTimeout})
 	s.pool, s.closePool = backend.New(backend.Config{
 		Address:   d.BackendServer.Address,
-		Dial:      dialer.DialContext,
+		Dial:      dial.Patient(dial.Config{ConnectTimeout: connectTimeout, UserTimeout: unacknowledgedTimeout}),
 		OnConnect: func() { connects.Inc(1) },
 	})
 	go newTask(config, s, d).run()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -69,7 +69,7 @@
 	// takes long only if the accept queue is full.
 	connectTimeout = 500 * time.Millisecond
 	// unacknowledgedTimeout is how long bytes to a backend server may stay unacknowledged before
-	// the connection counts as lost. On loopback only a stalled backend server takes this long.
+	// the connection counts as lost.
 	unacknowledgedTimeout = 5 * time.Second
 )
 
