fix(registry): another writer does not change the service of a name

Cause: born was not read, and a registration with a higher call-seq could change the service of a name.

Change: registry.Check refuses a registration that lacks the start which earlier ones have told, or names another service without a new start.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -75,7 +75,7 @@
 // Events of hosts and of backend servers that register themselves.
 var (
 	ServersRegistered   = Event{401, slog.LevelInfo, "backend servers registered", "A backend server of this host sent a check-in with changes or left; the line lists the backend servers that serve now."}
-	RegistrationRefused = Event{402, slog.LevelWarn, "check-in refused", "A check-in cannot be read, or names a service that is not declared; it changed nothing."}
+	RegistrationRefused = Event{402, slog.LevelWarn, "check-in refused", "A check-in cannot be read, names a service that is not declared, or must come from another writer; it changed nothing."}
 	HostLearned         = Event{403, slog.LevelInfo, "host learned", "Another daemon or the store reported a change of a host."}
 	MoreHostsLearned    = Event{411, slog.LevelInfo, "more hosts learned", "Many hosts changed at the same time; the line says how many are not logged one by one."}
 	LeavingUnsaved      = Event{412, slog.LevelWarn, "leaving not saved", "The store did not take the list of backend servers that have left in time, before a leaving was confirmed. The other daemons have it; if all end now, a late registration may bring one back."}
--- a/internal/membership/known.go
+++ b/internal/membership/known.go
@@ -146,11 +146,14 @@
 	return k.table.SetGone(host.Name, host.Incarnation, host.Version)
 }
 
-// register records a registration and reports whether other daemons must be notified.
-func (k *known) register(c registry.Registration) bool {
+// register records a registration and reports whether other daemons must be notified. It returns an error for one of another writer.
+func (k *known) register(c registry.Registration) (notify bool, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.registry.Register(c) && k.publish()
+	if err := k.registry.Check(c); err != nil {
+		return false, err
+	}
+	return k.registry.Register(c) && k.publish(), nil
 }
 
 // isLatest reports whether the registration is the last one of a backend server in service.
--- a/internal/membership/registrations.go
+++ b/internal/membership/registrations.go
@@ -44,7 +44,11 @@
 				return errors.Errorf("registration of %s names service %q, which is not declared", c.Name, c.Service)
 			}
 			m.awaitRestored()
-			if m.known.register(c) {
+			changed, err := m.known.register(c)
+			if err != nil {
+				return err
+			}
+			if changed {
 				m.applyRegistration("check-in", c.Name, c.Sequence)
 				if c.Draining {
 					m.saveLeft()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -17,6 +17,8 @@
 //   - Each start of a backend server is an incarnation with a name of its own.
 //   - Draining is final: an incarnation that has reported that it is draining never
 //     serves again under that name, even if a late registration arrives.
+//   - A registration of a known name that names another service, or that lacks the
+//     start which the name's earlier ones have, comes from another writer (Check).
 //   - A registration whose sequence number is not higher than the previous one is
 //     late and changes nothing.
 //   - Of two incarnations at one address, the one that registered last serves. An
@@ -34,6 +36,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // maxLeft bounds how many names of backend servers that left are remembered. It
@@ -60,6 +64,8 @@
 	Cold time.Duration
 	// Sequence increases with each registration of an incarnation.
 	Sequence int64
+	// StartedAt is when its process started, in Unix milliseconds; zero if it does not say.
+	StartedAt int64
 }
 
 // Registry holds the backend servers of one host.
@@ -84,7 +90,22 @@
 	return &Registry{servers: make(map[string]Registration), holders: make(map[string]holder)}
 }
 
-// Register records a registration and reports whether the result of Serving or Left changed.
+// Check returns an error if another writer must have sent the registration: its name is known, but of another service, or with a start
+// that the registration lacks. A backend server that starts again under its name may be of another service.
+func (r *Registry) Check(c Registration) error {
+	last, known := r.servers[c.Name]
+	switch {
+	case !known:
+		return nil
+	case c.StartedAt == 0 && last.StartedAt != 0:
+		return errors.Errorf("registration of %s lacks its start", c.Name)
+	case c.Service != last.Service && c.StartedAt == last.StartedAt:
+		return errors.Errorf("registration of %s names service %q; it is of %q", c.Name, c.Service, last.Service)
+	}
+	return nil
+}
+
+// Register records a registration that Check accepts, and reports whether the result of Serving or Left changed.
 func (r *Registry) Register(c Registration) bool {
 	if slices.Contains(r.left, c.Name) {
 		return false
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -127,3 +127,34 @@
 		t.Fatalf("%d incarnations are remembered", r.Known())
 	}
 }
+
+// TestCheckRefusesOtherWriters guards against a registration of another writer that takes a known name to another service, and against
+// one of the backend server itself that is refused.
+func TestCheckRefusesOtherWriters(t *testing.T) {
+	told := registration("a", "x", 1)
+	told.StartedAt = 1000
+	untold := registration("a", "x", 1)
+	change := func(c registry.Registration, service string, startedAt int64) registry.Registration {
+		c.Service, c.StartedAt, c.Sequence = service, startedAt, 900
+		return c
+	}
+	for name, test := range map[string]struct {
+		known, next registry.Registration
+		accepted    bool
+	}{
+		"its next registration":                {told, change(told, "lookup", 1000), true},
+		"without its start":                    {told, change(told, "lookup", 0), false},
+		"of another service without its start": {told, change(told, "records", 0), false},
+		"of another service":                   {told, change(told, "records", 1000), false},
+		"of another service after a new start": {told, change(told, "records", 2000), true},
+		"a start that was not told before":     {untold, change(untold, "lookup", 1000), true},
+		"no start, as before":                  {untold, change(untold, "lookup", 0), true},
+		"of another service, no start is told": {untold, change(untold, "records", 0), false},
+	} {
+		r := registry.New()
+		r.Register(test.known)
+		if err := r.Check(test.next); (err == nil) != test.accepted {
+			t.Errorf("%s: got %v, want it accepted: %t", name, err, test.accepted)
+		}
+	}
+}
--- a/test/registered/fleet_test.go
+++ b/test/registered/fleet_test.go
@@ -253,6 +253,12 @@
 	h.sendCheckIn(http.MethodPut, h.nextCheckIn(state))
 }
 
+// checkInBorn sends a check-in that says when the backend server started, in Unix milliseconds.
+func (h *host) checkInBorn(born int64) {
+	h.fleet.t.Helper()
+	h.sendCheckIn(http.MethodPut, strings.TrimSuffix(h.nextCheckIn("ready"), "}")+fmt.Sprintf(`,"born":%d}`, born))
+}
+
 // nextCheckIn returns the body of the backend server's next check-in.
 func (h *host) nextCheckIn(state string) string {
 	h.sequence++
--- a/test/registered/registered_test.go
+++ b/test/registered/registered_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/tideliftd/tidelift/platform"
 )
 
 // TestRequestsReachBackendServersWithTheirHeaders guards against wrong or internal headers on requests that reach a backend server.
@@ -332,6 +334,36 @@
 	}
 }
 
+// TestCheckInOfAnotherWriterChangesNoService guards against a check-in that names another declared service under the name of a running
+// backend server, which then runs that service's requests.
+func TestCheckInOfAnotherWriterChangesNoService(t *testing.T) {
+	f := newFleet(t, 2)
+	text := fmt.Sprintf(desiredText, 2, "/twice/", "")
+	text = strings.Replace(text, `"services":[`, `"services":[{"name":"records"},`, 1)
+	text = strings.Replace(text, `"routes":[`, `"routes":[{"name":"r","host":"a.example","path-prefix":"/records/","route-type":"idempotent","timeout-s":2,"target-latency-s":0.8,"priority":1,"service":"records","attempts":2},`, 1)
+	f.store.Write(platform.DesiredKey, []byte(text))
+	for _, h := range f.hosts {
+		f.waitUntil("the new route at "+h.daemonName(), func() bool { status, _ := h.get("/records/x"); return status == http.StatusServiceUnavailable })
+	}
+	h := f.hosts[1]
+	h.checkInBorn(1000)
+	for _, born := range []string{"", `,"born":1000`} {
+		body := fmt.Sprintf(`{"service":"records","address":"%s","zone":"dc0","version":"v1","capacity":4,"state":"ready","cold-remaining-s":0,"call-seq":900%s}`,
+			h.backend.Listener.Addr(), born)
+		if status := h.sendCheckInOnce(http.MethodPut, h.name, body); status != http.StatusBadRequest {
+			t.Errorf("check-in %s: got status %d, want 400", body, status)
+		}
+	}
+	for _, asked := range f.hosts {
+		if status, _ := asked.get("/records/x"); status != http.StatusServiceUnavailable {
+			t.Errorf("a request for records got status %d from %s, want 503: it has no backend server", status, asked.daemonName())
+		}
+		if status, _ := asked.get("/twice/x"); status != http.StatusOK {
+			t.Errorf("a request for lookup got status %d from %s, want 200", status, asked.daemonName())
+		}
+	}
+}
+
 // TestInvalidCheckInsAreRejected guards against forged check-ins, with an unknown state or service or without a field, that
 // affect a backend server of the same name or address: it would get the requests of another service.
 func TestInvalidCheckInsAreRejected(t *testing.T) {
