--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -13,6 +13,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -322,3 +323,21 @@
 		})
 	}
 }
+
+// TestStopBesideCrowd guards against a planned stop that does not end, or exceeds the memory, while a crowd stays.
+func TestStopBesideCrowd(t *testing.T) {
+	var all []client
+	for _, one := range callerCrowds {
+		all = append(all, one)
+	}
+	c := start(t, strings.Replace(limitedSettings, "limits: {", "limits: {stop: 6s, unready: 1s, ", 1), grantedDescriptors)
+	c.gather(c.daemon.CallersAddress(), crowdSize, all, func() {
+		c.checkUsage()
+		if err := c.daemon.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if !c.daemon.Wait(waitTimeout) {
+			t.Error("the daemon does not end")
+		}
+	})
+}
