fix(serve): a request behind an unread body is answered

Cause: in full duplex, net/http reads the rest of a body after it has stopped to wait for a disconnect, which then begins again and takes the next request's first byte.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -286,12 +286,15 @@
 	}
 }
 
-// closeAfterResponse makes net/http close the connection after the response. In full duplex, net/http reuses a
+// closeAfterResponse makes net/http close the connection after the response.
+func (b *Body) closeAfterResponse() { CloseAfterResponse(b.writer) }
+
+// CloseAfterResponse makes net/http close the connection after the response. In full duplex, net/http reuses a
 // connection whose request body could not be read to its end, and takes the rest of the body for the next request.
 // It closes one whose body exceeds the limit of a MaxBytesReader.
-func (b *Body) closeAfterResponse() {
+func CloseAfterResponse(w http.ResponseWriter) {
 	const limit = 0
-	tooLong := http.MaxBytesReader(b.writer, io.NopCloser(strings.NewReader("x")), limit)
+	tooLong := http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), limit)
 	_, _ = tooLong.Read(make([]byte, 1))
 }
 
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -402,17 +402,7 @@
 			result.Write(w, crowded())
 			return
 		}
-		answerBeforeBody(w, r)
-		handler.ServeHTTP(w, r)
-		last = r.Close || w.Header().Get("Connection") == "close"
+		closes := serveBeforeBody(handler, w, r)
+		last = closes || r.Close || w.Header().Get("Connection") == "close"
 	})
 }
-
-// answerBeforeBody lets a response be written before the body of its request has arrived, which a handler that refuses the request
-// does not read. By default, net/http reads up to 256 KB of it first, however long the client takes. A client that expects 100
-// Continue may send no body after another response, so that net/http must not wait for it either.
-func answerBeforeBody(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength != 0 && r.Header.Get("Expect") == "" {
-		_ = http.NewResponseController(w).EnableFullDuplex() // fails only on recorded responses, which have no body
-	}
-}
