--- a/internal/complete/complete_test.go
+++ b/internal/complete/complete_test.go
@@ -37,7 +37,8 @@
 	head := &http.Request{Method: http.MethodHead}
 	for want, responses := range map[complete.Framing][]*http.Response{
 		complete.FramingNone: {
-			{StatusCode: http.StatusNoContent, ContentLength: -1}, {StatusCode: http.StatusNotModified, ContentLength: 5},
+			{StatusCode: http.StatusNoContent, ContentLength: -1},
+			{StatusCode: http.StatusNotModified, ContentLength: 5},
 			{StatusCode: http.StatusOK, ContentLength: -1, Request: head},
 		},
 		complete.FramingLength: {{StatusCode: http.StatusOK}, {StatusCode: http.StatusOK, ContentLength: 5}},
--- a/internal/daemon/bounds.go
+++ b/internal/daemon/bounds.go
@@ -56,5 +56,5 @@
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
 		return maxDescriptors
 	}
-	return int(min(limit.Cur, maxDescriptors)) //nolint:gosec // bounded
+	return int(min(limit.Cur, maxDescriptors))
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -97,8 +97,6 @@
 	conns   map[*Conn]struct{} // open, without those that were evicted
 	leaving int                // evicted and not closed yet
 	held    int64              // for all of conns
-	evicted map[Phase]int64
-	refused int64
 }
 
 // New returns a Guard without connections.
@@ -203,9 +201,9 @@
 		return now.Sub(c.since) >= sendingGrace
 	case PhaseUnread:
 		return now.Sub(c.since) >= unreadGrace
-	default:
-		return false
+	case PhaseServing:
 	}
+	return false
 }
 
 // remove takes an open connection out, whose evict function must be called. What is held for it counts no more: it is given up at
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -16,7 +16,6 @@
 	now     time.Time
 	open    []*Conn
 	evicted map[*Conn]Phase
-	held    int64 // by Hold, beyond the bound
 }
 
 func newMachine(t *rapid.T) *machine {
--- a/internal/membership/registrations.go
+++ b/internal/membership/registrations.go
@@ -36,29 +36,7 @@
 // Registrations returns the handler functions for registrations.
 func (m *Membership) Registrations() Registrations {
 	return Registrations{
-		Register: func(c registry.Registration) error {
-			if err := serverOf(c).Check(); err != nil {
-				return err
-			}
-			if !m.mayRegister(c) {
-				return errors.Errorf("registration of %s names service %q, which is not declared", c.Name, c.Service)
-			}
-			m.awaitRestored()
-			changed, err := m.known.register(c)
-			if err != nil {
-				return err
-			}
-			if changed {
-				m.applyRegistration("check-in", c.Name, c.Sequence)
-				if c.Draining {
-					m.saveLeft()
-				}
-			}
-			if m.known.isLatest(c) {
-				m.config.SetCold(c.Name, c.Cold)
-			}
-			return nil
-		},
+		Register: m.register,
 		Leave: func(name string) {
 			if err := member.CheckName(name); err != nil {
 				event.Log(m.config.Logger, event.RegistrationRefused, "error", err)
@@ -72,6 +50,31 @@
 	}
 }
 
+// register records a registration of a local backend server.
+func (m *Membership) register(c registry.Registration) error {
+	if err := serverOf(c).Check(); err != nil {
+		return err
+	}
+	if !m.mayRegister(c) {
+		return errors.Errorf("registration of %s names service %q, which is not declared", c.Name, c.Service)
+	}
+	m.awaitRestored()
+	changed, err := m.known.register(c)
+	if err != nil {
+		return err
+	}
+	if changed {
+		m.applyRegistration("check-in", c.Name, c.Sequence)
+		if c.Draining {
+			m.saveLeft()
+		}
+	}
+	if m.known.isLatest(c) {
+		m.config.SetCold(c.Name, c.Cold)
+	}
+	return nil
+}
+
 // RecordLeaving records that an answer of a local backend server says that it is leaving, which is final for this
 // incarnation of it.
 func (m *Membership) RecordLeaving(name string) {
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -8,9 +8,11 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -225,11 +227,7 @@
 
 // TestCrowdsOfSeveralKinds guards against crowds that do not exceed a bound each, but do together.
 func TestCrowdsOfSeveralKinds(t *testing.T) {
-	var all []client
-	for _, one := range callerCrowds {
-		all = append(all, one)
-	}
-	play(t, (*harness.Daemon).CallersAddress, all...)
+	play(t, (*harness.Daemon).CallersAddress, slices.Collect(maps.Values(callerCrowds))...)
 }
 
 // TestCrowdsAtOtherAddresses guards against crowds at the addresses for readiness, operators and other daemons that take a daemon's
@@ -326,12 +324,8 @@
 
 // TestStopBesideCrowd guards against a planned stop that does not end, or exceeds the memory, while a crowd stays.
 func TestStopBesideCrowd(t *testing.T) {
-	var all []client
-	for _, one := range callerCrowds {
-		all = append(all, one)
-	}
 	c := start(t, strings.Replace(limitedSettings, "limits: {", "limits: {stop: 6s, unready: 1s, ", 1), grantedDescriptors)
-	c.gather(c.daemon.CallersAddress(), crowdSize, all, func() {
+	c.gather(c.daemon.CallersAddress(), crowdSize, slices.Collect(maps.Values(callerCrowds)), func() {
 		c.checkUsage()
 		if err := c.daemon.Signal(syscall.SIGTERM); err != nil {
 			t.Fatal(err)
--- a/test/registered/customers_test.go
+++ b/test/registered/customers_test.go
@@ -277,8 +277,8 @@
 // that starts afterwards.
 func TestLastCustomerRemoved(t *testing.T) {
 	f, seen := newCustomerFleet(t, 2, 0, 0)
-	text := fmt.Sprintf(desiredWithCustomersText, 3, "", 0.0, 0.0)
-	f.store.Write(platform.DesiredKey, []byte(text[:strings.Index(text, `"tenants":`)]+`"tenants":[]}`))
+	text, _, _ := strings.Cut(fmt.Sprintf(desiredWithCustomersText, 3, "", 0.0, 0.0), `"tenants":`)
+	f.store.Write(platform.DesiredKey, []byte(text+`"tenants":[]}`))
 	f.waitForStatus(keyOfSchool, http.StatusUnauthorized)
 	f.hosts[1].end()
 	f.hosts[1].start()
