fix(serve): a request that was started ahead is never refused for want of room

A refused connection got no answer.

Cause: the room for a head was asked for as if nothing had been started; the deadline of the refusal had passed before it was written.

Change: such a head is held whether there is room or not. Refused connections get their answer in the background, at most 128 at a time.

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -25,6 +25,9 @@
 // buffer.
 const writeTimeout = 2 * time.Second
 
+// maxRejecting is how many connections are refused at once with an answer.
+const maxRejecting = 128
+
 // phase is the request state of a conn, which determines what Close must do.
 type phase string
 
@@ -60,9 +63,10 @@
 // connListener accepts connections as conns, within the bounds of its guard.
 type connListener struct {
 	net.Listener
-	closing *atomic.Int64
-	guard   *guard.Guard
-	counts  crowdCounts
+	closing   *atomic.Int64
+	guard     *guard.Guard
+	counts    crowdCounts
+	rejecting *atomic.Int64 // connections that are being refused
 }
 
 // Accept returns the next connection, wrapped as a conn. It refuses those for which there is no room.
@@ -77,10 +81,28 @@
 			return c, nil
 		}
 		l.counts.refused.Inc(1)
-		c.reject()
+		l.reject(c)
 	}
 }
 
+// reject refuses a connection for which there is no room. Those beyond maxRejecting get no answer: each keeps a descriptor until its
+// client has received the answer.
+func (l connListener) reject(c *conn) {
+	accepted := accept.Of(c.Conn)
+	if accepted == nil {
+		_ = c.Conn.Close()
+		return
+	}
+	rejecting := l.rejecting.Add(1)
+	accepted.OnClosed(func() { l.rejecting.Add(-1) })
+	if rejecting > maxRejecting {
+		accepted.Reset()
+		return
+	}
+	c.closing.Add(1)
+	go c.refuse(crowded())
+}
+
 // open adds the connection to the guard, and reports whether there is room for it.
 func (c *conn) open(g *guard.Guard) bool {
 	c.mu.Lock()
@@ -100,16 +122,6 @@
 	return true
 }
 
-// reject refuses a connection for which there is no room. The answer arrives if the client has not sent anything yet.
-func (c *conn) reject() {
-	_ = c.SetWriteDeadline(time.Now()) // the answer fits into the socket's buffer
-	_ = result.WriteConn(c.Conn, crowded())
-	if accepted := accept.Of(c.Conn); accepted != nil {
-		accepted.LingerBriefly()
-	}
-	_ = c.Conn.Close()
-}
-
 // evict closes the connection, which waits for its peer, to make room.
 func (c *conn) evict(phase guard.Phase) {
 	c.mu.Lock() // waits until the connection is set up
@@ -166,9 +178,13 @@
 	return c.take(guard.HeadCost(len(piece), bytes.Count(piece, []byte("\n"))))
 }
 
-// take takes room for the current request, and reports whether there was room.
+// take takes room for the current request, and reports whether there was room. One that was started ahead may have run, so that
+// it is never refused.
 func (c *conn) take(cost int64) bool {
-	if !c.guarded.Take(time.Now(), cost) {
+	now := time.Now()
+	if c.pipelined.Unanswered() > 0 {
+		c.guarded.Hold(now, cost)
+	} else if !c.guarded.Take(now, cost) {
 		return false
 	}
 	c.mu.Lock()
@@ -229,7 +245,7 @@
 	return c.phase != phaseBusy, c.closed
 }
 
-// refuseHead refuses the request whose head is being read, unless requests have been started ahead, which are answered first.
+// refuseHead refuses the request whose head is being read.
 func (c *conn) refuseHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/serve/pipeline_test.go
+++ b/internal/serve/pipeline_test.go
@@ -66,9 +66,17 @@
 
 // startLimited is like startPipelined, with other limits on callers.
 func startLimited(t *testing.T, limit int, limits settings.Limits, handler http.HandlerFunc) (*Servers, string) {
+	t.Helper()
+	return startBounded(t, limit, limits, ample, handler)
+}
+
+// ample are bounds that no test meets.
+var ample = guard.Config{Connections: 1000, Memory: 1 << 30}
+
+// startBounded is like startLimited, with other bounds on what callers take together.
+func startBounded(t *testing.T, limit int, limits settings.Limits, callers guard.Config, handler http.HandlerFunc) (*Servers, string) {
 	t.Helper()
 	none := http.NotFoundHandler()
-	ample := guard.Config{Connections: 1000, Memory: 1 << 30}
 	servers, cleanUp, err := New(Config{
 		Listen:      settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0", Control: "127.0.0.1:0"},
 		Limits:      limits,
@@ -79,7 +87,7 @@
 		Pipelined:   limit,
 		MayPipeline: func(r *http.Request) bool { return r.Method == http.MethodGet },
 		Scope:       tally.NoopScope,
-		Bounds:      Bounds{Callers: ample, Peers: ample, Local: ample},
+		Bounds:      Bounds{Callers: callers, Peers: ample, Local: ample},
 		DaemonsOnly: func(l net.Listener) net.Listener { return l },
 		Logger:      slog.New(slog.DiscardHandler),
 	})
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -359,7 +359,7 @@
 
 // serve serves the socket in the background. Failures that are not caused by a stop are sent to Failed.
 func (s *Servers) serve(server *http.Server, socket net.Listener, b bounds) {
-	listener := connListener{Listener: socket, closing: &s.closing, guard: guard.New(b.config), counts: newCrowdCounts(s.config.Scope, b.listener)}
+	listener := connListener{Listener: socket, closing: &s.closing, guard: guard.New(b.config), counts: newCrowdCounts(s.config.Scope, b.listener), rejecting: new(atomic.Int64)}
 	go func() {
 		err := server.Serve(listener)
 		if !errors.Is(err, http.ErrServerClosed) && !s.refusing.Load() {
