--- a/internal/accept/conn.go
+++ b/internal/accept/conn.go
@@ -43,7 +43,7 @@
 // OnClosed sets a function that is called when the socket is closed, which Close does later. It must be called before Close.
 func (c *Conn) OnClosed(closed func()) { c.onClosed = closed }
 
-// Reset closes the connection at once, also while Close waits for the peer. What the peer has not received is lost.
+// Reset closes the connection immediately, even if Close is waiting for the peer. What the peer has not received is lost.
 func (c *Conn) Reset() {
 	unreceived := c.unreceived()
 	_ = c.SetLinger(0) // fails only on a closed socket
--- a/internal/daemon/bounds.go
+++ b/internal/daemon/bounds.go
@@ -28,6 +28,14 @@
 	localShare   = 32
 )
 
+// The shares of the descriptors, in parts of descriptorParts.
+const (
+	descriptorParts = 64
+	callersParts    = 24
+	peersParts      = 16
+	localParts      = 1
+)
+
 // boundsOf returns the bounds of the listeners. What they leave of the descriptors is for connections to backend servers, other
 // daemons and the store.
 func boundsOf(limits settings.Limits) serve.Bounds {
@@ -40,9 +48,9 @@
 		descriptors = openable()
 	}
 	return serve.Bounds{
-		Callers: boundsFor(descriptors*3/8, memory/callersShare),
-		Peers:   boundsFor(descriptors/4, memory/peersShare),
-		Local:   boundsFor(descriptors/64, memory/localShare),
+		Callers: boundsFor(descriptors*callersParts/descriptorParts, memory/callersShare),
+		Peers:   boundsFor(descriptors*peersParts/descriptorParts, memory/peersShare),
+		Local:   boundsFor(descriptors*localParts/descriptorParts, memory/localShare),
 	}
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -1,12 +1,11 @@
 // Package guard bounds what the peers of one listener may take of a daemon: connections, and memory for what they send and what
 // they have not read.
 //
-// A Guard knows the connections of one listener, what each of them waits for, and what is held for it. A connection that waits for
-// its peer can be evicted: when a bound is reached, the one that has waited longest makes room, and what finds no room
-// is refused. A connection whose request is being served is never evicted.
+// A Guard tracks the connections of one listener, what each of them waits for, and the memory charged to it. A connection that
+// waits for its peer can be evicted: when a bound is reached, the one that has waited longest is closed, and what still finds no
+// room is refused. A connection whose request is being served is never evicted.
 //
-// What is held is an estimate, which errs on the high side: a head of short fields takes many times its size once it is decoded
-// (HeadCost).
+// Charges are estimates on the high side: a head of short fields takes many times its size once it is decoded (HeadCost).
 //
 // # Usage
 //
@@ -14,9 +13,9 @@
 //	c, ok := g.Open(now, evict)     // false: refuse the connection
 //	defer c.Close()
 //	c.Enter(now, guard.PhaseHead)   // waits for the rest of a head
-//	ok = c.Take(now, guard.HeadCost(size, fields))
-//	c.Hold(now, size)               // what is there already, and cannot be refused
-//	c.Give(size)
+//	ok = c.Take(now, guard.HeadCost(size, fields)) // false: refuse the request
+//	c.Hold(now, size)               // charges memory that is in use already
+//	c.Give(size)                    // ends a charge
 //
 // A Guard has no clock, socket or goroutine. It calls the evict functions of its connections.
 package guard
@@ -34,7 +33,7 @@
 const (
 	// PhaseIdle means that the peer has sent nothing since the last answer, or ever.
 	PhaseIdle Phase = "idle"
-	// PhaseSending means that the peer has sent a part of a head, or has not sent the rest of a body that nobody reads.
+	// PhaseSending means that the peer has sent a part of a head, or owes the rest of a body that the handler did not read.
 	PhaseSending Phase = "sending"
 	// PhaseServing means that a request is served.
 	PhaseServing Phase = "serving"
@@ -42,21 +41,21 @@
 	PhaseUnread Phase = "unread"
 )
 
-// How long a connection waits before it may be evicted. An idle one may be evicted at once.
+// How long a connection waits before it may be evicted. An idle one may be evicted immediately.
 const (
 	sendingGrace = time.Second
 	unreadGrace  = 3 * time.Second
 )
 
-// What is held beside the data, in bytes.
+// Charges beside the data itself, in bytes.
 const (
-	// ConnCost is what an open connection holds: its buffers and its goroutine.
+	// ConnCost is the charge for an open connection: its buffers and its goroutine.
 	ConnCost = 16 << 10
-	// RequestCost is what a request holds while it is served, without its head and its body.
+	// RequestCost is the charge for a request that is served, without its head and its body.
 	RequestCost = 32 << 10
-	// AnswerCost is what an answer holds while the peer does not read it.
+	// AnswerCost is the charge for an answer that the peer has not read.
 	AnswerCost = 96 << 10
-	// fieldCost is what a field of a decoded head takes beside its text, in all its copies.
+	// fieldCost is the charge for a field of a decoded head beside its text, in all its copies.
 	fieldCost = 320
 	// textCopies is how many copies of a head's text there may be.
 	textCopies = 3
@@ -65,10 +64,10 @@
 // maxShareDivisor divides the memory to get what one connection may have. A head of the greatest size fits in it.
 const maxShareDivisor = 4
 
-// HeadCost returns what a head of that size, with that many fields, takes.
+// HeadCost returns the charge for a head of that size with that many fields.
 func HeadCost(size, fields int) int64 { return int64(textCopies*size + fieldCost*fields) }
 
-// HeadersCost returns what the head of a decoded request takes.
+// HeadersCost returns the charge for the head of a decoded request.
 func HeadersCost(r *http.Request) int64 {
 	const separators = len(": \r\n")
 	size, fields := len(r.RequestURI), 0
@@ -83,9 +82,9 @@
 
 // Config configures a Guard.
 type Config struct {
-	// Connections bounds the connections that are open at once.
+	// Connections bounds the number of open connections.
 	Connections int
-	// Memory bounds what is held for all of them, in bytes.
+	// Memory bounds the charges of all of them, in bytes.
 	Memory int64
 }
 
@@ -96,7 +95,7 @@
 	mu      sync.Mutex
 	conns   map[*Conn]struct{} // open, without those that were evicted
 	leaving int                // evicted and not closed yet
-	held    int64              // for all of conns
+	held    int64              // sum of the charges of conns
 }
 
 // New returns a Guard without connections.
@@ -151,7 +150,7 @@
 }
 
 // makePlace reports whether there is a place for another connection, after it has evicted one if it must. Evicted connections are
-// closed soon, so that there may be a few more meanwhile.
+// closed soon, so that the bound may be exceeded by a few of them for that time.
 func (g *Guard) makePlace(now time.Time) (evictions, bool) {
 	const leavingDivisor = 4
 	if g.leaving > g.config.Connections/leavingDivisor {
@@ -167,7 +166,7 @@
 	return evictions{g.remove(victim)}, true
 }
 
-// makeRoom reports whether that much more may be held for c, after it has added connections to evict if it must.
+// makeRoom reports whether c may be charged that much more, after it has added connections to evict if it must.
 func (g *Guard) makeRoom(now time.Time, c *Conn, size int64, victims *evictions) bool {
 	if c.held+size > max(g.config.Memory/maxShareDivisor, ConnCost) {
 		return false
@@ -206,8 +205,7 @@
 	return false
 }
 
-// remove takes an open connection out, whose evict function must be called. What is held for it counts no more: it is given up at
-// once.
+// remove removes an open connection, whose evict function must be called. Its charges end, since its memory is about to be released.
 func (g *Guard) remove(c *Conn) eviction {
 	delete(g.conns, c)
 	g.leaving++
@@ -216,7 +214,7 @@
 	return eviction{conn: c, phase: c.phase}
 }
 
-// Close removes the connection, with all that is held for it.
+// Close removes the connection and ends its charges.
 func (c *Conn) Close() {
 	if c == nil {
 		return
@@ -247,7 +245,7 @@
 	}
 }
 
-// BeginAnswer records that a part of an answer waits until the peer reads, and holds it.
+// BeginAnswer charges a part of an answer, which waits until the peer reads.
 func (c *Conn) BeginAnswer(now time.Time) {
 	c.Hold(now, AnswerCost)
 	c.Enter(now, PhaseUnread)
@@ -259,7 +257,7 @@
 	c.Enter(now, phase)
 }
 
-// Take holds that much more for the connection, and reports whether there is room. Others may be evicted for it.
+// Take charges the connection if there is room, and reports whether there is. Others may be evicted for it.
 func (c *Conn) Take(now time.Time, size int64) bool {
 	if c == nil || size == 0 {
 		return true
@@ -275,7 +273,7 @@
 	return ok
 }
 
-// Hold holds that much more, whether there is room or not. Others may be evicted for it.
+// Hold charges the connection whether there is room or not. Others may be evicted for it.
 func (c *Conn) Hold(now time.Time, size int64) {
 	if c == nil {
 		return
@@ -288,7 +286,7 @@
 	victims.evict()
 }
 
-// Give gives back what was taken or held.
+// Give ends a charge of Take or Hold.
 func (c *Conn) Give(size int64) {
 	if c == nil {
 		return
@@ -298,7 +296,7 @@
 	c.add(-size)
 }
 
-// add changes what is held for the connection. The mutex must be held.
+// add changes the charges of the connection. The mutex must be locked.
 func (c *Conn) add(size int64) {
 	c.held += size
 	if !c.gone && !c.closed {
--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -124,7 +124,7 @@
 	return nil
 }
 
-// folded records that the last field goes on in another line.
+// folded records that the last field continues on another line.
 func (f *framing) folded() { f.bad = f.bad || f.last }
 
 // check returns an error if the end of the answer is not certain.
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -25,7 +25,7 @@
 // buffer.
 const writeTimeout = 2 * time.Second
 
-// maxRejecting is how many connections are refused at once with an answer.
+// maxRejecting bounds the connections that are being refused with an answer.
 const maxRejecting = 128
 
 // phase is the request state of a conn, which determines what Close must do.
--- a/internal/serve/unread.go
+++ b/internal/serve/unread.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// unreadTimeout is how long a response waits for the rest of a body that its handler has not read. What the client has sent
-	// with the head is there at once, and the connection can be reused.
+	// unreadTimeout is how long a response waits for the rest of a body that its handler has not read. If the client has sent it with
+	// the head, it is read without a wait, and the connection can be reused.
 	unreadTimeout = 5 * time.Millisecond
 	// maxUnread is how much of such a body is read, in bytes; net/http has the same limit.
 	maxUnread = 256 << 10
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -134,7 +134,7 @@
 	return &crowd{t: t, fleet: f, daemon: f.Daemons[0]}
 }
 
-// gather lets that many clients connect to the address at once, and calls beside while they stay.
+// gather connects that many clients to the address concurrently, and calls beside while they stay.
 func (c *crowd) gather(address string, size int, clients []client, beside func()) {
 	c.t.Helper()
 	var sending, leaving sync.WaitGroup
--- a/test/harness/usage.go
+++ b/test/harness/usage.go
@@ -32,7 +32,7 @@
 	return time.Duration(u+s) * clockTick, nil
 }
 
-// memoryMB returns a field of /proc/PID/status that tells memory, in MB.
+// memoryMB returns a field of /proc/PID/status that holds a size, in MB.
 func memoryMB(pid int, field string) (float64, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
