--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -10,12 +10,12 @@
 // # Usage
 //
 //	g := guard.New(guard.Config{Connections: 1000, Memory: 64 << 20})
-//	c, ok := g.Open(now, evict)     // false: refuse the connection
+//	c, ok := g.Open(now, evict) // false: refuse the connection
 //	defer c.Close()
-//	c.Enter(now, guard.PhaseHead)   // waits for the rest of a head
+//	c.Enter(now, guard.PhaseSending) // waits for the rest of a head
 //	ok = c.Take(now, guard.HeadCost(size, fields)) // false: refuse the request
-//	c.Hold(now, size)               // charges memory that is in use already
-//	c.Give(size)                    // ends a charge
+//	c.Hold(now, size) // charges memory that is in use already
+//	c.Give(size)      // ends a charge
 //
 // A Guard has no clock, socket or goroutine. It calls the evict functions of its connections.
 package guard
