test(integration): one reader of whole answers

Cause: upload repeated how exchangeText reads an answer. Change: both call wholeAnswer; no assertion changes.

--- a/test/integration/cut_test.go
+++ b/test/integration/cut_test.go
@@ -28,16 +28,7 @@
 	if err != nil {
 		return 0, ""
 	}
-	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
-	if err != nil {
-		return 0, ""
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return response.StatusCode, string(data)
+	return wholeAnswer((&http.Transport{DisableKeepAlives: true}).RoundTrip(r))
 }
 
 // TestAnswerCutDuringUploadIsNeverWhole guards against a part of an answer without a length that counts as whole because its
--- a/test/integration/head_test.go
+++ b/test/integration/head_test.go
@@ -99,7 +99,11 @@
 	if err != nil {
 		return 0, ""
 	}
-	response, err := http.DefaultClient.Do(r)
+	return wholeAnswer(http.DefaultClient.Do(r))
+}
+
+// wholeAnswer returns the status and body of a whole answer, and 0 for any other.
+func wholeAnswer(response *http.Response, err error) (status int, body string) {
 	if err != nil {
 		return 0, ""
 	}
